--- /dev/null
+++ b/src/galenalink/config/diagnostic.cpp
@@ -0,0 +1,16 @@
+#include "galenalink/config/diagnostic.hpp"
+
+namespace galenalink::config {
+
+std::string toString(const diagnostic &Diagnostic) {
+  std::string Text = Diagnostic.File;
+  if (Diagnostic.Line != 0)
+    Text += ':' + std::to_string(Diagnostic.Line) + ':' +
+            std::to_string(Diagnostic.Column);
+  Text += ": ";
+  if (!Diagnostic.Path.empty())
+    Text += Diagnostic.Path + ": ";
+  return Text + Diagnostic.Message;
+}
+
+} // namespace galenalink::config
