--- /dev/null
+++ b/test/galenalink/telemetry/log.cpp
@@ -0,0 +1,45 @@
+#include "galenalink/telemetry/log.hpp"
+#include <boost/test/unit_test.hpp>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+using namespace galenalink::telemetry;
+
+namespace {
+
+std::string captured(const bool Json, const std::string &Value) {
+  std::ostringstream Output;
+  auto *const Previous = std::clog.rdbuf(Output.rdbuf());
+  openLog(severity::Info, Json);
+  constexpr logger Log{"placement"};
+  Log.debug("Dropped.");
+  Log.info("Placed request.", {{"vm", Value}, {"slots", 3}});
+  std::clog.rdbuf(Previous);
+  return Output.str();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(log_lines)
+
+BOOST_AUTO_TEST_CASE(text_line_has_prefix_and_attributes) {
+  const auto Line = captured(false, "vm-1");
+  BOOST_TEST(Line.find(" placement: Placed request. vm=vm-1 slots=3\n") !=
+             std::string::npos);
+  BOOST_TEST(Line.find("Dropped") == std::string::npos);
+}
+
+// A caller's value must not be able to forge a second log line.
+BOOST_AUTO_TEST_CASE(line_breaks_in_values_are_escaped) {
+  const auto Line = captured(false, "a\nplacement: forged");
+  BOOST_TEST(std::count(Line.begin(), Line.end(), '\n') == 1);
+}
+
+BOOST_AUTO_TEST_CASE(json_line_is_parseable_with_invalid_utf8) {
+  const auto Line = nlohmann::json::parse(captured(true, "\xff\""));
+  BOOST_TEST(Line["module"] == "placement");
+  BOOST_TEST(Line["slots"] == "3");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
