Add the request ledger of a shard

Cause: the home of a shard needs one place that decides whether a request is new, in flight, finished or possibly run, before the node is built on it.

--- /dev/null
+++ b/src/galenalink/request/entry.hpp
@@ -0,0 +1,130 @@
+#ifndef GALENALINK_REQUEST_ENTRY_HPP
+#define GALENALINK_REQUEST_ENTRY_HPP
+
+#include "galenalink/core/attempt.hpp"
+#include "galenalink/core/enum_names.hpp"
+#include "galenalink/core/outcome.hpp"
+#include "galenalink/core/time.hpp"
+#include "galenalink/request/fwd.hpp"
+#include <string>
+#include <string_view>
+
+namespace galenalink::request {
+
+/** @brief State of a request in the ledger. */
+enum class entry_state : std::uint8_t {
+  /** Held; no attempt that could run it is outstanding. */
+  Accepted,
+  /** An attempt may be running. */
+  Dispatched,
+  Completed,
+  Failed,
+  /** Refused as not run after the caller was given a handle. */
+  Refused,
+  /** Cancelled before it ran. */
+  Cancelled,
+  /** It may have run; it is never run again. */
+  Unknown,
+};
+
+inline constexpr enum_names<entry_state, 7> EntryStateNames{{
+    {entry_state::Accepted, "accepted"},
+    {entry_state::Dispatched, "dispatched"},
+    {entry_state::Completed, "completed"},
+    {entry_state::Failed, "failed"},
+    {entry_state::Refused, "refused"},
+    {entry_state::Cancelled, "cancelled"},
+    {entry_state::Unknown, "unknown"},
+}};
+
+/** @brief True for states that no attempt changes any more. */
+[[nodiscard]] constexpr bool isFinal(const entry_state State) noexcept {
+  return State != entry_state::Accepted && State != entry_state::Dispatched;
+}
+
+/** @brief Identity of a request. */
+struct request_key {
+  std::string Member;
+  std::string Service;
+  std::string Key;
+
+  [[nodiscard]] auto operator<=>(const request_key &) const = default;
+};
+
+/** @brief Hash of a key, for tables in memory. */
+struct request_key_hash {
+  [[nodiscard]] std::size_t operator()(const request_key &Key) const noexcept;
+};
+
+/** @brief Hash of an attempt, for tables in memory. */
+struct attempt_hash {
+  [[nodiscard]] std::size_t operator()(const attempt_id &Id) const noexcept;
+};
+
+/**
+ * @brief Hash that tells a repeated request from another request under the
+ * same key. The queue counts as part of the body.
+ */
+[[nodiscard]] std::uint64_t bodyHash(std::string_view Queue,
+                                     std::string_view Body) noexcept;
+
+/** @brief Order of the records of one key, across homes. */
+struct revision {
+  /** Roster version at which the record was made. */
+  log_offset Version{};
+  /** Counts the records of one home; never reused by a ledger. */
+  std::uint64_t Sequence{};
+
+  [[nodiscard]] auto operator<=>(const revision &) const noexcept = default;
+};
+
+/** @brief What replicas hold of an entry. */
+struct entry_record {
+  request_key Key;
+  std::uint64_t BodyHash{};
+  entry_state State{};
+  /** Last attempt; zero if there was none. */
+  attempt_id Attempt{};
+  std::string Vm;
+  std::string Queue;
+  std::string Team;
+  /** Empty unless a new home may have to run the work. */
+  std::string Body;
+  std::string Result;
+  /** Time left before a final entry is forgotten. */
+  duration ExpiresIn{};
+  refusal Refusal{};
+  bool Idempotent{};
+  bool LongWork{};
+  revision Revision;
+};
+
+/**
+ * @brief Limit of what a ledger knows after a takeover without evidence.
+ *
+ * A non-idempotent key that the ledger does not hold may have run, unless it
+ * was issued after `FreshAfter`; this ends when `Remaining` has passed.
+ */
+struct horizon {
+  /** Zero when the ledger knows every key. */
+  duration Remaining{};
+  wall_ms FreshAfter{};
+};
+
+/** @brief Both clocks, read once for an operation. */
+struct instant {
+  time_point Now;
+  wall_ms Wall{};
+};
+
+/** @brief Permission to dispatch, as values. */
+struct authority {
+  time_point Now;
+  time_point Deadline{NoDeadline};
+
+  [[nodiscard]] constexpr bool valid() const noexcept { return Now < Deadline; }
+};
+
+} // namespace galenalink::request
+
+#endif
