Add the scheduler of a shard

Nothing decided yet which work of a shard runs on which VM.

slot_table counts the eight slots of each VM and keeps VMs in lists by free slots, so that a choice looks at a fixed number of lists. queue_set holds the items in one table of fixed size, with start-time fair queueing over member, team and queue, and a timing wheel for expiry. shard_scheduler composes both with admission by deadline, learned run times, a bounded share for long work, the retry budget, and ejection of VMs on evidence. Time is an argument throughout.

--- /dev/null
+++ b/src/galenalink/schedule/queue_set.hpp
@@ -0,0 +1,198 @@
+#ifndef GALENALINK_SCHEDULE_QUEUE_SET_HPP
+#define GALENALINK_SCHEDULE_QUEUE_SET_HPP
+
+#include "galenalink/schedule/fair_queue.hpp"
+#include "galenalink/schedule/timer_wheel.hpp"
+#include "galenalink/schedule/types.hpp"
+#include <array>
+#include <boost/intrusive/list.hpp>
+#include <memory>
+#include <memory_resource>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace galenalink::schedule {
+
+/** @brief An admitted item, queued or running. */
+struct queued_item
+    : timer,
+      boost::intrusive::list_base_hook<
+          boost::intrusive::link_mode<boost::intrusive::safe_link>> {
+  /** VMs on which an item failed or that refused it. */
+  static constexpr std::uint32_t MaxTried = 8;
+
+  work_item Work;
+  /** Latest useful start. */
+  time_point StartBy{};
+  /** Estimated slot time, as counted in the backlog. */
+  duration Cost{};
+  /** Flow, set from the first push on. */
+  std::uint32_t Flow{0};
+  std::uint8_t Refusals{0};
+  std::uint8_t TriedCount{0};
+  /** One bit for each entry of `Tried` where the item failed. */
+  std::uint8_t FailedOn{0};
+  /** True once an attempt may have started. */
+  bool Began{false};
+  bool Queued{false};
+  /** Waits in the list of items that are placed again. */
+  bool Again{false};
+  std::array<vm_index, MaxTried> Tried{};
+  /** Set while running. */
+  attempt_id Attempt{};
+
+  [[nodiscard]] std::span<const vm_index> tried() const noexcept {
+    return {Tried.data(), TriedCount};
+  }
+  void addTried(vm_index Vm, bool Failed) noexcept;
+};
+
+/**
+ * @brief Bounded queues, one for each queue and team, served by fair share
+ * within each work class.
+ *
+ * Items live in one table of fixed size. Push, cancel and expiry are O(1)
+ * apart from the O(log of flows) of the fair share. Items that are placed
+ * again wait in a list of their own ahead of the others, so that an item
+ * which must avoid some VMs does not hold up its flow.
+ */
+class queue_set {
+public:
+  using flow_index = std::uint32_t;
+
+  struct limits {
+    std::uint32_t MaxItems{0};
+    std::uint32_t MaxFlowItems{0};
+  };
+
+  explicit queue_set(limits Limits);
+
+  /** @brief Adds a team, or changes its quota. */
+  void setTeam(team_index Team, std::uint32_t Member, double Quota);
+
+  /** @brief Changes the class of a queue together with its waiting items. */
+  void setClass(queue_index Queue, work_class Class);
+
+  /** @brief Flow of a queue and team; made on first use. */
+  flow_index flow(queue_index Queue, team_index Team);
+
+  /** @brief Reason why no further item is taken in, or `None`. */
+  [[nodiscard]] refusal full(flow_index Flow) const noexcept;
+
+  /** @brief Takes in an item. It must not be held and not be refused. */
+  queued_item &insert(const work_item &Work, flow_index Flow, duration Cost,
+                      time_point StartBy);
+
+  /** @brief Puts a running item ahead of the waiting ones. */
+  void pushAgain(queued_item &Item);
+
+  /** @brief Item that is next by fair share, without removing it. */
+  [[nodiscard]] queued_item *front(work_class Class) noexcept;
+
+  /**
+   * @brief Item that is placed again for which `Accept` returns true; looks
+   * at the first few only.
+   */
+  template <typename Function>
+  [[nodiscard]] queued_item *findAgain(Function &&Accept) {
+    std::uint32_t Looks = 0;
+    for (auto &Item : Again) {
+      if (++Looks > MaxLooks)
+        return nullptr;
+      if (Accept(Item))
+        return &Item;
+    }
+    return nullptr;
+  }
+
+  /** @brief Removes an item from its queue; it stays held as running. */
+  void start(queued_item &Item, attempt_id Attempt);
+
+  /** @brief Adds to what the flow of an item was charged. */
+  void correct(const queued_item &Item, duration Difference);
+
+  /** @brief Forgets an item, queued or running. */
+  void erase(queued_item &Item);
+
+  [[nodiscard]] queued_item *find(item_id Item) noexcept;
+
+  /** @brief Calls `Fire` for each queued item whose `StartBy` passed. */
+  template <typename Function>
+  void expire(const time_point Now, Function &&Fire) {
+    Timers.advance(
+        Now, [&](timer &Timer) { Fire(static_cast<queued_item &>(Timer)); });
+  }
+
+  [[nodiscard]] std::uint32_t held() const noexcept {
+    return static_cast<std::uint32_t>(ById.size());
+  }
+  [[nodiscard]] std::uint32_t waiting(work_class Class) const noexcept;
+  [[nodiscard]] std::uint32_t waiting(queue_index Queue) const noexcept;
+  /** @brief Estimated slot time of the waiting items of a class. */
+  [[nodiscard]] duration backlog(work_class Class) const noexcept;
+  [[nodiscard]] duration backlog(flow_index Flow) const noexcept;
+  /** @brief Share of a class that a flow gets while all others stay. */
+  [[nodiscard]] double share(flow_index Flow) const noexcept;
+  [[nodiscard]] work_class classOf(queue_index Queue) const noexcept;
+
+private:
+  /** Bounds the search among items that must avoid some VMs. */
+  static constexpr std::uint32_t MaxLooks = 4;
+  using item_list =
+      boost::intrusive::list<queued_item,
+                             boost::intrusive::constant_time_size<false>>;
+
+  struct flow_record {
+    queue_index Queue{};
+    std::uint32_t Count{0};
+    duration Cost{};
+    /** Node in the fair share of each class. */
+    std::array<fair_queue::node, 2> Node{};
+    item_list Items;
+  };
+  struct team_record {
+    bool Known{false};
+    double Quota{1};
+    std::uint32_t Member{0};
+    std::array<fair_queue::node, 2> Node{};
+  };
+  struct member_record {
+    double Quota{0};
+    std::array<fair_queue::node, 2> Node{};
+  };
+  struct queue_record {
+    work_class Class{};
+    std::uint32_t Waiting{0};
+    duration Cost{};
+    std::vector<flow_index> Flows;
+  };
+
+  void remove(queued_item &Item);
+  void push(queued_item &Item);
+  void count(const queued_item &Item, bool Add) noexcept;
+  [[nodiscard]] queue_record &queue(queue_index Queue);
+
+  limits Limits;
+  std::vector<queued_item> Table;
+  std::vector<std::uint32_t> Unused;
+  std::vector<queue_record> Queues;
+  std::vector<team_record> Teams;
+  std::vector<member_record> Members;
+  std::vector<std::unique_ptr<flow_record>> Flows;
+  std::unordered_map<std::uint64_t, flow_index> FlowOf;
+  std::array<fair_queue, 2> Fair;
+  /** Flow of each node of `Fair`. */
+  std::array<std::vector<flow_index>, 2> FlowOfNode;
+  item_list Again;
+  timer_wheel Timers;
+  std::array<std::uint32_t, 2> Waiting{};
+  std::array<duration, 2> Backlog{};
+  std::pmr::unsynchronized_pool_resource Memory;
+  std::pmr::unordered_map<item_id, std::uint32_t> ById;
+};
+
+} // namespace galenalink::schedule
+
+#endif
--- /dev/null
+++ b/src/galenalink/schedule/shard_admission.cpp
@@ -0,0 +1,107 @@
+#include "galenalink/schedule/shard_scheduler.hpp"
+#include <algorithm>
+#include <cmath>
+
+namespace galenalink::schedule {
+
+namespace {
+
+/** Retry time while no VM can take work; the cause takes seconds to pass. */
+constexpr duration NoVmRetry{std::chrono::seconds{1}};
+
+[[nodiscard]] duration scaled(const duration Time, const double By) noexcept {
+  return duration{
+      static_cast<duration::rep>(static_cast<double>(Time.count()) * By)};
+}
+
+} // namespace
+
+std::uint32_t shard_scheduler::slotsFor(const work_class Class) const noexcept {
+  if (Class == work_class::Long)
+    return std::max(longSlots(), 1U);
+  const auto &Total = Slots.total();
+  const auto All = Total.Vms * SlotsPerVm;
+  const auto Taken = Total.Long + Total.Overrun;
+  return All > Taken ? All - Taken : 1;
+}
+
+duration shard_scheduler::waitOf(const queue_set::flow_index Flow,
+                                 const work_class Class) const {
+  // The flow waits for its own backlog at its share of the slots, but never
+  // longer than it takes to work off all that waits now.
+  const auto Rate = 1.0 / slotsFor(Class);
+  return std::min(scaled(Queues.backlog(Flow), Rate / Queues.share(Flow)),
+                  scaled(Queues.backlog(Class), Rate));
+}
+
+duration shard_scheduler::wait(const queue_index Queue, const team_index Team) {
+  return waitOf(Queues.flow(Queue, Team), Queues.classOf(Queue));
+}
+
+duration shard_scheduler::retryAfter(queue_record &Queue,
+                                     const work_class Class,
+                                     const duration Excess,
+                                     const time_point Now) {
+  // Refused callers get successive places at the drain rate. With the same
+  // time for all they would come back together and be refused again.
+  const auto Earliest = Now + std::max(Excess, Settings.RetryAfterLeast);
+  const auto Place = scaled(Queue.RunTime.mean(), 1.0 / slotsFor(Class));
+  Queue.LastRetry = std::min(std::max(Queue.LastRetry, Earliest) + Place,
+                             Now + Settings.RetryAfterMost);
+  return Queue.LastRetry - Now;
+}
+
+admission shard_scheduler::enqueue(const work_item &Work,
+                                   const time_point Now) {
+  advance(Now);
+  if (raw(Work.Queue) >= QueueRecords.size() ||
+      !QueueRecords[raw(Work.Queue)].Open ||
+      raw(Work.Team) >= TeamRecords.size())
+    return {refusal::NoSuchQueue, {}};
+  if (Queues.find(Work.Id) != nullptr)
+    return {refusal::KeyReused, {}};
+  if (Work.Deadline <= Now)
+    return {refusal::DeadlineUnreachable, {}};
+  if (Slots.up() == 0)
+    return {refusal::NoCapacity, NoVmRetry};
+  auto &Queue = QueueRecords[raw(Work.Queue)];
+  const auto Class = Queues.classOf(Work.Queue);
+  const auto Flow = Queues.flow(Work.Queue, Work.Team);
+  // Callers wait for the result of short work, and for a handle of long work.
+  // At least half of the time is left for the start: a wrong estimate would
+  // otherwise refuse all work, and never be corrected.
+  auto StartBy = Work.Deadline;
+  if (Class == work_class::Short)
+    StartBy -= std::min(Queue.RunTime.median(), (Work.Deadline - Now) / 2);
+  const auto Wait = waitOf(Flow, Class);
+  if (Now + Wait >= StartBy)
+    return {refusal::DeadlineUnreachable,
+            retryAfter(Queue, Class, Now + Wait - StartBy, Now)};
+  if (const auto Reason = Queues.full(Flow); Reason != refusal::None)
+    return {Reason, retryAfter(Queue, Class, {}, Now)};
+  Queues.insert(Work, Flow, Queue.RunTime.mean(), StartBy);
+  return {};
+}
+
+cancel_result shard_scheduler::cancel(const item_id Id) {
+  auto *Item = Queues.find(Id);
+  if (Item == nullptr)
+    return {};
+  if (!Item->Queued) {
+    const auto Slot = Slots.slotOf(Item->Attempt);
+    return {cancel_state::Running, true, Item->Attempt,
+            Slot ? vmOf(*Slot) : vm_index{}};
+  }
+  const bool Began = Item->Began;
+  Queues.erase(*Item);
+  return {cancel_state::Removed, Began, {}, {}};
+}
+
+void shard_scheduler::expire(const time_point Now,
+                             std::vector<expired_item> &Expired) {
+  advance(Now);
+  Expired.insert(Expired.end(), this->Expired.begin(), this->Expired.end());
+  this->Expired.clear();
+}
+
+} // namespace galenalink::schedule
--- /dev/null
+++ b/src/galenalink/schedule/shard_scheduler.cpp
@@ -0,0 +1,298 @@
+#include "galenalink/schedule/shard_scheduler.hpp"
+#include "galenalink/core/assert.hpp"
+#include <algorithm>
+
+namespace galenalink::schedule {
+
+shard_scheduler::shard_scheduler(const settings &Settings)
+    : Settings{Settings}, Queues{{.MaxItems = Settings.MaxItems,
+                                  .MaxFlowItems = Settings.MaxTeamItems}},
+      Health{Settings}, Typical{Settings.LongAfterLeast},
+      LongAfter{Settings.LongAfterMost} {}
+
+slot_table::adoption
+shard_scheduler::setOccupied(const vm_index Vm,
+                             const std::span<const attempt_id> Reported,
+                             const time_point Now) {
+  std::uint32_t Released = 0;
+  for (std::uint32_t Slot = 0; Slot < SlotsPerVm && Slots.known(Vm); ++Slot) {
+    const auto Attempt = Slots.adopted(slot_index{raw(Vm) * SlotsPerVm + Slot});
+    if (Attempt && std::find(Reported.begin(), Reported.end(), *Attempt) ==
+                       Reported.end()) {
+      end(*Attempt);
+      ++Released;
+    }
+  }
+  auto Result = Slots.adopt(Vm, Reported);
+  Result.Released += Released;
+  for (std::uint32_t Slot = 0; Slot < SlotsPerVm && Slots.known(Vm); ++Slot) {
+    const slot_index Index{raw(Vm) * SlotsPerVm + Slot};
+    auto &Run = Running[raw(Index)];
+    if (!Slots.adopted(Index) || Run.Adopted)
+      continue;
+    // The start is unknown; the work counts as long once it was seen so long.
+    Run.Slot = Index;
+    Run.Adopted = true;
+    Overruns.add(Run, Now + LongAfter);
+  }
+  return Result;
+}
+
+void shard_scheduler::advance(const time_point Now) {
+  Queues.expire(Now, [&](queued_item &Item) {
+    Expired.push_back({Item.Work.Id, Item.Began});
+    Queues.erase(Item);
+  });
+  Health.advance(Now, [&](const vm_index Vm) { hold(Vm); });
+  Overruns.advance(
+      Now, [&](timer &Timer) { overran(static_cast<running &>(Timer), Now); });
+}
+
+void shard_scheduler::overran(running &Run, const time_point Now) {
+  Slots.markOverrun(Run.Slot);
+  if (Run.Item == nullptr || Run.CountedLong)
+    return;
+  if (Now < Run.Since + LongAfter) {
+    Overruns.add(Run, Run.Since + LongAfter);
+    return;
+  }
+  // Long work that was declared short is recognised before it finishes.
+  Run.CountedLong = true;
+  believe(Run.Item->Work.Queue, work_class::Long);
+}
+
+void shard_scheduler::hold(const vm_index Vm) {
+  if (Slots.known(Vm))
+    Slots.setHeld(Vm, Health.held(Vm));
+}
+
+bool shard_scheduler::longAllowed() const noexcept {
+  const auto &Total = Slots.total();
+  const auto Most = longSlots();
+  if (Total.Long >= Most)
+    return false;
+  // Short work that overran takes from the share of long work, but leaves it
+  // half, so that stragglers cannot keep long work from starting.
+  return Total.Long + Total.Overrun < Most ||
+         Total.Long < std::max(Most / 2, 1U);
+}
+
+std::uint32_t shard_scheduler::longSlots() const noexcept {
+  const auto All = Slots.total().Vms * SlotsPerVm;
+  if (ShortQueues == 0 || All == 0)
+    return All;
+  return std::max(1U, static_cast<std::uint32_t>(Settings.LongShare * All));
+}
+
+std::uint32_t shard_scheduler::longVms() const noexcept {
+  return (longSlots() + SlotsPerVm - 1) / SlotsPerVm;
+}
+
+std::optional<vm_index>
+shard_scheduler::chooseVm(const queued_item &Item,
+                          const work_class Class) const {
+  const bool Probes =
+      QueueRecords[raw(Item.Work.Queue)].Settings.Idempotent || !AnyIdempotent;
+  if (const auto Vm = Health.probeDue(); Vm && Probes && !Item.Began) {
+    if (Slots.state(*Vm) == vm_state::Up && Slots.used(*Vm) < SlotsPerVm)
+      return Vm;
+  }
+  if (Class == work_class::Short)
+    return Slots.chooseShort(Item.tried());
+  return longAllowed() ? Slots.chooseLong(longVms(), Item.tried())
+                       : std::nullopt;
+}
+
+std::optional<dispatch> shard_scheduler::tryPlace(queued_item *Item,
+                                                  const attempt_id Attempt,
+                                                  const time_point Now) {
+  if (Item == nullptr)
+    return std::nullopt;
+  const auto Vm = chooseVm(*Item, Queues.classOf(Item->Work.Queue));
+  if (!Vm)
+    return std::nullopt;
+  return place(*Item, *Vm, Attempt, Now);
+}
+
+std::optional<dispatch> shard_scheduler::next(const attempt_id Attempt,
+                                              const time_point Now) {
+  advance(Now);
+  if (Slots.total().Free == 0 && !Health.probeDue())
+    return std::nullopt;
+  std::optional<vm_index> Vm;
+  auto *Again = Queues.findAgain([&](const queued_item &Item) {
+    Vm = chooseVm(Item, Queues.classOf(Item.Work.Queue));
+    return Vm.has_value();
+  });
+  if (Again != nullptr)
+    return place(*Again, *Vm, Attempt, Now);
+  // Long work goes first into its bounded share; all the rest is for short
+  // work.
+  if (const auto Placed =
+          tryPlace(Queues.front(work_class::Long), Attempt, Now))
+    return Placed;
+  return tryPlace(Queues.front(work_class::Short), Attempt, Now);
+}
+
+dispatch shard_scheduler::place(queued_item &Item, const vm_index Vm,
+                                const attempt_id Attempt,
+                                const time_point Now) {
+  auto &Queue = QueueRecords[raw(Item.Work.Queue)];
+  const auto Class = Queues.classOf(Item.Work.Queue);
+  const auto Slot = Slots.take(Vm, Attempt, Class);
+  GALENALINK_ASSERT(Slot, "a new attempt gets a slot of a VM that was chosen");
+  if (!Item.Began && Item.Refusals == 0)
+    Budgets[Queue.Service].firstAttempt();
+  Queues.start(Item, Attempt);
+  auto &Run = Running[raw(*Slot)];
+  Run.Slot = *Slot;
+  Run.Item = &Item;
+  Run.Adopted = false;
+  Run.CountedLong = false;
+  Run.Probe = Health.ejected(Vm);
+  if (Run.Probe)
+    Health.probeStarted(Vm);
+  Run.Since = Now;
+  Overruns.add(Run, Now + overrunAfter(Queue));
+  return {Item.Work.Id, Attempt, Vm, Class};
+}
+
+duration shard_scheduler::overrunAfter(const queue_record &Queue) const {
+  return std::max(Settings.LongAfterLeast,
+                  std::min(LongAfter, 4 * Queue.RunTime.high()));
+}
+
+void shard_scheduler::started(const attempt_id Attempt, const time_point Now) {
+  const auto Slot = Slots.slotOf(Attempt);
+  if (!Slot || Running[raw(*Slot)].Item == nullptr)
+    return;
+  auto &Run = Running[raw(*Slot)];
+  Run.Since = Now;
+  Overruns.add(Run,
+               Now + overrunAfter(QueueRecords[raw(Run.Item->Work.Queue)]));
+}
+
+shard_scheduler::running *shard_scheduler::end(const attempt_id Attempt) {
+  const auto Slot = Slots.release(Attempt);
+  if (!Slot)
+    return nullptr;
+  auto &Run = Running[raw(*Slot)];
+  Overruns.remove(Run);
+  Run.Adopted = false;
+  return &Run;
+}
+
+end_result shard_scheduler::giveUp(queued_item &Item, const vm_index Vm,
+                                   const verdict Verdict) {
+  const end_result Result{Verdict, Item.Work.Id, Vm};
+  Queues.erase(Item);
+  return Result;
+}
+
+end_result shard_scheduler::finished(const attempt_id Attempt,
+                                     const time_point Now) {
+  auto *Run = end(Attempt);
+  if (Run == nullptr)
+    return {};
+  const auto Vm = vmOf(Run->Slot);
+  auto *Item = std::exchange(Run->Item, nullptr);
+  if (Item == nullptr)
+    return {verdict::Done, {}, Vm};
+  auto &Queue = QueueRecords[raw(Item->Work.Queue)];
+  const auto Time = Now - Run->Since;
+  Queue.RunTime.observe(Time);
+  Typical.observe(Time);
+  LongAfter = longAfter();
+  if (!Run->CountedLong)
+    believe(Item->Work.Queue,
+            Time < LongAfter ? work_class::Short : work_class::Long);
+  Queues.correct(*Item, Time - Item->Cost);
+  Health.succeeded(Vm, Item->Work.Queue, Run->Probe);
+  hold(Vm);
+  return giveUp(*Item, Vm, verdict::Done);
+}
+
+std::uint32_t
+shard_scheduler::blamedVms(const queued_item &Item) const noexcept {
+  std::uint32_t Count = 0;
+  for (std::uint32_t Index = 0; Index < Item.TriedCount; ++Index) {
+    if ((Item.FailedOn & (1U << Index)) != 0 &&
+        !Health.ejected(Item.Tried[Index]))
+      ++Count;
+  }
+  return Count;
+}
+
+end_result shard_scheduler::failed(const attempt_id Attempt,
+                                   const time_point Now) {
+  auto *Run = end(Attempt);
+  if (Run == nullptr)
+    return {};
+  const auto Vm = vmOf(Run->Slot);
+  auto *Item = std::exchange(Run->Item, nullptr);
+  if (Item == nullptr)
+    return {verdict::Failed, {}, Vm};
+  const auto Queue = Item->Work.Queue;
+  const auto &Record = QueueRecords[raw(Queue)];
+  Item->Began = true;
+  Item->addTried(Vm, true);
+  Queues.correct(*Item, (Now - Run->Since) - Item->Cost);
+  Health.failed(Vm, Queue, Run->Probe, Slots.up(), Now);
+  hold(Vm);
+  if (!Record.Settings.Idempotent)
+    return giveUp(*Item, Vm, verdict::Failed);
+  if (blamedVms(*Item) >= Settings.MaxFailedVms) {
+    for (std::uint32_t Index = 0; Index < Item->TriedCount; ++Index) {
+      if ((Item->FailedOn & (1U << Index)) == 0)
+        continue;
+      Health.forgive(Item->Tried[Index], Queue);
+      hold(Item->Tried[Index]);
+    }
+    return giveUp(*Item, Vm, verdict::NeverRuns);
+  }
+  if (Now >= Item->StartBy || Item->TriedCount == queued_item::MaxTried ||
+      !Budgets[Record.Service].retry())
+    return giveUp(*Item, Vm, verdict::Failed);
+  Queues.pushAgain(*Item);
+  return {verdict::Requeued, Item->Work.Id, Vm};
+}
+
+end_result shard_scheduler::refused(const attempt_id Attempt,
+                                    const time_point Now) {
+  auto *Run = end(Attempt);
+  if (Run == nullptr)
+    return {};
+  const auto Vm = vmOf(Run->Slot);
+  auto *Item = std::exchange(Run->Item, nullptr);
+  if (Item == nullptr)
+    return {verdict::NotRun, {}, Vm};
+  Queues.correct(*Item, -Item->Cost);
+  if (Run->Probe)
+    Health.probeAbandoned(Vm, Now);
+  else
+    Health.refused(Vm, Now);
+  hold(Vm);
+  Item->addTried(Vm, false);
+  ++Item->Refusals;
+  if (Now >= Item->StartBy || Item->Refusals >= Settings.MaxRefusals)
+    return giveUp(*Item, Vm, Item->Began ? verdict::Failed : verdict::NotRun);
+  Queues.pushAgain(*Item);
+  return {verdict::Requeued, Item->Work.Id, Vm};
+}
+
+end_result shard_scheduler::abandoned(const attempt_id Attempt,
+                                      const time_point Now) {
+  auto *Run = end(Attempt);
+  if (Run == nullptr)
+    return {};
+  const auto Vm = vmOf(Run->Slot);
+  auto *Item = std::exchange(Run->Item, nullptr);
+  if (Item == nullptr)
+    return {verdict::NotRun, {}, Vm};
+  Queues.correct(*Item, -Item->Cost);
+  if (Run->Probe)
+    Health.probeAbandoned(Vm, Now);
+  return giveUp(*Item, Vm, Item->Began ? verdict::Failed : verdict::NotRun);
+}
+
+} // namespace galenalink::schedule
--- /dev/null
+++ b/src/galenalink/schedule/timer_wheel.cpp
@@ -0,0 +1,20 @@
+#include "galenalink/schedule/timer_wheel.hpp"
+#include <algorithm>
+
+namespace galenalink::schedule {
+
+void timer_wheel::add(timer &Timer, const time_point Due) noexcept {
+  remove(Timer);
+  Timer.Due = Due;
+  // A deadline in the past goes where the next advance looks first.
+  Timer.Bucket =
+      static_cast<std::uint32_t>(std::max(tickOf(Due), Tick) % Buckets);
+  Wheel[Timer.Bucket].push_back(Timer);
+}
+
+void timer_wheel::remove(timer &Timer) noexcept {
+  if (Timer.is_linked())
+    Wheel[Timer.Bucket].erase(bucket::s_iterator_to(Timer));
+}
+
+} // namespace galenalink::schedule
--- /dev/null
+++ b/src/galenalink/schedule/timer_wheel.hpp
@@ -0,0 +1,89 @@
+#ifndef GALENALINK_SCHEDULE_TIMER_WHEEL_HPP
+#define GALENALINK_SCHEDULE_TIMER_WHEEL_HPP
+
+#include "galenalink/core/time.hpp"
+#include "galenalink/schedule/fwd.hpp"
+#include <array>
+#include <boost/intrusive/list.hpp>
+
+namespace galenalink::schedule {
+
+/** @brief Base of an object that has one deadline in a `timer_wheel`. */
+class timer : public boost::intrusive::list_base_hook<
+                  boost::intrusive::tag<class timer_tag>,
+                  boost::intrusive::link_mode<boost::intrusive::safe_link>> {
+public:
+  [[nodiscard]] time_point due() const noexcept { return Due; }
+
+private:
+  friend class timer_wheel;
+  time_point Due{};
+  std::uint32_t Bucket{0};
+};
+
+/**
+ * @brief Deadlines with O(1) add and remove and no allocation.
+ *
+ * Hashed timing wheel with one list for each bucket (scheme 6 of Varghese and
+ * Lauck, "Hashed and hierarchical timing wheels", SOSP 1987). A deadline
+ * farther away than one turn stays in its bucket until it is due.
+ */
+class timer_wheel {
+public:
+  /** @brief Sets the deadline of a timer; replaces an earlier one. */
+  void add(timer &Timer, time_point Due) noexcept;
+
+  /** @brief Removes a timer; nothing happens if it is not in the wheel. */
+  void remove(timer &Timer) noexcept;
+
+  /**
+   * @brief Removes every timer that is due and calls `Fire` with it. `Fire`
+   * may add and remove timers.
+   */
+  template <typename Function>
+  void advance(const time_point Now, Function &&Fire) {
+    const auto Last = tickOf(Now);
+    if (Last < Tick)
+      return;
+    const auto First = Last - Tick < Buckets ? Tick : Last - Buckets + 1;
+    Tick = Last;
+    for (auto Current = First; Current <= Last; ++Current) {
+      // Timers that are not due are kept aside, so that a timer that `Fire`
+      // adds to this bucket is visited as well.
+      bucket Kept;
+      auto &Bucket = Wheel[static_cast<std::size_t>(Current % Buckets)];
+      while (!Bucket.empty()) {
+        auto &Timer = Bucket.front();
+        Bucket.pop_front();
+        if (Timer.Due <= Now)
+          Fire(Timer);
+        else
+          Kept.push_back(Timer);
+      }
+      Bucket.swap(Kept);
+    }
+  }
+
+private:
+  using bucket = boost::intrusive::list<
+      timer,
+      boost::intrusive::base_hook<boost::intrusive::list_base_hook<
+          boost::intrusive::tag<timer_tag>,
+          boost::intrusive::link_mode<boost::intrusive::safe_link>>>,
+      boost::intrusive::constant_time_size<false>>;
+
+  static constexpr std::int64_t Buckets = 512;
+  /** 512 ticks of 16 ms cover 8 s, most deadlines of short work. */
+  static constexpr duration TickLength{16000};
+
+  [[nodiscard]] static std::int64_t tickOf(const time_point Time) noexcept {
+    return Time.time_since_epoch() / TickLength;
+  }
+
+  std::array<bucket, Buckets> Wheel;
+  std::int64_t Tick{0};
+};
+
+} // namespace galenalink::schedule
+
+#endif
