Decide maintenance permits and the lower bound of a roll-out

Maintenance must never take a pool below its budget, also when a rack is lost while VMs are out, and no VM may wait longer than its period.

planMaintenance gives each pool permits up to its headroom: VMs up, less the budget, less the pool's largest rack. Waves finish one place and rack before the next, the most overdue first; VMs with long work come last until their hold deadline; a failure during the wave stops the pool; stuck VMs are named. A pool without a budget gives a rack at a time. Borrowed VMs do not count for a budget, because they can be recalled.

Measured: ctest passes; on 300 random fleets of 10 VMs the number of rounds equals the best of all subsets, and the lower bound equals it when all VMs are up.

--- /dev/null
+++ b/src/galenalink/plan/fwd.hpp
@@ -0,0 +1,30 @@
+#ifndef GALENALINK_PLAN_FWD_HPP
+#define GALENALINK_PLAN_FWD_HPP
+
+#include <cstdint>
+
+namespace galenalink::plan {
+
+/** @brief Positions in the tables that the caller passes. */
+using vm_index = std::uint32_t;
+using pool_index = std::uint32_t;
+using member_index = std::uint32_t;
+using place_index = std::uint32_t;
+using rack_index = std::uint32_t;
+
+struct vm_view;
+struct pool_view;
+struct window;
+struct headroom;
+struct permit;
+struct pool_wave;
+struct maintenance_plan;
+
+enum class vm_state : std::uint8_t;
+enum class motion : std::uint8_t;
+enum class maintenance : std::uint8_t;
+enum class wave_status : std::uint8_t;
+
+} // namespace galenalink::plan
+
+#endif
--- /dev/null
+++ b/src/galenalink/plan/headroom.cpp
@@ -0,0 +1,47 @@
+#include "galenalink/plan/headroom.hpp"
+#include <algorithm>
+
+namespace galenalink::plan {
+
+namespace {
+
+[[nodiscard]] std::uint32_t roomFor(const pool_view &Pool, const headroom &Head,
+                                    const std::uint32_t Up) noexcept {
+  if (Pool.MinUp == 0) {
+    const auto Out = Head.Vms - Up;
+    return Head.LargestRack > Out ? Head.LargestRack - Out : 0;
+  }
+  const auto Floor = Pool.MinUp + Head.LargestRack;
+  return Up > Floor ? Up - Floor : 0;
+}
+
+} // namespace
+
+std::vector<headroom> headrooms(const std::span<const vm_view> Vms,
+                                const std::span<const pool_view> Pools) {
+  std::vector<headroom> Result(Pools.size());
+  std::vector<std::pair<pool_index, rack_index>> Racks;
+  Racks.reserve(Vms.size());
+  for (const auto &Vm : Vms) {
+    if (Vm.Owner != Pools[Vm.Pool].Member)
+      continue;
+    ++Result[Vm.Pool].Vms;
+    Result[Vm.Pool].Up += Vm.isUp() ? 1 : 0;
+    Racks.emplace_back(Vm.Pool, Vm.Rack);
+  }
+  std::ranges::sort(Racks);
+  for (auto First = Racks.cbegin(); First != Racks.cend();) {
+    const auto Last = std::upper_bound(First, Racks.cend(), *First);
+    auto &Largest = Result[First->first].LargestRack;
+    Largest = std::max(Largest, static_cast<std::uint32_t>(Last - First));
+    First = Last;
+  }
+  for (std::size_t I = 0; I < Pools.size(); ++I) {
+    auto &Head = Result[I];
+    Head.Room = roomFor(Pools[I], Head, Head.Up);
+    Head.FullRoom = roomFor(Pools[I], Head, Head.Vms);
+  }
+  return Result;
+}
+
+} // namespace galenalink::plan
--- /dev/null
+++ b/src/galenalink/plan/headroom.hpp
@@ -0,0 +1,35 @@
+#ifndef GALENALINK_PLAN_HEADROOM_HPP
+#define GALENALINK_PLAN_HEADROOM_HPP
+
+#include "galenalink/plan/view.hpp"
+#include <span>
+
+namespace galenalink::plan {
+
+/** @brief VMs that planned actions may take from a pool. */
+struct headroom {
+  std::uint32_t Vms{0};
+  std::uint32_t Up{0};
+  std::uint32_t LargestRack{0};
+  /** VMs that may be taken now. */
+  std::uint32_t Room{0};
+  /** VMs that may be taken at once when all VMs are up. */
+  std::uint32_t FullRoom{0};
+};
+
+/**
+ * @brief Headroom of each pool.
+ *
+ * `Room = Up - MinUp - LargestRack`: the reserve keeps the budget when the
+ * rack with the most VMs of the pool is lost while VMs are out. A pool without
+ * a budget needs no reserve and gives at most as many VMs as its largest rack
+ * at once, so that a fault in the new software does not take all of them.
+ * Only the member's own VMs count: borrowed VMs can be recalled at any time,
+ * so no budget may rest on them.
+ */
+[[nodiscard]] std::vector<headroom> headrooms(std::span<const vm_view> Vms,
+                                              std::span<const pool_view> Pools);
+
+} // namespace galenalink::plan
+
+#endif
--- /dev/null
+++ b/src/galenalink/plan/maintenance.cpp
@@ -0,0 +1,210 @@
+#include "galenalink/plan/maintenance.hpp"
+#include "galenalink/plan/headroom.hpp"
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <tuple>
+
+namespace galenalink::plan {
+
+namespace {
+
+constexpr wall_ms HourMs = 3'600'000;
+constexpr std::uint32_t DayHours = 24;
+
+[[nodiscard]] bool isOpen(const pool_view &Pool, const wall_ms At) noexcept {
+  if (Pool.Windows.empty())
+    return true;
+  const auto Hour = static_cast<std::uint32_t>(At / HourMs % DayHours);
+  return std::ranges::any_of(Pool.Windows, [Hour](const window &Window) {
+    if (Window.FromHour < Window.ToHour)
+      return Hour >= Window.FromHour && Hour < Window.ToHour;
+    return Hour >= Window.FromHour || Hour < Window.ToHour;
+  });
+}
+
+/** @brief First time not before `At` at which a window is open. */
+[[nodiscard]] std::optional<wall_ms> nextOpen(const pool_view &Pool,
+                                              wall_ms At) noexcept {
+  for (std::uint32_t I = 0; I <= DayHours; ++I) {
+    if (isOpen(Pool, At))
+      return At;
+    At = (At / HourMs + 1) * HourMs;
+  }
+  return std::nullopt;
+}
+
+[[nodiscard]] bool isDue(const vm_view &Vm, const pool_view &Pool,
+                         const wall_ms Now) noexcept {
+  return Pool.PeriodMs > 0 && Vm.isUp() &&
+         Vm.MaintainedMs + Pool.PeriodMs - Pool.LeadMs <= Now;
+}
+
+[[nodiscard]] bool isOut(const vm_view &Vm) noexcept {
+  return Vm.Maintenance == maintenance::Permitted ||
+         Vm.Maintenance == maintenance::Rebooting;
+}
+
+[[nodiscard]] bool isFailed(const vm_view &Vm) noexcept {
+  return Vm.Maintenance == maintenance::None &&
+         (Vm.State == vm_state::Down || Vm.State == vm_state::Unknown);
+}
+
+/** @brief Order of places or racks in a wave; lower goes first. */
+using rank_table = std::map<std::uint32_t, wall_ms>;
+
+/** @brief Due VMs of one pool in the order in which they get permits. */
+class wave_order {
+public:
+  wave_order(const std::span<const vm_view> Vms, const pool_view &Pool,
+             const wall_ms Now)
+      : Vms(Vms), Pool(Pool), Now(Now) {}
+
+  void add(const vm_index Vm) {
+    Due.push_back(Vm);
+    note(Vm, Vms[Vm].MaintainedMs);
+  }
+
+  /** @brief A VM that is out: its rack and place are finished first. */
+  void addOut(const vm_index Vm) {
+    note(Vm, std::numeric_limits<wall_ms>::min());
+  }
+
+  [[nodiscard]] const std::vector<vm_index> &sorted() {
+    std::ranges::sort(Due, {}, [this](const vm_index I) {
+      const auto &Vm = Vms[I];
+      return std::tuple{
+          Vm.HoldUntilMs > Now, Vm.MaintainedMs + Pool.PeriodMs > Now,
+          Places.at(Vm.Place),  Vm.Place,
+          Racks.at(Vm.Rack),    Vm.Rack,
+          Vm.MaintainedMs,      I};
+    });
+    return Due;
+  }
+
+private:
+  void note(const vm_index Vm, const wall_ms Since) {
+    const auto Lower = [Since](rank_table &Table, const std::uint32_t Key) {
+      const auto [Entry, Fresh] = Table.try_emplace(Key, Since);
+      Entry->second = std::min(Entry->second, Since);
+    };
+    Lower(Places, Vms[Vm].Place);
+    Lower(Racks, Vms[Vm].Rack);
+  }
+
+  std::span<const vm_view> Vms;
+  const pool_view &Pool;
+  wall_ms Now;
+  std::vector<vm_index> Due;
+  rank_table Places;
+  rank_table Racks;
+};
+
+/** @brief VMs of one pool, by their part in its wave. */
+struct pool_vms {
+  std::vector<vm_index> Due;
+  std::vector<vm_index> Out;
+  std::vector<vm_index> Failed;
+};
+
+void planPool(const std::span<const vm_view> Vms, const pool_view &Pool,
+              const pool_vms &Members, const headroom &Head, const wall_ms Now,
+              maintenance_plan &Plan, pool_wave &Wave) {
+  Wave.Due = static_cast<std::uint32_t>(Members.Due.size());
+  Wave.WaveSinceMs = Pool.WaveSinceMs;
+  if (!Members.Out.empty() && !Wave.WaveSinceMs)
+    Wave.WaveSinceMs = std::numeric_limits<wall_ms>::min();
+  if (Members.Due.empty()) {
+    if (Members.Out.empty())
+      Wave.WaveSinceMs.reset();
+    return;
+  }
+  bool FailedInWave = false;
+  for (const auto Vm : Members.Failed) {
+    if (Wave.WaveSinceMs && Vms[Vm].StateSinceMs >= *Wave.WaveSinceMs) {
+      FailedInWave = true;
+      Plan.Failed.push_back(Vm);
+    }
+  }
+  if (FailedInWave) {
+    Wave.Status = wave_status::FailureInWave;
+    return;
+  }
+  if (!isOpen(Pool, Now)) {
+    Wave.Status = wave_status::OutsideWindow;
+    return;
+  }
+  if (Head.Room == 0) {
+    Wave.Status = wave_status::NoRoom;
+    return;
+  }
+  Wave.Status = wave_status::Permitted;
+  wave_order Order{Vms, Pool, Now};
+  std::ranges::for_each(Members.Out, [&](vm_index Vm) { Order.addOut(Vm); });
+  std::ranges::for_each(Members.Due, [&](vm_index Vm) { Order.add(Vm); });
+  const auto &Sorted = Order.sorted();
+  const auto Count = std::min<std::size_t>(Head.Room, Sorted.size());
+  for (std::size_t I = 0; I < Count; ++I)
+    Plan.Permits.push_back({Sorted[I], Vms[Sorted[I]].Epoch});
+  if (!Wave.WaveSinceMs)
+    Wave.WaveSinceMs = Now;
+}
+
+} // namespace
+
+maintenance_plan planMaintenance(const std::span<const vm_view> Vms,
+                                 const std::span<const pool_view> Pools,
+                                 const wall_ms Now) {
+  maintenance_plan Plan;
+  Plan.Pools.resize(Pools.size());
+  std::vector<pool_vms> Members(Pools.size());
+  for (vm_index I = 0; I < Vms.size(); ++I) {
+    const auto &Vm = Vms[I];
+    auto &Lists = Members[Vm.Pool];
+    // Borrowed VMs are maintained after they have gone back: an outage here
+    // would keep their owner from having them on demand.
+    if (isDue(Vm, Pools[Vm.Pool], Now) && Vm.Owner == Pools[Vm.Pool].Member)
+      Lists.Due.push_back(I);
+    if (isOut(Vm))
+      Lists.Out.push_back(I);
+    if (isFailed(Vm))
+      Lists.Failed.push_back(I);
+    if (Vm.Maintenance == maintenance::Stuck)
+      Plan.Stuck.push_back(I);
+  }
+  const auto Heads = headrooms(Vms, Pools);
+  for (pool_index I = 0; I < Pools.size(); ++I)
+    planPool(Vms, Pools[I], Members[I], Heads[I], Now, Plan, Plan.Pools[I]);
+  return Plan;
+}
+
+std::optional<wall_ms> rolloutLowerBound(const std::span<const vm_view> Vms,
+                                         const std::span<const pool_view> Pools,
+                                         const wall_ms Start,
+                                         const wall_ms OutMs) {
+  std::vector<std::uint32_t> Due(Pools.size());
+  for (const auto &Vm : Vms) {
+    if (isDue(Vm, Pools[Vm.Pool], Start) && Vm.Owner == Pools[Vm.Pool].Member)
+      ++Due[Vm.Pool];
+  }
+  const auto Heads = headrooms(Vms, Pools);
+  wall_ms End = Start;
+  for (std::size_t I = 0; I < Pools.size(); ++I) {
+    if (Due[I] == 0)
+      continue;
+    const auto Room = Heads[I].FullRoom;
+    if (Room == 0)
+      return std::nullopt;
+    auto At = Start;
+    for (auto Rounds = (Due[I] + Room - 1) / Room; Rounds > 0; --Rounds) {
+      const auto Open = nextOpen(Pools[I], At);
+      if (!Open)
+        return std::nullopt;
+      At = *Open + OutMs;
+    }
+    End = std::max(End, At);
+  }
+  return End - Start;
+}
+
+} // namespace galenalink::plan
--- /dev/null
+++ b/test/galenalink/plan/maintenance.cpp
@@ -0,0 +1,301 @@
+#include "galenalink/plan/maintenance.hpp"
+#include <algorithm>
+#include <bit>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <map>
+#include <random>
+
+using namespace galenalink;
+using namespace galenalink::plan;
+
+namespace {
+
+constexpr wall_ms Day = 86'400'000;
+constexpr wall_ms Now = 20'000 * Day;
+
+struct fleet {
+  std::vector<vm_view> Vms;
+  std::vector<pool_view> Pools;
+};
+
+pool_view pool(const std::uint32_t MinUp) {
+  pool_view Pool;
+  Pool.MinUp = MinUp;
+  Pool.PeriodMs = 49 * Day;
+  Pool.LeadMs = 7 * Day;
+  return Pool;
+}
+
+fleet randomFleet(std::mt19937_64 &Random, const std::uint32_t Vms,
+                  const std::uint32_t Pools, const std::uint32_t Racks) {
+  fleet Fleet;
+  for (std::uint32_t I = 0; I < Pools; ++I)
+    Fleet.Pools.push_back(pool(static_cast<std::uint32_t>(Random() % 4)));
+  for (std::uint32_t I = 0; I < Vms; ++I) {
+    vm_view Vm;
+    Vm.Pool = static_cast<pool_index>(Random() % Pools);
+    Vm.Rack = static_cast<rack_index>(Random() % Racks);
+    Vm.Place = Vm.Rack % 2;
+    Vm.Epoch = Random() % 100;
+    Vm.MaintainedMs = Now - static_cast<wall_ms>(Random() % 60) * Day;
+    Fleet.Vms.push_back(Vm);
+  }
+  return Fleet;
+}
+
+/** Budget check that counts every rack of the pool on its own. */
+bool keepsBudget(const fleet &Fleet, const std::uint32_t OutMask,
+                 const pool_index Pool) {
+  const auto MinUp = Fleet.Pools[Pool].MinUp;
+  std::uint32_t Up = 0;
+  std::uint32_t Out = 0;
+  std::map<rack_index, std::uint32_t> Racks;
+  for (std::uint32_t I = 0; I < Fleet.Vms.size(); ++I) {
+    if (Fleet.Vms[I].Pool != Pool)
+      continue;
+    const bool IsOut = (OutMask >> I & 1U) != 0 || !Fleet.Vms[I].isUp();
+    ++(IsOut ? Out : Up);
+    ++Racks[Fleet.Vms[I].Rack];
+  }
+  return std::ranges::all_of(Racks,
+                             [&](const auto &Rack) {
+                               return MinUp == 0 || Up >= MinUp + Rack.second;
+                             }) &&
+         (MinUp > 0 || std::ranges::any_of(Racks, [&](const auto &Rack) {
+            return Out <= Rack.second;
+          }));
+}
+
+bool feasible(const fleet &Fleet, const std::uint32_t OutMask) {
+  for (pool_index Pool = 0; Pool < Fleet.Pools.size(); ++Pool) {
+    const bool Touched = [&] {
+      for (std::uint32_t I = 0; I < Fleet.Vms.size(); ++I)
+        if ((OutMask >> I & 1U) != 0 && Fleet.Vms[I].Pool == Pool)
+          return true;
+      return false;
+    }();
+    if (Touched && !keepsBudget(Fleet, OutMask, Pool))
+      return false;
+  }
+  return true;
+}
+
+constexpr int NoPlan = 1'000;
+
+/** Fewest rounds that maintain all VMs of the mask, by trying every subset. */
+int fewestRounds(const fleet &Fleet, const std::uint32_t Todo) {
+  std::vector<bool> Feasible(1U << Fleet.Vms.size());
+  for (std::uint32_t Mask = Todo; Mask != 0; Mask = (Mask - 1) & Todo)
+    Feasible[Mask] = feasible(Fleet, Mask);
+  std::vector<int> Best(1U << Fleet.Vms.size(), -1);
+  const std::function<int(std::uint32_t)> Search = [&](std::uint32_t Left) {
+    if (Left == 0)
+      return 0;
+    if (Best[Left] >= 0)
+      return Best[Left];
+    int Rounds = NoPlan;
+    for (std::uint32_t Mask = Left; Mask != 0; Mask = (Mask - 1) & Left)
+      if (Feasible[Mask])
+        Rounds = std::min(Rounds, 1 + Search(Left & ~Mask));
+    return Best[Left] = Rounds;
+  };
+  return Search(Todo);
+}
+
+std::uint32_t dueMask(const fleet &Fleet) {
+  std::uint32_t Mask = 0;
+  for (std::uint32_t I = 0; I < Fleet.Vms.size(); ++I)
+    if (Fleet.Vms[I].isUp() && Fleet.Vms[I].MaintainedMs <= Now - 42 * Day)
+      Mask |= 1U << I;
+  return Mask;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(plan_maintenance)
+
+// The wave must be as short as any schedule, and the bound must not be wrong.
+BOOST_AUTO_TEST_CASE(rounds_equal_exhaustive_search) {
+  int Planned = 0;
+  for (std::uint64_t Seed = 1; Seed <= 300; ++Seed) {
+    std::mt19937_64 Random{Seed};
+    auto Fleet = randomFleet(Random, 10, 1 + Seed % 3, 3 + Seed % 4);
+    const bool SomeDown = Seed % 2 == 0;
+    if (SomeDown) {
+      Fleet.Vms[Random() % 10].State = vm_state::Leaving;
+      Fleet.Vms[Random() % 10].Maintenance = maintenance::Stuck;
+    }
+    const auto Best = fewestRounds(Fleet, dueMask(Fleet));
+    const auto Bound = rolloutLowerBound(Fleet.Vms, Fleet.Pools, Now, 1'000);
+    if (!SomeDown) {
+      BOOST_TEST(Bound.has_value() == (Best < NoPlan));
+      if (Bound)
+        BOOST_TEST(*Bound == Best * 1'000);
+    } else if (Best < NoPlan) {
+      BOOST_TEST(Bound.value() <= Best * 1'000);
+    }
+    int Rounds = 0;
+    while (true) {
+      const auto Plan = planMaintenance(Fleet.Vms, Fleet.Pools, Now);
+      if (Plan.Permits.empty())
+        break;
+      std::uint32_t Out = 0;
+      for (const auto &[Vm, Epoch] : Plan.Permits) {
+        BOOST_TEST(Epoch == Fleet.Vms[Vm].Epoch);
+        Out |= 1U << Vm;
+      }
+      BOOST_TEST(feasible(Fleet, Out));
+      for (const auto &[Vm, Epoch] : Plan.Permits)
+        Fleet.Vms[Vm].MaintainedMs = Now;
+      ++Rounds;
+    }
+    BOOST_TEST((dueMask(Fleet) == 0) == (Best < NoPlan));
+    if (Best < NoPlan) {
+      BOOST_TEST(Rounds == Best);
+      Planned += Rounds > 1 ? 1 : 0;
+    }
+  }
+  // Guards against fleets so small that every case is trivial.
+  BOOST_TEST(Planned > 30);
+}
+
+// VMs return at different times: no state on the way may break the budget.
+BOOST_AUTO_TEST_CASE(budget_holds_and_none_starves_in_random_order) {
+  int Finished = 0;
+  for (std::uint64_t Seed = 1; Seed <= 60; ++Seed) {
+    std::mt19937_64 Random{Seed};
+    auto Fleet = randomFleet(Random, 24, 2, 8);
+    for (auto &Pool : Fleet.Pools)
+      Pool.MinUp = 3;
+    // Some fleets have a pool without room even when all VMs are up.
+    const bool Possible =
+        rolloutLowerBound(Fleet.Vms, Fleet.Pools, Now, 1).has_value();
+    for (int Step = 0; Step < 400; ++Step) {
+      const auto Plan = planMaintenance(Fleet.Vms, Fleet.Pools, Now);
+      for (pool_index I = 0; I < Fleet.Pools.size(); ++I)
+        Fleet.Pools[I].WaveSinceMs = Plan.Pools[I].WaveSinceMs;
+      for (const auto &[Vm, Epoch] : Plan.Permits)
+        Fleet.Vms[Vm].Maintenance = maintenance::Permitted;
+      for (pool_index I = 0; I < Fleet.Pools.size(); ++I)
+        BOOST_TEST(keepsBudget(Fleet, 0, I));
+      for (auto &Vm : Fleet.Vms) {
+        if (Vm.Maintenance == maintenance::Permitted && Random() % 3 == 0) {
+          Vm.Maintenance = maintenance::None;
+          Vm.MaintainedMs = Now;
+        }
+      }
+    }
+    BOOST_TEST((dueMask(Fleet) == 0U) == Possible);
+    Finished += Possible ? 1 : 0;
+  }
+  BOOST_TEST(Finished > 50);
+}
+
+// A bad image must not be rolled out further while its victims are down.
+BOOST_AUTO_TEST_CASE(failure_in_wave_stops_only_its_pool) {
+  fleet Fleet;
+  Fleet.Pools = {pool(2), pool(2)};
+  for (std::uint32_t I = 0; I < 16; ++I) {
+    vm_view Vm;
+    Vm.Pool = I / 8;
+    Vm.Rack = I;
+    Vm.MaintainedMs = Now - 45 * Day;
+    Fleet.Vms.push_back(Vm);
+  }
+  // Failed before the wave began: counts as down but does not stop the wave.
+  Fleet.Vms[7].State = vm_state::Down;
+  Fleet.Vms[7].StateSinceMs = Now - 1'000;
+  auto Plan = planMaintenance(Fleet.Vms, Fleet.Pools, Now);
+  BOOST_TEST(Plan.Permits.size() == 4U + 5U);
+  Fleet.Pools[0].WaveSinceMs = Plan.Pools[0].WaveSinceMs;
+  Fleet.Pools[1].WaveSinceMs = Plan.Pools[1].WaveSinceMs;
+  // The wave goes on after the first VMs, and one of them fails again.
+  for (const auto &[Vm, Epoch] : Plan.Permits)
+    Fleet.Vms[Vm].MaintainedMs = Now + 1;
+  const auto Bad = Plan.Permits.front().Vm;
+  Fleet.Vms[Bad].State = vm_state::Unknown;
+  Fleet.Vms[Bad].StateSinceMs = Now + 5;
+  Plan = planMaintenance(Fleet.Vms, Fleet.Pools, Now + 10);
+  BOOST_TEST((Plan.Pools[0].Status == wave_status::FailureInWave));
+  BOOST_TEST((Plan.Pools[1].Status == wave_status::Permitted));
+  BOOST_TEST((Plan.Failed == std::vector<vm_index>{Bad}));
+  Fleet.Vms[Bad].State = vm_state::Up;
+  Plan = planMaintenance(Fleet.Vms, Fleet.Pools, Now + 20);
+  BOOST_TEST((Plan.Pools[0].Status == wave_status::Permitted));
+  // A planner without the start of the wave must assume the worst.
+  Fleet.Pools[0].WaveSinceMs.reset();
+  Fleet.Vms[Plan.Permits.front().Vm].Maintenance = maintenance::Rebooting;
+  Plan = planMaintenance(Fleet.Vms, Fleet.Pools, Now + 30);
+  BOOST_TEST((Plan.Pools[0].Status == wave_status::FailureInWave));
+}
+
+// A VM that does not come back must not end the wave or be forgotten.
+BOOST_AUTO_TEST_CASE(stuck_vm_is_named_and_passed_by) {
+  std::mt19937_64 Random{3};
+  auto Fleet = randomFleet(Random, 10, 1, 10);
+  Fleet.Pools[0].MinUp = 3;
+  Fleet.Vms[4].Maintenance = maintenance::Stuck;
+  Fleet.Vms[4].State = vm_state::Down;
+  for (auto &Vm : Fleet.Vms)
+    Vm.MaintainedMs = Now - 50 * Day;
+  const auto Plan = planMaintenance(Fleet.Vms, Fleet.Pools, Now);
+  BOOST_TEST((Plan.Stuck == std::vector<vm_index>{4}));
+  BOOST_TEST(!Plan.Permits.empty());
+  BOOST_TEST(std::ranges::none_of(
+      Plan.Permits, [](const permit &Permit) { return Permit.Vm == 4; }));
+}
+
+// The order decides who waits: overdue first, long work last until its hold
+// ends, and the rack that was begun before another one.
+BOOST_AUTO_TEST_CASE(order_within_a_pool) {
+  fleet Fleet;
+  Fleet.Pools = {pool(3)};
+  for (std::uint32_t I = 0; I < 6; ++I) {
+    vm_view Vm;
+    Vm.Rack = I / 2;
+    Vm.Place = I / 2;
+    Vm.MaintainedMs = Now - 45 * Day;
+    Fleet.Vms.push_back(Vm);
+  }
+  const auto Next = [&](const wall_ms At) {
+    return planMaintenance(Fleet.Vms, Fleet.Pools, At).Permits.at(0).Vm;
+  };
+  Fleet.Vms[5].MaintainedMs = Now - 46 * Day;
+  BOOST_TEST(Next(Now) == 5U);
+  Fleet.Vms[5].HoldUntilMs = Now + 10;
+  BOOST_TEST(Next(Now) == 4U);
+  BOOST_TEST(Next(Now + 10) == 5U);
+  Fleet.Vms[0].MaintainedMs = Now - 49 * Day;
+  BOOST_TEST(Next(Now + 10) == 0U);
+  Fleet.Pools[0].MinUp = 2;
+  Fleet.Vms[2].Maintenance = maintenance::Permitted;
+  Fleet.Vms[0].MaintainedMs = Now - 47 * Day;
+  BOOST_TEST(Next(Now) == 3U);
+}
+
+// Maintenance in the daytime of a member would break its agreement.
+BOOST_AUTO_TEST_CASE(windows_span_midnight_and_extend_the_bound) {
+  fleet Fleet;
+  Fleet.Pools = {pool(1)};
+  Fleet.Pools[0].Windows = {{22, 6}};
+  for (std::uint32_t I = 0; I < 4; ++I) {
+    vm_view Vm;
+    Vm.Rack = I;
+    Vm.MaintainedMs = Now - 45 * Day;
+    Fleet.Vms.push_back(Vm);
+  }
+  constexpr wall_ms Hour = 3'600'000;
+  const auto Count = [&](const wall_ms At) {
+    return planMaintenance(Fleet.Vms, Fleet.Pools, At).Permits.size();
+  };
+  BOOST_TEST(Count(Now) == 2U);
+  BOOST_TEST(Count(Now + 6 * Hour) == 0U);
+  BOOST_TEST(Count(Now + 22 * Hour - 1) == 0U);
+  BOOST_TEST(Count(Now + 22 * Hour) == 2U);
+  const auto Bound =
+      rolloutLowerBound(Fleet.Vms, Fleet.Pools, Now + 5 * Hour, 2 * Hour);
+  BOOST_TEST(Bound.value() == (22 - 5 + 2) * Hour);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
