Add the event loop, HTTP server and HTTP client

Nodes speak HTTP with callers, operators, backend servers and the platform, all on one libevent loop. The module `http` wraps evhttp and keeps its headers in .cpp files. It closes these gaps of evhttp 2.1.12:

- A response without a length is taken as complete when the connection ends.
The server answers 411 to such a request body.
- evhttp stops the process when it reads pipelined bytes during a request, so the peer's close is watched by an event of its own, which never reads.
- The inactivity limit does not cut a sender of one byte now and then; each request has a receive deadline.

A failed request says whether a byte was handed to the kernel.

--- /dev/null
+++ b/src/galenalink/http/loop.cpp
@@ -0,0 +1,197 @@
+#include "galenalink/http/loop.hpp"
+#include "galenalink/core/assert.hpp"
+#include <algorithm>
+#include <csignal>
+#include <event2/event.h>
+#include <utility>
+#include <vector>
+
+namespace galenalink::http {
+
+namespace {
+
+timeval toTimeval(const duration Delay) noexcept {
+  const auto Micros = std::max<std::int64_t>(Delay.count(), 0);
+  return {static_cast<time_t>(Micros / 1000000),
+          static_cast<suseconds_t>(Micros % 1000000)};
+}
+
+} // namespace
+
+struct timer::state : std::enable_shared_from_this<timer::state> {
+  event *Event{nullptr};
+  time_point When;
+  duration Period{0};
+  loop::function Function;
+
+  state() = default;
+  state(const state &) = delete;
+  state &operator=(const state &) = delete;
+  ~state() { cancel(); }
+
+  void cancel() noexcept {
+    if (Event != nullptr)
+      event_free(std::exchange(Event, nullptr));
+  }
+
+  void arm() noexcept {
+    const timeval Delay = toTimeval(When - boot_clock::now());
+    event_add(Event, &Delay);
+  }
+
+  void fire() {
+    const auto Self = shared_from_this();
+    const time_point Now = boot_clock::now();
+    if (Now < When) { // libevent's clock has a coarser step than ours
+      arm();
+      return;
+    }
+    if (Period.count() == 0) {
+      cancel();
+      const auto Call = std::move(Function);
+      Call();
+      return;
+    }
+    When = std::max(When + Period, Now);
+    arm();
+    const auto Call = Function; // the handle may be assigned in the call
+    Call();
+  }
+};
+
+timer::timer() noexcept = default;
+timer::timer(std::shared_ptr<state> State) noexcept : State{std::move(State)} {}
+timer::~timer() { cancel(); }
+timer::timer(timer &&Other) noexcept = default;
+
+timer &timer::operator=(timer &&Other) noexcept {
+  if (this != &Other) {
+    cancel();
+    State = std::move(Other.State);
+  }
+  return *this;
+}
+
+void timer::cancel() noexcept {
+  if (State)
+    State->cancel();
+  State.reset();
+}
+
+bool timer::pending() const noexcept {
+  return State && State->Event != nullptr;
+}
+
+struct loop::impl {
+  struct signal_hook {
+    event *Event{nullptr};
+    function Function;
+  };
+
+  event_base *Base{nullptr};
+  event *PostEvent{nullptr};
+  std::vector<function> Posted;
+  std::vector<std::unique_ptr<signal_hook>> Signals;
+
+  void runPosted() {
+    for (const function &Function : std::exchange(Posted, {}))
+      Function();
+  }
+};
+
+loop::loop() : Impl{std::make_unique<impl>()} {
+  std::signal(SIGPIPE, SIG_IGN);
+  // libevent reports every refused connection as a warning on stderr.
+  event_set_log_callback([](const int Severity, const char *Message) {
+    if (Severity >= EVENT_LOG_ERR)
+      std::fprintf(stderr, "loop: %s\n", Message);
+  });
+  Impl->Base = event_base_new();
+  GALENALINK_ASSERT(Impl->Base != nullptr, "no event base");
+  Impl->PostEvent = event_new(
+      Impl->Base, -1, 0,
+      [](evutil_socket_t, short, void *Self) {
+        static_cast<impl *>(Self)->runPosted();
+      },
+      Impl.get());
+  GALENALINK_ASSERT(Impl->PostEvent != nullptr, "no event");
+}
+
+loop::~loop() {
+  for (const auto &Hook : Impl->Signals)
+    event_free(Hook->Event);
+  event_free(Impl->PostEvent);
+  // Posted functions may own timers, which need the base.
+  Impl->Posted.clear();
+  event_base_free(Impl->Base);
+}
+
+void loop::run() { event_base_loop(Impl->Base, EVLOOP_NO_EXIT_ON_EMPTY); }
+
+bool loop::runUntil(const std::function<bool()> &Condition,
+                    const time_point Deadline) {
+  const timer Wake = at(Deadline, [] {});
+  while (!Condition()) {
+    if (boot_clock::now() >= Deadline)
+      return false;
+    event_base_loop(Impl->Base, EVLOOP_ONCE);
+  }
+  return true;
+}
+
+void loop::stop() noexcept { event_base_loopbreak(Impl->Base); }
+
+void loop::post(function Function) {
+  Impl->Posted.push_back(std::move(Function));
+  event_active(Impl->PostEvent, EV_TIMEOUT, 0);
+}
+
+timer loop::at(const time_point When, function Function) {
+  auto State = std::make_shared<timer::state>();
+  State->When = When;
+  State->Function = std::move(Function);
+  State->Event = event_new(
+      Impl->Base, -1, 0,
+      [](evutil_socket_t, short, void *Self) {
+        static_cast<timer::state *>(Self)->fire();
+      },
+      State.get());
+  GALENALINK_ASSERT(State->Event != nullptr, "no event");
+  State->arm();
+  return timer{std::move(State)};
+}
+
+timer loop::every(const duration Period, function Function) {
+  GALENALINK_ASSERT(Period.count() > 0, "period must be positive");
+  auto State = std::make_shared<timer::state>();
+  State->When = boot_clock::now() + Period;
+  State->Period = Period;
+  State->Function = std::move(Function);
+  State->Event = event_new(
+      Impl->Base, -1, 0,
+      [](evutil_socket_t, short, void *Self) {
+        static_cast<timer::state *>(Self)->fire();
+      },
+      State.get());
+  GALENALINK_ASSERT(State->Event != nullptr, "no event");
+  State->arm();
+  return timer{std::move(State)};
+}
+
+void loop::onSignal(const int Signal, function Function) {
+  auto Hook = std::make_unique<impl::signal_hook>();
+  Hook->Function = std::move(Function);
+  Hook->Event = event_new(
+      Impl->Base, Signal, EV_SIGNAL | EV_PERSIST,
+      [](evutil_socket_t, short, void *Self) {
+        static_cast<impl::signal_hook *>(Self)->Function();
+      },
+      Hook.get());
+  GALENALINK_ASSERT(Hook->Event != nullptr, "no event");
+  event_add(Hook->Event, nullptr);
+  Impl->Signals.push_back(std::move(Hook));
+}
+
+event_base *loop::native() noexcept { return Impl->Base; }
+
+} // namespace galenalink::http
--- /dev/null
+++ b/src/galenalink/http/message.hpp
@@ -0,0 +1,73 @@
+#ifndef GALENALINK_HTTP_MESSAGE_HPP
+#define GALENALINK_HTTP_MESSAGE_HPP
+
+#include "galenalink/core/enum_names.hpp"
+#include "galenalink/core/error.hpp"
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace galenalink::http {
+
+enum class method : std::uint8_t { Get, Post, Put, Delete };
+
+inline constexpr enum_names<method, 4> MethodNames{{
+    {method::Get, "GET"},
+    {method::Post, "POST"},
+    {method::Put, "PUT"},
+    {method::Delete, "DELETE"},
+}};
+
+struct header {
+  std::string Name;
+  std::string Value;
+};
+
+using headers = std::vector<header>;
+
+/** @brief Value of the first header with the name, ignoring case. */
+[[nodiscard]] std::optional<std::string_view>
+findHeader(const headers &Headers, std::string_view Name) noexcept;
+
+struct request {
+  method Method{method::Get};
+  /** Path and query, percent-encoded. */
+  std::string Path;
+  headers Headers;
+  std::string Body;
+};
+
+struct response {
+  int Status{0};
+  headers Headers;
+  std::string Body;
+};
+
+/** @brief Whether a failed request may have reached the server. */
+enum class delivery : std::uint8_t {
+  /** No byte of the request left this process. */
+  NotSent,
+  /** Bytes may have left; the request may have taken effect. */
+  Unknown,
+};
+
+inline constexpr enum_names<delivery, 2> DeliveryNames{{
+    {delivery::NotSent, "not-sent"},
+    {delivery::Unknown, "unknown"},
+}};
+
+/** @brief A request that got no complete response. */
+struct failure {
+  delivery Delivery{delivery::Unknown};
+  error Error;
+};
+
+/** @brief What a request ended with. */
+using answer = std::variant<response, failure>;
+
+} // namespace galenalink::http
+
+#endif
--- /dev/null
+++ b/src/galenalink/http/server.cpp
@@ -0,0 +1,337 @@
+#include "galenalink/http/server.hpp"
+#include "galenalink/core/assert.hpp"
+#include "galenalink/http/detail/exchange_state.hpp"
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+#include <sys/socket.h>
+#include <unordered_map>
+#include <utility>
+
+namespace galenalink::http {
+
+namespace {
+
+/** Interval of the search for new connections that were closed early. */
+constexpr duration SweepInterval = std::chrono::milliseconds{100};
+
+enum class phase : std::uint8_t { Idle, Receiving, Handling, Replying };
+
+/** @brief One accepted connection. */
+struct connection {
+  server::impl *Server{nullptr};
+  bufferevent *Stream{nullptr};
+  /** Null until the first request was received; then `Stream` is owned by it
+   * alone, before that this object holds a reference to it. */
+  evhttp_connection *Http{nullptr};
+  evbuffer_cb_entry *InputHook{nullptr};
+  phase Phase{phase::Receiving};
+  timer Deadline;
+  std::weak_ptr<exchange::state> Current;
+
+  connection() = default;
+  connection(const connection &) = delete;
+  connection &operator=(const connection &) = delete;
+  ~connection() {
+    if (InputHook != nullptr)
+      evbuffer_remove_cb_entry(bufferevent_get_input(Stream), InputHook);
+    if (Http == nullptr)
+      bufferevent_decref(Stream);
+  }
+
+  /** @brief Makes evhttp see the end of the stream, so that it frees it. */
+  void shutDown() const noexcept {
+    shutdown(bufferevent_getfd(Stream), SHUT_RDWR);
+  }
+};
+
+std::optional<method> toMethod(const evhttp_cmd_type Command) noexcept {
+  switch (Command) {
+  case EVHTTP_REQ_GET:
+    return method::Get;
+  case EVHTTP_REQ_POST:
+    return method::Post;
+  case EVHTTP_REQ_PUT:
+    return method::Put;
+  case EVHTTP_REQ_DELETE:
+    return method::Delete;
+  default:
+    return std::nullopt;
+  }
+}
+
+std::string takeBody(evbuffer *Buffer) {
+  std::string Body(evbuffer_get_length(Buffer), '\0');
+  evbuffer_remove(Buffer, Body.data(), Body.size());
+  return Body;
+}
+
+} // namespace
+
+struct server::impl {
+  loop &Loop;
+  server_options Options;
+  handler Handler;
+  evhttp *Http{nullptr};
+  evhttp_bound_socket *Socket{nullptr};
+  bool Stopping{false};
+  std::unordered_map<bufferevent *, std::unique_ptr<connection>> Connections;
+  timer Sweep;
+
+  impl(loop &Loop, server_options Options, handler Handler)
+      : Loop{Loop}, Options{Options}, Handler{std::move(Handler)} {}
+
+  void accept(bufferevent *Stream);
+  void sweep();
+  void drop(bufferevent *Stream);
+  void setPhase(connection &Connection, phase Phase);
+  void received(evhttp_request *Request);
+  void closed(evhttp_connection *Closed);
+  connection &firstRequest(evhttp_connection *From);
+  std::shared_ptr<exchange::state> open(connection &Connection, method Method,
+                                        evhttp_request *Request);
+};
+
+// evhttp frees a connection that never sent a complete request without a
+// notice. A reference keeps the stream valid, and the sweep finds it when
+// evhttp has removed its callbacks.
+void server::impl::accept(bufferevent *Stream) {
+  bufferevent_incref(Stream);
+  auto Connection = std::make_unique<connection>();
+  Connection->Server = this;
+  Connection->Stream = Stream;
+  setPhase(*Connection, phase::Receiving);
+  Connections.emplace(Stream, std::move(Connection));
+  if (Connections.size() >= Options.MaxConnections && Socket != nullptr)
+    evconnlistener_disable(evhttp_bound_socket_get_listener(Socket));
+  if (!Sweep.pending())
+    Sweep = Loop.every(SweepInterval, [this] { sweep(); });
+}
+
+void server::impl::sweep() {
+  std::vector<bufferevent *> Gone;
+  bool Fresh = false;
+  for (const auto &[Stream, Connection] : Connections) {
+    if (Connection->Http != nullptr)
+      continue;
+    bufferevent_data_cb Read = nullptr;
+    bufferevent_data_cb Write = nullptr;
+    bufferevent_event_cb Event = nullptr;
+    bufferevent_getcb(Stream, &Read, &Write, &Event, nullptr);
+    if (Event == nullptr)
+      Gone.push_back(Stream);
+    else
+      Fresh = true;
+  }
+  for (bufferevent *Stream : Gone)
+    drop(Stream);
+  if (!Fresh)
+    Sweep.cancel();
+}
+
+void server::impl::drop(bufferevent *Stream) {
+  Connections.erase(Stream);
+  if (Connections.size() < Options.MaxConnections && Socket != nullptr)
+    evconnlistener_enable(evhttp_bound_socket_get_listener(Socket));
+}
+
+void server::impl::setPhase(connection &Connection, const phase Phase) {
+  Connection.Phase = Phase;
+  Connection.Deadline.cancel();
+  if (Phase == phase::Handling)
+    return;
+  const duration Limit =
+      Phase == phase::Receiving ? Options.ReceiveTimeout : Options.IdleTimeout;
+  Connection.Deadline = Loop.at(boot_clock::now() + Limit,
+                                [&Connection] { Connection.shutDown(); });
+}
+
+void server::impl::closed(evhttp_connection *Closed) {
+  bufferevent *Stream = evhttp_connection_get_bufferevent(Closed);
+  const auto Found = Connections.find(Stream);
+  if (Found == Connections.end())
+    return;
+  if (const auto State = Found->second->Current.lock()) {
+    State->stopWatching();
+    // A request that evhttp has detached stays with the exchange, which frees
+    // it by replying; any other is freed with the connection.
+    if (State->Request != nullptr &&
+        evhttp_request_get_connection(State->Request) != nullptr)
+      State->Request = nullptr;
+  }
+  drop(Stream);
+}
+
+connection &server::impl::firstRequest(evhttp_connection *From) {
+  bufferevent *Stream = evhttp_connection_get_bufferevent(From);
+  const auto Found = Connections.find(Stream);
+  GALENALINK_ASSERT(Found != Connections.end(), "unknown connection");
+  connection &Connection = *Found->second;
+  if (Connection.Http != nullptr)
+    return Connection;
+  Connection.Http = From;
+  bufferevent_decref(Stream);
+  evhttp_connection_set_closecb(
+      From,
+      [](evhttp_connection *Closed, void *Self) {
+        static_cast<impl *>(Self)->closed(Closed);
+      },
+      this);
+  Connection.InputHook = evbuffer_add_cb(
+      bufferevent_get_input(Stream),
+      [](evbuffer *, const evbuffer_cb_info *Info, void *Arg) {
+        auto *Self = static_cast<connection *>(Arg);
+        if (Info->n_added > 0 && Self->Phase == phase::Idle)
+          Self->Server->setPhase(*Self, phase::Receiving);
+      },
+      &Connection);
+  return Connection;
+}
+
+std::shared_ptr<exchange::state> server::impl::open(connection &Connection,
+                                                    const method Method,
+                                                    evhttp_request *Request) {
+  auto State = std::make_shared<exchange::state>();
+  State->Request = Request;
+  State->Received.Method = Method;
+  State->Received.Path = evhttp_request_get_uri(Request);
+  const evkeyvalq *Input = evhttp_request_get_input_headers(Request);
+  for (const evkeyval *Each = Input->tqh_first; Each != nullptr;
+       Each = Each->next.tqe_next)
+    State->Received.Headers.push_back({Each->key, Each->value});
+  State->Received.Body = takeBody(evhttp_request_get_input_buffer(Request));
+  State->BeforeReply = [this, &Connection](evhttp_request *Replied) {
+    if (evhttp_request_get_connection(Replied) == nullptr)
+      return;
+    if (Stopping)
+      evhttp_add_header(evhttp_request_get_output_headers(Replied),
+                        "Connection", "close");
+    setPhase(Connection, phase::Replying);
+    evhttp_request_set_on_complete_cb(
+        Replied,
+        [](evhttp_request *, void *Arg) {
+          auto *Self = static_cast<connection *>(Arg);
+          const bool Pipelined =
+              evbuffer_get_length(bufferevent_get_input(Self->Stream)) > 0;
+          Self->Server->setPhase(*Self,
+                                 Pipelined ? phase::Receiving : phase::Idle);
+        },
+        &Connection);
+  };
+  Connection.Current = State;
+  return State;
+}
+
+void server::impl::received(evhttp_request *Request) {
+  connection &Connection = firstRequest(evhttp_request_get_connection(Request));
+  setPhase(Connection, phase::Handling);
+  const auto Method = toMethod(evhttp_request_get_command(Request));
+  exchange Exchange{open(Connection, Method.value_or(method::Get), Request)};
+  if (!Method) {
+    Exchange.reply(501, {}, {});
+    return;
+  }
+  // evhttp reads a body without a length until the end of the stream, so a
+  // truncated one would look complete.
+  const bool HasBody = *Method == method::Post || *Method == method::Put;
+  if (HasBody && !Exchange.header("Content-Length") &&
+      !Exchange.header("Transfer-Encoding")) {
+    Exchange.reply(411, {}, {});
+    return;
+  }
+  Handler(std::move(Exchange));
+}
+
+server::server(loop &Loop, const server_options Options, handler Handler)
+    : Impl{std::make_unique<impl>(Loop, Options, std::move(Handler))} {
+  impl *Self = Impl.get();
+  Self->Http = evhttp_new(Loop.native());
+  GALENALINK_ASSERT(Self->Http != nullptr, "no HTTP server");
+  evhttp_set_max_headers_size(Self->Http,
+                              static_cast<ev_ssize_t>(Options.MaxHeaderBytes));
+  evhttp_set_max_body_size(Self->Http,
+                           static_cast<ev_ssize_t>(Options.MaxBodyBytes));
+  evhttp_set_default_content_type(Self->Http, "application/octet-stream");
+  evhttp_set_allowed_methods(Self->Http, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
+                                             EVHTTP_REQ_PUT |
+                                             EVHTTP_REQ_DELETE);
+  // Reads the rest of a body that is too large, so that the peer gets the 413.
+  evhttp_set_flags(Self->Http, EVHTTP_SERVER_LINGERING_CLOSE);
+  // The timers of the connections are the limit, not evhttp's own.
+  evhttp_set_timeout(Self->Http, 24 * 3600);
+  evhttp_set_bevcb(
+      Self->Http,
+      [](event_base *Base, void *Arg) {
+        bufferevent *Stream = bufferevent_socket_new(Base, -1, 0);
+        GALENALINK_ASSERT(Stream != nullptr, "no stream");
+        static_cast<impl *>(Arg)->accept(Stream);
+        return Stream;
+      },
+      Self);
+  evhttp_set_gencb(
+      Self->Http,
+      [](evhttp_request *Request, void *Arg) {
+        static_cast<impl *>(Arg)->received(Request);
+      },
+      Self);
+}
+
+server::~server() {
+  for (const auto &[Stream, Connection] : Impl->Connections) {
+    if (const auto State = Connection->Current.lock()) {
+      State->stopWatching();
+      State->BeforeReply = nullptr;
+    }
+  }
+  Impl->Socket = nullptr;
+  evhttp_free(Impl->Http);
+}
+
+result<std::uint16_t> server::listen(const std::string &Host,
+                                     const std::uint16_t Port) {
+  GALENALINK_ASSERT(Impl->Socket == nullptr, "listen is called once");
+  Impl->Socket = evhttp_bind_socket_with_handle(Impl->Http, Host.c_str(), Port);
+  if (Impl->Socket == nullptr)
+    return fail(errc::Unavailable,
+                "can't listen on " + Host + " port " + std::to_string(Port));
+  sockaddr_storage Bound{};
+  socklen_t Size = sizeof(Bound);
+  getsockname(evhttp_bound_socket_get_fd(Impl->Socket),
+              reinterpret_cast<sockaddr *>(&Bound), &Size);
+  if (Bound.ss_family == AF_INET6)
+    return ntohs(reinterpret_cast<const sockaddr_in6 *>(&Bound)->sin6_port);
+  return ntohs(reinterpret_cast<const sockaddr_in *>(&Bound)->sin_port);
+}
+
+void server::stopAccepting() {
+  Impl->Stopping = true;
+  if (Impl->Socket != nullptr)
+    evhttp_del_accept_socket(Impl->Http, std::exchange(Impl->Socket, nullptr));
+  for (const auto &[Stream, Connection] : Impl->Connections) {
+    char Byte = 0;
+    if (Connection->Phase == phase::Idle &&
+        recv(bufferevent_getfd(Stream), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0)
+      Connection->shutDown();
+  }
+}
+
+std::size_t server::openExchanges() const noexcept {
+  std::size_t Open = 0;
+  for (const auto &[Stream, Connection] : Impl->Connections)
+    Open += Connection->Phase == phase::Handling ||
+                    Connection->Phase == phase::Replying
+                ? 1
+                : 0;
+  return Open;
+}
+
+std::size_t server::connections() const noexcept {
+  return Impl->Connections.size();
+}
+
+} // namespace galenalink::http
