--- a/src/galenalink/http/message.hpp
+++ b/src/galenalink/http/message.hpp
@@ -32,6 +32,11 @@
 [[nodiscard]] std::optional<std::string_view>
 findHeader(const headers &Headers, std::string_view Name) noexcept;
 
+/** @brief Percent-encodes one segment of a path. */
+[[nodiscard]] std::string encodeSegment(std::string_view Text);
+/** @brief Decodes one segment; bytes that are not valid stay as they are. */
+[[nodiscard]] std::string decodeSegment(std::string_view Text);
+
 struct request {
   method Method{method::Get};
   /** Path and query, percent-encoded. */
--- a/src/galenalink/http/server.cpp
+++ b/src/galenalink/http/server.cpp
@@ -79,6 +79,7 @@
   handler Handler;
   evhttp *Http{nullptr};
   evhttp_bound_socket *Socket{nullptr};
+  std::uint16_t Port{0};
   bool Stopping{false};
   std::unordered_map<bufferevent *, std::unique_ptr<connection>> Connections;
   timer Sweep;
@@ -303,11 +304,15 @@
   socklen_t Size = sizeof(Bound);
   getsockname(evhttp_bound_socket_get_fd(Impl->Socket),
               reinterpret_cast<sockaddr *>(&Bound), &Size);
-  if (Bound.ss_family == AF_INET6)
-    return ntohs(reinterpret_cast<const sockaddr_in6 *>(&Bound)->sin6_port);
-  return ntohs(reinterpret_cast<const sockaddr_in *>(&Bound)->sin_port);
+  Impl->Port =
+      ntohs(Bound.ss_family == AF_INET6
+                ? reinterpret_cast<const sockaddr_in6 *>(&Bound)->sin6_port
+                : reinterpret_cast<const sockaddr_in *>(&Bound)->sin_port);
+  return Impl->Port;
 }
 
+std::uint16_t server::port() const noexcept { return Impl->Port; }
+
 void server::stopAccepting() {
   Impl->Stopping = true;
   if (Impl->Socket != nullptr)
--- a/src/galenalink/http/server.hpp
+++ b/src/galenalink/http/server.hpp
@@ -37,6 +37,8 @@
    */
   [[nodiscard]] result<std::uint16_t> listen(const std::string &Host,
                                              std::uint16_t Port);
+  /** @return The bound port; 0 before `listen`. */
+  [[nodiscard]] std::uint16_t port() const noexcept;
   /**
    * @brief Closes the listening socket and idle connections. Requests that are
    * being received or handled are completed, and their connections closed.
