Send no request after its write limit

Cause: evhttp writes the first byte in a later event than the call that asked for it. A process that is stopped in between sends on authority that has lapsed when it continues. Change: a request may carry WriteBy. Its timer has a higher priority than I/O events, so after a stop it runs before the pending write and the request ends as not sent. Measured: the new test sleeps past the limit before the loop runs. Conclusion: a dispatch is bound to the authority deadline up to the write.

--- a/src/galenalink/http/client.cpp
+++ b/src/galenalink/http/client.cpp
@@ -123,6 +123,7 @@
   delivery Delivery{delivery::NotSent};
   request Request;
   timer Deadline;
+  timer WriteLimit;
   client::callback Callback;
 };
 
@@ -147,6 +148,7 @@
   void finish(const std::shared_ptr<call::state> &State, answer Answer);
   delivery abandon(call::state &State) noexcept;
   void expire(const std::shared_ptr<call::state> &State);
+  void writeLimitPassed(const std::shared_ptr<call::state> &State);
   void sweep();
   void postAlive(std::function<void()> Function);
 };
@@ -318,6 +320,7 @@
                           answer Answer) {
   State->Connection = nullptr;
   State->Deadline.cancel();
+  State->WriteLimit.cancel();
   if (const auto *Failure = std::get_if<failure>(&Answer))
     State->Delivery = Failure->Delivery;
   postAlive([State, Answer = std::move(Answer)]() mutable {
@@ -329,6 +332,7 @@
 
 delivery client::impl::abandon(call::state &State) noexcept {
   State.Deadline.cancel();
+  State.WriteLimit.cancel();
   pool &Pool = *State.Pool;
   if (State.IsWaiting) {
     State.IsWaiting = false;
@@ -349,6 +353,18 @@
                 "no answer in time from " + toString(State->Pool->Address)));
 }
 
+// The first byte is written by a later event than the one that asked for it,
+// and the process may be stopped in between.
+void client::impl::writeLimitPassed(const std::shared_ptr<call::state> &State) {
+  const bool Wrote = State->Connection != nullptr && State->Connection->Wrote;
+  if (Wrote || !State->Callback)
+    return;
+  abandon(*State);
+  finish(State,
+         failed(delivery::NotSent, errc::Timeout,
+                "not written in time to " + toString(State->Pool->Address)));
+}
+
 void client::impl::sweep() {
   const time_point Oldest = boot_clock::now() - Options.IdleTimeout;
   bool Unused = false;
@@ -394,6 +410,13 @@
         if (const auto Expired = Weak.lock())
           Self->expire(Expired);
       });
+  if (State->Request.WriteBy != time_point::max())
+    State->WriteLimit = Impl->Loop.beforeEvents(
+        State->Request.WriteBy,
+        [Self = Impl.get(), Weak = std::weak_ptr{State}] {
+          if (const auto Late = Weak.lock())
+            Self->writeLimitPassed(Late);
+        });
   Impl->place(State);
   return call{State};
 }
--- a/src/galenalink/http/loop.cpp
+++ b/src/galenalink/http/loop.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+/** Events have the lower priority unless stated. */
+constexpr int PriorityLevels = 2;
+constexpr int UrgentPriority = 0;
+
 timeval toTimeval(const duration Delay) noexcept {
   const auto Micros = std::max<std::int64_t>(Delay.count(), 0);
   return {static_cast<time_t>(Micros / 1000000),
@@ -108,6 +112,7 @@
   });
   Impl->Base = event_base_new();
   GALENALINK_ASSERT(Impl->Base != nullptr, "no event base");
+  event_base_priority_init(Impl->Base, PriorityLevels);
   Impl->PostEvent = event_new(
       Impl->Base, -1, 0,
       [](evutil_socket_t, short, void *Self) {
@@ -146,9 +151,11 @@
   event_active(Impl->PostEvent, EV_TIMEOUT, 0);
 }
 
-timer loop::at(const time_point When, function Function) {
+timer loop::makeTimer(const time_point When, const duration Period,
+                      const bool Urgent, function Function) {
   auto State = std::make_shared<timer::state>();
   State->When = When;
+  State->Period = Period;
   State->Function = std::move(Function);
   State->Event = event_new(
       Impl->Base, -1, 0,
@@ -157,25 +164,24 @@
       },
       State.get());
   GALENALINK_ASSERT(State->Event != nullptr, "no event");
+  if (Urgent)
+    event_priority_set(State->Event, UrgentPriority);
   State->arm();
   return timer{std::move(State)};
 }
 
+timer loop::at(const time_point When, function Function) {
+  return makeTimer(When, duration::zero(), false, std::move(Function));
+}
+
+timer loop::beforeEvents(const time_point When, function Function) {
+  return makeTimer(When, duration::zero(), true, std::move(Function));
+}
+
 timer loop::every(const duration Period, function Function) {
   GALENALINK_ASSERT(Period.count() > 0, "period must be positive");
-  auto State = std::make_shared<timer::state>();
-  State->When = boot_clock::now() + Period;
-  State->Period = Period;
-  State->Function = std::move(Function);
-  State->Event = event_new(
-      Impl->Base, -1, 0,
-      [](evutil_socket_t, short, void *Self) {
-        static_cast<timer::state *>(Self)->fire();
-      },
-      State.get());
-  GALENALINK_ASSERT(State->Event != nullptr, "no event");
-  State->arm();
-  return timer{std::move(State)};
+  return makeTimer(boot_clock::now() + Period, Period, false,
+                   std::move(Function));
 }
 
 void loop::onSignal(const int Signal, function Function) {
--- a/src/galenalink/http/loop.hpp
+++ b/src/galenalink/http/loop.hpp
@@ -62,6 +62,11 @@
    * suspended, the time to go does not shrink, so it may be called late.
    */
   [[nodiscard]] timer at(time_point When, function Function);
+  /**
+   * @brief Like `at`, but ahead of all other events that are due with it.
+   * After the process was stopped, it runs before any pending write.
+   */
+  [[nodiscard]] timer beforeEvents(time_point When, function Function);
   /** @brief Calls the function every period, first after one period. */
   [[nodiscard]] timer every(duration Period, function Function);
   /** @brief Calls the function whenever the process gets the signal. */
@@ -70,6 +75,9 @@
   [[nodiscard]] event_base *native() noexcept;
 
 private:
+  [[nodiscard]] timer makeTimer(time_point When, duration Period, bool Urgent,
+                                function Function);
+
   struct impl;
   std::unique_ptr<impl> Impl;
 };
--- a/src/galenalink/http/message.hpp
+++ b/src/galenalink/http/message.hpp
@@ -3,6 +3,7 @@
 
 #include "galenalink/core/enum_names.hpp"
 #include "galenalink/core/error.hpp"
+#include "galenalink/core/time.hpp"
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -43,6 +44,8 @@
   std::string Path;
   headers Headers;
   std::string Body;
+  /** The client sends no first byte at or after this time. */
+  time_point WriteBy{time_point::max()};
 };
 
 struct response {
--- a/test/galenalink/http/client.cpp
+++ b/test/galenalink/http/client.cpp
@@ -1,6 +1,7 @@
 #include "galenalink/http/client.hpp"
 #include "fixture.hpp"
 #include <deque>
+#include <thread>
 
 using namespace galenalink;
 using namespace galenalink::http;
@@ -177,6 +178,28 @@
   BOOST_TEST(Test.Client.connections(Test.Address) == 0U);
 }
 
+// A process that is stopped between the check of its authority and the write
+// must not send on stale authority when it continues. Sleeping before the loop
+// runs has the same effect: the write and its limit are due together.
+BOOST_AUTO_TEST_CASE(request_is_not_written_after_its_limit) {
+  scripted Test;
+  Test.send("/run");
+  const auto Socket = Test.acceptOne();
+  Test.awaitRequest(*Socket);
+  Socket->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  Test.awaitAnswer();
+  Socket->Read.clear();
+  request Late{method::Post, "/run", {}, "body"};
+  Late.WriteBy = boot_clock::now() + 5ms;
+  Test.Client.send(
+      Test.Address, std::move(Late), boot_clock::now() + 10s,
+      [&](answer Answer) { Test.Answers.push_back(std::move(Answer)); });
+  std::this_thread::sleep_for(20ms);
+  BOOST_TEST((Test.awaitFailure().Delivery == delivery::NotSent));
+  Socket->poll();
+  BOOST_TEST(Socket->Read.empty());
+}
+
 // A late answer must not reach the next request.
 BOOST_AUTO_TEST_CASE(abandoned_connection_is_closed) {
   scripted Test;
