--- a/src/galenalink/http/client.cpp
+++ b/src/galenalink/http/client.cpp
@@ -1,8 +1,8 @@
 #include "galenalink/http/client.hpp"
 #include "galenalink/core/assert.hpp"
+#include "galenalink/http/detail/response.hpp"
 #include "galenalink/http/loop.hpp"
 #include <cerrno>
-#include <charconv>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -39,37 +39,6 @@
   return EVHTTP_REQ_GET;
 }
 
-/**
- * @brief Whether the body is as long as announced. evhttp takes a body
- * without a length as complete when the connection ends, however early.
- */
-bool isComplete(const response &Response) noexcept {
-  if (Response.Status == 204 || Response.Status == 304)
-    return Response.Body.empty();
-  if (findHeader(Response.Headers, "Transfer-Encoding"))
-    return true; // evhttp fails a chunked body without its last chunk
-  const auto Announced = findHeader(Response.Headers, "Content-Length");
-  if (!Announced)
-    return false;
-  std::size_t Length = 0;
-  const char *Last = Announced->data() + Announced->size();
-  const auto [End, Code] = std::from_chars(Announced->data(), Last, Length);
-  return Code == std::errc{} && End == Last && Length == Response.Body.size();
-}
-
-response toResponse(evhttp_request *Request) {
-  response Response;
-  Response.Status = evhttp_request_get_response_code(Request);
-  const evkeyvalq *Input = evhttp_request_get_input_headers(Request);
-  for (const evkeyval *Each = Input->tqh_first; Each != nullptr;
-       Each = Each->next.tqe_next)
-    Response.Headers.push_back({Each->key, Each->value});
-  evbuffer *Buffer = evhttp_request_get_input_buffer(Request);
-  Response.Body.resize(evbuffer_get_length(Buffer));
-  evbuffer_remove(Buffer, Response.Body.data(), Response.Body.size());
-  return Response;
-}
-
 struct pool;
 
 /** @brief One connection; it carries at most one request at a time. */
@@ -279,8 +248,8 @@
                                           : "can't connect to " + Server));
     return;
   }
-  response Response = toResponse(Request);
-  if (!isComplete(Response)) {
+  response Response = detail::toResponse(Request);
+  if (!detail::isComplete(Response)) {
     finish(State,
            failed(delivery::Unknown, errc::Corrupt,
                   "answer without a length or truncated from " + Server));
--- a/src/galenalink/http/exchange.cpp
+++ b/src/galenalink/http/exchange.cpp
@@ -131,4 +131,16 @@
     evbuffer_free(Buffer);
 }
 
+// After the shutdown nothing that is written reaches the peer, and the failed
+// write makes evhttp free the connection.
+void exchange::abort() {
+  evhttp_request *Request = State->Request;
+  evhttp_connection *Connection =
+      Request == nullptr ? nullptr : evhttp_request_get_connection(Request);
+  if (Connection != nullptr)
+    shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(Connection)),
+             SHUT_RDWR);
+  reply(500, {}, {});
+}
+
 } // namespace galenalink::http
--- a/src/galenalink/http/exchange.hpp
+++ b/src/galenalink/http/exchange.hpp
@@ -41,6 +41,9 @@
   /** @brief Sends the reply; the first call counts, later ones do nothing. */
   void reply(int Status, const headers &Headers, std::string_view Body);
 
+  /** @brief Closes the connection instead of a reply. */
+  void abort();
+
 private:
   std::shared_ptr<state> State;
 };
