--- a/src/galenalink/fleet/authority.hpp
+++ b/src/galenalink/fleet/authority.hpp
@@ -3,9 +3,9 @@
 
 #include "galenalink/fleet/lease.hpp"
 #include "galenalink/fleet/state.hpp"
-#include <deque>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace galenalink::fleet {
 
@@ -32,7 +32,7 @@
     log_offset Shown;
   };
   std::optional<time_point> Newest;
-  std::deque<answer> Pending;
+  std::vector<answer> Pending;
 };
 
 } // namespace detail
--- a/src/galenalink/fleet/offset_times.hpp
+++ b/src/galenalink/fleet/offset_times.hpp
@@ -3,8 +3,8 @@
 
 #include "galenalink/core/time.hpp"
 #include <algorithm>
-#include <deque>
 #include <optional>
+#include <vector>
 
 namespace galenalink::fleet {
 
@@ -33,7 +33,7 @@
     Entries.push_back({Through, Now, Now});
     // Offsets of a dropped entry are found in the next one, which is later.
     if (Entries.size() > Capacity)
-      Entries.pop_front();
+      Entries.erase(Entries.begin());
   }
 
   /** @brief When the offset was reached, nothing if it was not. */
@@ -59,7 +59,7 @@
     time_point Began;
     time_point Reached;
   };
-  std::deque<entry> Entries;
+  std::vector<entry> Entries;
 };
 
 } // namespace galenalink::fleet
