Leave time for nine of ten runs when work starts last

In an overload the queue stands at the latest start that the admission allows, which left only the median run time to the deadline: half of the work then ran and was late.

The latest start now leaves the run time that one run in ten exceeds.

--- a/src/galenalink/schedule/shard_admission.cpp
+++ b/src/galenalink/schedule/shard_admission.cpp
@@ -68,11 +68,13 @@
   const auto Class = Queues.classOf(Work.Queue);
   const auto Flow = Queues.flow(Work.Queue, Work.Team);
   // Callers wait for the result of short work, and for a handle of long work.
+  // With the median run time left, half of the work that starts last would
+  // miss its deadline, and in an overload all work starts last.
   // At least half of the time is left for the start: a wrong estimate would
   // otherwise refuse all work, and never be corrected.
   auto StartBy = Work.Deadline;
   if (Class == work_class::Short)
-    StartBy -= std::min(Queue.RunTime.median(), (Work.Deadline - Now) / 2);
+    StartBy -= std::min(Queue.RunTime.high(), (Work.Deadline - Now) / 2);
   const auto Wait = waitOf(Flow, Class);
   if (Now + Wait >= StartBy)
     return {refusal::DeadlineUnreachable,
