Keep queues short in an overload that outlasts a peak

In an overload the queue stood at the latest useful start, so that work which runs longer than most still missed its deadline.

When a queue was not short for 10 s, work is admitted only while the estimated wait is below a quarter of the time until the latest start. A peak of some seconds still uses the whole time.

--- a/src/galenalink/schedule/settings.hpp
+++ b/src/galenalink/schedule/settings.hpp
@@ -42,6 +42,8 @@
   duration ProbeAfterMost{std::chrono::seconds{60}};
   /** Successful probes in a row that end an ejection. */
   std::uint32_t ProbesToReturn{2};
+  /** A queue that is long for more than this is in overload, not in a peak. */
+  duration PeakMost{std::chrono::seconds{10}};
   /** Shortest and longest retry time that a refused caller is given. */
   duration RetryAfterLeast{std::chrono::milliseconds{50}};
   duration RetryAfterMost{std::chrono::seconds{30}};
--- a/src/galenalink/schedule/shard_admission.cpp
+++ b/src/galenalink/schedule/shard_admission.cpp
@@ -51,6 +51,19 @@
   return Queue.LastRetry - Now;
 }
 
+duration shard_scheduler::longestWait(queue_record &Queue, const duration Wait,
+                                      const duration UntilStart,
+                                      const time_point Now) const {
+  // A queue that stays long runs no more work than a short one, but all of it
+  // starts late. A peak may use the whole time until the latest start; when the
+  // wait stays above an eighth of it for longer, a quarter is the limit, as in
+  // Nichols and Jacobson, "Controlling queue delay", ACM Queue 10(5), 2012.
+  if (Wait <= UntilStart / 8)
+    Queue.LastShortWait = Now;
+  return Now - Queue.LastShortWait > Settings.PeakMost ? UntilStart / 4
+                                                       : UntilStart;
+}
+
 admission shard_scheduler::enqueue(const work_item &Work,
                                    const time_point Now) {
   advance(Now);
@@ -76,9 +89,10 @@
   if (Class == work_class::Short)
     StartBy -= std::min(Queue.RunTime.high(), (Work.Deadline - Now) / 2);
   const auto Wait = waitOf(Flow, Class);
-  if (Now + Wait >= StartBy)
+  const auto Most = longestWait(Queue, Wait, StartBy - Now, Now);
+  if (Wait >= Most)
     return {refusal::DeadlineUnreachable,
-            retryAfter(Queue, Class, Now + Wait - StartBy, Now)};
+            retryAfter(Queue, Class, Wait - Most, Now)};
   if (const auto Reason = Queues.full(Flow); Reason != refusal::None)
     return {Reason, retryAfter(Queue, Class, {}, Now)};
   Queues.insert(Work, Flow, Queue.RunTime.mean(), StartBy);
--- a/src/galenalink/schedule/shard_scheduler.hpp
+++ b/src/galenalink/schedule/shard_scheduler.hpp
@@ -94,6 +94,8 @@
     class_belief Belief;
     /** Retry time given to the caller refused last. */
     time_point LastRetry{};
+    /** When new work last found little waiting. */
+    time_point LastShortWait{};
   };
   struct team_record {
     team_settings Settings;
@@ -120,6 +122,8 @@
   [[nodiscard]] std::uint32_t slotsFor(work_class Class) const noexcept;
   [[nodiscard]] duration waitOf(queue_set::flow_index Flow,
                                 work_class Class) const;
+  [[nodiscard]] duration longestWait(queue_record &Queue, duration Wait,
+                                     duration UntilStart, time_point Now) const;
   [[nodiscard]] duration retryAfter(queue_record &Queue, work_class Class,
                                     duration Excess, time_point Now);
   [[nodiscard]] std::optional<vm_index> chooseVm(const queued_item &Item,
