--- a/src/galenalink/plan/fwd.hpp
+++ b/src/galenalink/plan/fwd.hpp
@@ -19,11 +19,19 @@
 struct permit;
 struct pool_wave;
 struct maintenance_plan;
+struct pool_demand;
+struct lending_quota;
+struct buffer_settings;
+struct buffer_state;
+struct buffer_input;
+struct buffer_plan;
+struct move;
 
 enum class vm_state : std::uint8_t;
 enum class motion : std::uint8_t;
 enum class maintenance : std::uint8_t;
 enum class wave_status : std::uint8_t;
+enum class move_reason : std::uint8_t;
 
 } // namespace galenalink::plan
 
--- a/src/galenalink/plan/maintenance.cpp
+++ b/src/galenalink/plan/maintenance.cpp
@@ -34,12 +34,6 @@
   return std::nullopt;
 }
 
-[[nodiscard]] bool isDue(const vm_view &Vm, const pool_view &Pool,
-                         const wall_ms Now) noexcept {
-  return Pool.PeriodMs > 0 && Vm.isUp() &&
-         Vm.MaintainedMs + Pool.PeriodMs - Pool.LeadMs <= Now;
-}
-
 [[nodiscard]] bool isOut(const vm_view &Vm) noexcept {
   return Vm.Maintenance == maintenance::Permitted ||
          Vm.Maintenance == maintenance::Rebooting;
@@ -102,7 +96,11 @@
 
 /** @brief VMs of one pool, by their part in its wave. */
 struct pool_vms {
+  /** Own VMs that are due. */
   std::vector<vm_index> Due;
+  /** Borrowed VMs that are past their period. */
+  std::vector<vm_index> Overdue;
+  bool BorrowedOut{false};
   std::vector<vm_index> Out;
   std::vector<vm_index> Failed;
 };
@@ -114,7 +112,7 @@
   Wave.WaveSinceMs = Pool.WaveSinceMs;
   if (!Members.Out.empty() && !Wave.WaveSinceMs)
     Wave.WaveSinceMs = std::numeric_limits<wall_ms>::min();
-  if (Members.Due.empty()) {
+  if (Members.Due.empty() && Members.Overdue.empty()) {
     if (Members.Out.empty())
       Wave.WaveSinceMs.reset();
     return;
@@ -134,11 +132,7 @@
     Wave.Status = wave_status::OutsideWindow;
     return;
   }
-  if (Head.Room == 0) {
-    Wave.Status = wave_status::NoRoom;
-    return;
-  }
-  Wave.Status = wave_status::Permitted;
+  const auto Before = Plan.Permits.size();
   wave_order Order{Vms, Pool, Now};
   std::ranges::for_each(Members.Out, [&](vm_index Vm) { Order.addOut(Vm); });
   std::ranges::for_each(Members.Due, [&](vm_index Vm) { Order.add(Vm); });
@@ -146,6 +140,17 @@
   const auto Count = std::min<std::size_t>(Head.Room, Sorted.size());
   for (std::size_t I = 0; I < Count; ++I)
     Plan.Permits.push_back({Sorted[I], Vms[Sorted[I]].Epoch});
+  // A borrowed VM is in no budget and therefore needs no room.
+  if (!Members.Overdue.empty() && !Members.BorrowedOut) {
+    const auto Vm = *std::ranges::min_element(
+        Members.Overdue, {}, [&](vm_index I) { return Vms[I].MaintainedMs; });
+    Plan.Permits.push_back({Vm, Vms[Vm].Epoch});
+  }
+  if (Plan.Permits.size() == Before) {
+    Wave.Status = wave_status::NoRoom;
+    return;
+  }
+  Wave.Status = wave_status::Permitted;
   if (!Wave.WaveSinceMs)
     Wave.WaveSinceMs = Now;
 }
@@ -161,12 +166,17 @@
   for (vm_index I = 0; I < Vms.size(); ++I) {
     const auto &Vm = Vms[I];
     auto &Lists = Members[Vm.Pool];
-    // Borrowed VMs are maintained after they have gone back: an outage here
-    // would keep their owner from having them on demand.
-    if (isDue(Vm, Pools[Vm.Pool], Now) && Vm.Owner == Pools[Vm.Pool].Member)
+    const auto &Pool = Pools[Vm.Pool];
+    const bool Borrowed = Vm.Owner != Pool.Member;
+    if (isDue(Vm, Pool, Now) && !Borrowed)
       Lists.Due.push_back(I);
-    if (isOut(Vm))
+    if (isDue(Vm, Pool, Now) && Borrowed &&
+        Vm.MaintainedMs + Pool.PeriodMs <= Now)
+      Lists.Overdue.push_back(I);
+    if (isOut(Vm)) {
       Lists.Out.push_back(I);
+      Lists.BorrowedOut |= Borrowed;
+    }
     if (isFailed(Vm))
       Lists.Failed.push_back(I);
     if (Vm.Maintenance == maintenance::Stuck)
--- a/src/galenalink/plan/maintenance.hpp
+++ b/src/galenalink/plan/maintenance.hpp
@@ -61,6 +61,10 @@
  * failed after its wave began. If VMs are in maintenance and the start of the
  * wave is not known, every failure counts as one of this wave.
  *
+ * Borrowed VMs are left to their owner, because an outage would keep it from
+ * recalling them; one that is past its period is maintained where it is, one
+ * at a time.
+ *
  * @param Now Time of the log.
  */
 [[nodiscard]] maintenance_plan planMaintenance(std::span<const vm_view> Vms,
--- a/src/galenalink/plan/view.hpp
+++ b/src/galenalink/plan/view.hpp
@@ -56,6 +56,8 @@
   /** Availability budget. */
   std::uint32_t MinUp{0};
   bool Spare{false};
+  /** Own VMs that operators gave the pool; moves never leave it with fewer. */
+  std::uint32_t HomeVms{0};
   /** Every VM is maintained once in this time. */
   wall_ms PeriodMs{0};
   /** A VM is due this long before its period ends. */
@@ -66,6 +68,13 @@
   std::optional<wall_ms> WaveSinceMs;
 };
 
+/** @brief Whether a VM that is up waits for maintenance. */
+[[nodiscard]] inline bool isDue(const vm_view &Vm, const pool_view &Pool,
+                                const wall_ms Now) noexcept {
+  return Pool.PeriodMs > 0 && Vm.isUp() &&
+         Vm.MaintainedMs + Pool.PeriodMs - Pool.LeadMs <= Now;
+}
+
 } // namespace galenalink::plan
 
 #endif
--- a/test/galenalink/plan/maintenance.cpp
+++ b/test/galenalink/plan/maintenance.cpp
@@ -246,6 +246,30 @@
       Plan.Permits, [](const permit &Permit) { return Permit.Vm == 4; }));
 }
 
+// A lent VM must neither use up the borrower's headroom nor miss its period.
+BOOST_AUTO_TEST_CASE(borrowed_vms_are_maintained_when_overdue) {
+  fleet Fleet;
+  Fleet.Pools = {pool(3)};
+  for (std::uint32_t I = 0; I < 6; ++I) {
+    vm_view Vm;
+    Vm.Owner = I < 4 ? 0 : 1;
+    Vm.Rack = I;
+    Vm.MaintainedMs = Now - 45 * Day;
+    Fleet.Vms.push_back(Vm);
+  }
+  // 4 own VMs, 3 of them in the budget and 1 in reserve: no room.
+  auto Plan = planMaintenance(Fleet.Vms, Fleet.Pools, Now);
+  BOOST_TEST(Plan.Permits.empty());
+  BOOST_TEST((Plan.Pools[0].Status == wave_status::NoRoom));
+  Fleet.Vms[4].MaintainedMs = Now - 49 * Day;
+  Fleet.Vms[5].MaintainedMs = Now - 50 * Day;
+  Plan = planMaintenance(Fleet.Vms, Fleet.Pools, Now);
+  BOOST_TEST(Plan.Permits.size() == 1U);
+  BOOST_TEST(Plan.Permits.at(0).Vm == 5U);
+  Fleet.Vms[5].Maintenance = maintenance::Permitted;
+  BOOST_TEST(planMaintenance(Fleet.Vms, Fleet.Pools, Now).Permits.empty());
+}
+
 // The order decides who waits: overdue first, long work last until its hold
 // ends, and the rack that was begun before another one.
 BOOST_AUTO_TEST_CASE(order_within_a_pool) {
