Measure the maintenance and buffer decisions on virtual time

A pool without a budget now gives a quarter of its VMs at a time, and the lower bound of a roll-out no longer contains that rule, because no budget asks for it.

--- /dev/null
+++ b/bench/plan_policy.cpp
@@ -0,0 +1,176 @@
+// Measures the maintenance and buffer decisions against a static reserve per
+// pool and against following demand, on virtual time. Rows end in PASS or
+// FAIL; the exit status is 1 if any row failed.
+#include "plan_driver.hpp"
+#include <cstdio>
+#include <string>
+
+using namespace galenalink;
+using namespace galenalink::bench;
+
+namespace {
+
+/** Deadline misses that each pool's static reserve is sized for. */
+constexpr double MissGoal = 0.001;
+
+constexpr std::array<faults, 5> Scenarios{{
+    {"none"},
+    {"vm-failures", 6},
+    {"rack-lost-mid-wave", 0, true},
+    {"lagging-list-and-demand", 0, false, 10'000, 3'000},
+    {"all", 6, true, 10'000, 3'000},
+}};
+
+constexpr std::array<std::uint64_t, 3> Seeds{11, 22, 33};
+
+/** Spares that a member owns for its five pools. */
+constexpr std::array<std::uint32_t, Members> Spares{6, 10};
+
+bool Failed = false;
+
+const char *verdict(const bool Pass) {
+  Failed |= !Pass;
+  return Pass ? "PASS" : "FAIL";
+}
+
+/** @brief Moves VMs at once whenever demand differs from what a pool has. */
+plan::buffer_plan followDemand(const plan::buffer_input &Input, wall_ms) {
+  plan::buffer_plan Plan;
+  const auto Heads = plan::headrooms(Input.Vms, Input.Pools);
+  std::vector<std::int64_t> Excess(Input.Pools.size());
+  std::vector<std::int64_t> Own(Input.Pools.size());
+  std::vector<std::int64_t> Room(Input.Pools.size());
+  for (std::size_t I = 0; I < Input.Pools.size(); ++I) {
+    Room[I] = Input.Pools[I].Spare ? Heads[I].Up : Heads[I].Room;
+    Excess[I] = Input.Pools[I].Spare ? 0
+                                     : -static_cast<std::int64_t>(plan::keptVms(
+                                           Input.Demand[I], Input.Settings));
+  }
+  for (const auto &Vm : Input.Vms) {
+    const auto Pool = Vm.Motion == plan::motion::None ? Vm.Pool : Vm.To;
+    ++Own[Pool];
+    const bool Up = Vm.isUp() || (Vm.Motion != plan::motion::None &&
+                                  Vm.State == plan::vm_state::Up);
+    Excess[Pool] += Up ? 1 : 0;
+  }
+  std::vector<bool> Moved(Input.Vms.size());
+  const auto Give = [&](const plan::pool_index From, const plan::pool_index To,
+                        const plan::move_reason Reason) {
+    const auto &Pool = Input.Pools[From];
+    if (Room[From] == 0 || (!Pool.Spare && Own[From] <= Pool.HomeVms))
+      return false;
+    for (plan::vm_index I = 0; I < Input.Vms.size(); ++I) {
+      const auto &Vm = Input.Vms[I];
+      if (Vm.Pool != From || !Vm.isUp() || Moved[I] || Vm.HoldUntilMs != 0)
+        continue;
+      Moved[I] = true;
+      --Room[From], --Own[From], --Excess[From];
+      ++Own[To], ++Excess[To];
+      Plan.Moves.push_back({I, Vm.Epoch, To, Reason, 0});
+      return true;
+    }
+    return false;
+  };
+  for (plan::pool_index To = 0; To < Queues; ++To) {
+    const auto Member = Input.Pools[To].Member;
+    const auto Spare = static_cast<plan::pool_index>(Queues + Member);
+    bool Found = true;
+    while (Excess[To] < 0 && Found) {
+      Found = Give(Spare, To, plan::move_reason::Peak);
+      for (plan::pool_index From = 0; From < Queues && !Found; ++From)
+        Found = Input.Pools[From].Member == Member && Excess[From] > 0 &&
+                Give(From, To, plan::move_reason::Peak);
+    }
+  }
+  for (plan::pool_index From = 0; From < Queues; ++From) {
+    const auto Spare =
+        static_cast<plan::pool_index>(Queues + Input.Pools[From].Member);
+    while (Excess[From] > 0 && Give(From, Spare, plan::move_reason::Return)) {
+    }
+  }
+  return Plan;
+}
+
+/** @brief Smallest reserve of each pool that meets the goal on its own. */
+sizing sizeStatic(const workload &Load, const faults &Faults,
+                  const std::uint64_t Seed) {
+  sizing Sizing;
+  while (true) {
+    const auto Run = driver{Load, Faults, Sizing, Seed, {}}.run();
+    bool Met = true;
+    for (std::size_t I = 0; I < Queues; ++I) {
+      const auto Allowed = MissGoal * static_cast<double>(Run.Arrived[I]);
+      if (static_cast<double>(Run.Missed[I]) > Allowed) {
+        ++Sizing.Reserve[I];
+        Met = false;
+      }
+    }
+    if (Met)
+      return Sizing;
+  }
+}
+
+void printRun(const char *Policy, const figures &Run, const sizing &Sizing) {
+  std::printf("  %-8s buffer %6.1f VM-h  roll-out %5.1f min (%.2fx)  moves "
+              "%6llu  p99 short wait %5lld ms  missed %7llu of %llu  lent %llu"
+              "  breach %lld ms\n",
+              Policy, Sizing.total() * static_cast<double>(RunMs) / 3.6e6,
+              static_cast<double>(Run.RolloutMs) / 6e4,
+              static_cast<double>(Run.RolloutMs) /
+                  static_cast<double>(Run.BoundMs),
+              static_cast<unsigned long long>(Run.Moves),
+              static_cast<long long>(Run.P99WaitMs),
+              static_cast<unsigned long long>(Run.missed()),
+              static_cast<unsigned long long>(Run.Jobs),
+              static_cast<unsigned long long>(Run.Lent),
+              static_cast<long long>(Run.BreachMs));
+}
+
+void compare(const faults &Faults, const std::uint64_t Seed) {
+  const workload Load{Seed};
+  const auto Reserve = sizeStatic(Load, Faults, Seed);
+  const sizing Shared{{}, Spares};
+  const auto Static = driver{Load, Faults, Reserve, Seed, {}}.run();
+  const auto Naive = driver{Load, Faults, Shared, Seed, followDemand}.run();
+  const auto Planned =
+      driver{Load, Faults, Shared, Seed, plan::planBuffer}.run();
+  std::printf("faults %s, seed %llu\n", Faults.Name,
+              static_cast<unsigned long long>(Seed));
+  printRun("static", Static, Reserve);
+  printRun("follow", Naive, Shared);
+  printRun("planner", Planned, Shared);
+  const auto Cost = static_cast<double>(Shared.total()) / Reserve.total();
+  const auto Moves =
+      static_cast<double>(Planned.Moves) /
+      static_cast<double>(std::max<std::uint64_t>(Naive.Moves, 1));
+  const auto Rollout = static_cast<double>(Planned.RolloutMs) /
+                       static_cast<double>(Planned.BoundMs);
+  std::printf("  budget breaches by planned actions: %lld ms (target 0)  %s\n",
+              static_cast<long long>(Planned.BreachMs),
+              verdict(Planned.BreachMs == 0));
+  std::printf("  roll-out / lower bound: %.2f (target 1.25), VMs not "
+              "maintained: %u (target 0)  %s\n",
+              Rollout, Planned.NotMaintained,
+              verdict(Rollout <= 1.25 && Planned.NotMaintained == 0 &&
+                      Planned.BoundMs > 0));
+  std::printf("  buffer / static: %.2f (target 0.5), misses %llu against "
+              "%llu (target no more), moves / follow: %.2f (target 0.5)  %s\n",
+              Cost, static_cast<unsigned long long>(Planned.missed()),
+              static_cast<unsigned long long>(Static.missed()), Moves,
+              verdict(Cost <= 0.5 && Planned.missed() <= Static.missed() &&
+                      Moves <= 0.5));
+}
+
+} // namespace
+
+int main(const int Count, const char *const *Values) {
+  // Optional argument: the only scenario to run.
+  const std::string Only = Count > 1 ? Values[1] : "";
+  for (const auto &Faults : Scenarios) {
+    if (!Only.empty() && Only != Faults.Name)
+      continue;
+    for (const auto Seed : Seeds)
+      compare(Faults, Seed);
+  }
+  return Failed ? 1 : 0;
+}
--- a/src/galenalink/plan/headroom.cpp
+++ b/src/galenalink/plan/headroom.cpp
@@ -8,8 +8,9 @@
 [[nodiscard]] std::uint32_t roomFor(const pool_view &Pool, const headroom &Head,
                                     const std::uint32_t Up) noexcept {
   if (Pool.MinUp == 0) {
+    const auto AtOnce = std::max(Head.LargestRack, (Head.Vms + 3) / 4);
     const auto Out = Head.Vms - Up;
-    return Head.LargestRack > Out ? Head.LargestRack - Out : 0;
+    return AtOnce > Out ? AtOnce - Out : 0;
   }
   const auto Floor = Pool.MinUp + Head.LargestRack;
   return Up > Floor ? Up - Floor : 0;
@@ -39,7 +40,8 @@
   for (std::size_t I = 0; I < Pools.size(); ++I) {
     auto &Head = Result[I];
     Head.Room = roomFor(Pools[I], Head, Head.Up);
-    Head.FullRoom = roomFor(Pools[I], Head, Head.Vms);
+    Head.FullRoom =
+        Pools[I].MinUp == 0 ? Head.Vms : roomFor(Pools[I], Head, Head.Vms);
   }
   return Result;
 }
--- a/src/galenalink/plan/headroom.hpp
+++ b/src/galenalink/plan/headroom.hpp
@@ -13,7 +13,7 @@
   std::uint32_t LargestRack{0};
   /** VMs that may be taken now. */
   std::uint32_t Room{0};
-  /** VMs that may be taken at once when all VMs are up. */
+  /** VMs that the budget allows to be taken at once when all VMs are up. */
   std::uint32_t FullRoom{0};
 };
 
@@ -22,8 +22,8 @@
  *
  * `Room = Up - MinUp - LargestRack`: the reserve keeps the budget when the
  * rack with the most VMs of the pool is lost while VMs are out. A pool without
- * a budget needs no reserve and gives at most as many VMs as its largest rack
- * at once, so that a fault in the new software does not take all of them.
+ * a budget needs no reserve; a quarter of it, or its largest rack, is taken at
+ * once, so that a fault in the new software does not take all of its VMs.
  * Only the member's own VMs count: borrowed VMs can be recalled at any time,
  * so no budget may rest on them.
  */
