Keep maintenance away from VMs that were moved in for demand

A wave took its headroom from VMs that had come to serve a peak: a pool of 10 that had grown to 16 gave up to 7 VMs at once, just when it was busiest.

The room of a wave is now that of the pool's home size.

--- a/src/galenalink/plan/maintenance.cpp
+++ b/src/galenalink/plan/maintenance.cpp
@@ -94,6 +94,17 @@
   rank_table Racks;
 };
 
+/**
+ * @brief Headroom without the VMs that were moved in for demand: if a wave
+ * used them, the peak that they came for would be served late.
+ */
+[[nodiscard]] std::uint32_t roomAtHomeSize(const pool_view &Pool,
+                                           const headroom &Head) noexcept {
+  const bool Grown = Pool.HomeVms > 0 && Head.Vms > Pool.HomeVms;
+  const auto Extra = Grown ? Head.Vms - Pool.HomeVms : 0;
+  return Head.Room > Extra ? Head.Room - Extra : 0;
+}
+
 /** @brief VMs of one pool, by their part in its wave. */
 struct pool_vms {
   /** Own VMs that are due. */
@@ -137,7 +148,8 @@
   std::ranges::for_each(Members.Out, [&](vm_index Vm) { Order.addOut(Vm); });
   std::ranges::for_each(Members.Due, [&](vm_index Vm) { Order.add(Vm); });
   const auto &Sorted = Order.sorted();
-  const auto Count = std::min<std::size_t>(Head.Room, Sorted.size());
+  const auto Count =
+      std::min<std::size_t>(roomAtHomeSize(Pool, Head), Sorted.size());
   for (std::size_t I = 0; I < Count; ++I)
     Plan.Permits.push_back({Sorted[I], Vms[Sorted[I]].Epoch});
   // A borrowed VM is in no budget and therefore needs no room.
--- a/src/galenalink/plan/maintenance.hpp
+++ b/src/galenalink/plan/maintenance.hpp
@@ -53,13 +53,13 @@
 /**
  * @brief Decides which VMs get a maintenance permit now.
  *
- * Permits never exceed a pool's headroom. A wave finishes one place and one
- * rack before the next where headroom allows; places and racks are taken in
- * the order of their most overdue VM, and VMs past their period go first, so
- * no VM waits longer than one wave. VMs with long work come last until their
- * hold deadline. A pool gets no permit while a VM is down or unknown that
- * failed after its wave began. If VMs are in maintenance and the start of the
- * wave is not known, every failure counts as one of this wave.
+ * Permits never exceed a pool's headroom at its home size. A wave finishes one
+ * place and one rack before the next where headroom allows; places and racks
+ * are taken in the order of their most overdue VM, and VMs past their period go
+ * first, so no VM waits longer than one wave. VMs with long work come last
+ * until their hold deadline. A pool gets no permit while a VM is down or
+ * unknown that failed after its wave began. If VMs are in maintenance and the
+ * start of the wave is not known, every failure counts as one of this wave.
  *
  * Borrowed VMs are left to their owner, because an outage would keep it from
  * recalling them; one that is past its period is maintained where it is, one
--- a/test/galenalink/plan/maintenance.cpp
+++ b/test/galenalink/plan/maintenance.cpp
@@ -259,6 +259,20 @@
       Plan.Permits, [](const permit &Permit) { return Permit.Vm == 4; }));
 }
 
+// A wave must not take the VMs that came to serve a peak.
+BOOST_AUTO_TEST_CASE(vms_above_the_home_size_are_no_room) {
+  fleet Fleet;
+  Fleet.Pools = {pool(3)};
+  Fleet.Pools[0].HomeVms = 6;
+  for (std::uint32_t I = 0; I < 9; ++I) {
+    vm_view Vm;
+    Vm.Rack = I;
+    Vm.MaintainedMs = Now - 45 * Day;
+    Fleet.Vms.push_back(Vm);
+  }
+  BOOST_TEST(planMaintenance(Fleet.Vms, Fleet.Pools, Now).Permits.size() == 2U);
+}
+
 // A lent VM must neither use up the borrower's headroom nor miss its period.
 BOOST_AUTO_TEST_CASE(borrowed_vms_are_maintained_when_overdue) {
   fleet Fleet;
