--- a/bench/plan_policy.cpp
+++ b/bench/plan_policy.cpp
@@ -24,7 +24,7 @@
 constexpr std::array<std::uint64_t, 3> Seeds{11, 22, 33};
 
 /** Spares that a member owns for its five pools. */
-constexpr std::array<std::uint32_t, Members> Spares{6, 10};
+constexpr std::array<std::uint32_t, Members> Spares{14, 14};
 
 bool Failed = false;
 
@@ -161,6 +161,36 @@
                       Moves <= 0.5));
 }
 
+/** @brief Trade-off over the spares owned and the wait that is used up. */
+void printTable() {
+  const workload Load{Seeds[0]};
+  const auto &Faults = Scenarios[0];
+  const auto Reserve = sizeStatic(Load, Faults, Seeds[0]);
+  const auto Static = driver{Load, Faults, Reserve, Seeds[0], {}}.run();
+  std::printf("trade-off, no faults, seed %llu; static: %u VMs, %llu missed\n",
+              static_cast<unsigned long long>(Seeds[0]), Reserve.total(),
+              static_cast<unsigned long long>(Static.missed()));
+  std::printf("  %-7s %-6s %-8s %-8s %-9s %-8s %s\n", "spares", "wait%",
+              "buffer", "missed", "moves", "p99 ms", "roll-out");
+  for (const std::uint32_t Each : {6, 8, 10, 12, 14, 15, 16}) {
+    for (const std::uint32_t Wait : {0, 25, 50}) {
+      const sizing Sizing{{}, {Each, Each}};
+      plan::buffer_settings Settings;
+      Settings.WaitPercent = Wait;
+      const auto Run =
+          driver{Load, Faults, Sizing, Seeds[0], plan::planBuffer, Settings}
+              .run();
+      std::printf("  %-7u %-6u %-8.2f %-8llu %-9llu %-8lld %.2fx\n", 2 * Each,
+                  Wait, 2.0 * Each / Reserve.total(),
+                  static_cast<unsigned long long>(Run.missed()),
+                  static_cast<unsigned long long>(Run.Moves),
+                  static_cast<long long>(Run.P99WaitMs),
+                  static_cast<double>(Run.RolloutMs) /
+                      static_cast<double>(Run.BoundMs));
+    }
+  }
+}
+
 } // namespace
 
 int main(const int Count, const char *const *Values) {
@@ -172,5 +202,7 @@
     for (const auto Seed : Seeds)
       compare(Faults, Seed);
   }
+  if (Only.empty() || Only == "table")
+    printTable();
   return Failed ? 1 : 0;
 }
