Serve a request end to end

Cause: the parts of the data path stood apart. Change: the entry node joins them: it follows the log, joins the roster, takes over shards after the barrier, routes callers' requests to the home of their shard, places them on VMs, dispatches under authority and answers by outcome. Operators see and change the fleet through their own listener and the command line. VMs come from the platform's list; moves and maintenance go forward one record at a time.

--- /dev/null
+++ b/apps/galenalink.cpp
@@ -0,0 +1,181 @@
+#include "galenalink/cli/actions.hpp"
+#include "galenalink/cli/publish.hpp"
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+namespace {
+
+using namespace galenalink;
+using cli::exit_code;
+
+struct arguments {
+  std::string Node{"127.0.0.1:8081"};
+  std::string TokenFile;
+  std::string Output{"text"};
+  std::string Directory;
+  std::string Author;
+  std::string Subject;
+  std::string Pool;
+  bool Prune{false};
+  bool Cancel{false};
+};
+
+[[nodiscard]] result<std::string> readToken(const std::string &File) {
+  if (File.empty())
+    return std::string{};
+  std::ifstream Input{File};
+  std::string Token;
+  if (!std::getline(Input, Token))
+    return fail(errc::BadInput, File + ": can't be read");
+  return Token;
+}
+
+[[nodiscard]] result<std::unique_ptr<cli::connection>>
+connect(const arguments &Arguments) {
+  BOOST_LEAF_AUTO(Address, http::parseAddress(Arguments.Node));
+  BOOST_LEAF_AUTO(Token, readToken(Arguments.TokenFile));
+  return std::make_unique<cli::connection>(Address, Token);
+}
+
+[[nodiscard]] cli::output outputOf(const arguments &Arguments) {
+  return parseName(cli::OutputNames, Arguments.Output)
+      .value_or(cli::output::Text);
+}
+
+[[nodiscard]] result<exit_code> check(const arguments &Arguments) {
+  BOOST_LEAF_AUTO(Documents, cli::collect(Arguments.Directory));
+  if (!cli::checkDocuments(Documents))
+    return exit_code::BadInput;
+  std::cout << Documents.size() << " documents are valid.\n";
+  return exit_code::Done;
+}
+
+[[nodiscard]] result<exit_code> changeVm(const arguments &Arguments,
+                                         const std::string &Path) {
+  BOOST_LEAF_AUTO(Node, connect(Arguments));
+  const nlohmann::json Body{{"vm", Arguments.Subject},
+                            {"to", Arguments.Pool},
+                            {"author", Arguments.Author}};
+  return cli::change(*Node, Path, Body.dump(), outputOf(Arguments));
+}
+
+[[nodiscard]] result<exit_code> run(const std::string &Verb,
+                                    const arguments &Arguments) {
+  if (Verb == "check")
+    return check(Arguments);
+  if (Verb == "move")
+    return changeVm(Arguments,
+                    Arguments.Cancel ? "/v1/move-cancellations" : "/v1/moves");
+  if (Verb == "maintain")
+    return changeVm(Arguments, "/v1/permits");
+  BOOST_LEAF_AUTO(Node, connect(Arguments));
+  const auto Output = outputOf(Arguments);
+  if (Verb == "publish")
+    return cli::publish(*Node, Arguments.Directory, Arguments.Author,
+                        Arguments.Prune, Output);
+  if (Verb == "explain")
+    return cli::explain(*Node, Arguments.Subject, Output);
+  if (Verb == "result") {
+    BOOST_LEAF_AUTO(Reply, Node->get("/v1/appends/" + Arguments.Subject));
+    std::cout << (Output == cli::output::Json ? Reply.Body
+                                              : cli::formatChange(Reply.Body));
+    return cli::codeOf(Reply);
+  }
+  return cli::show(*Node, Verb, Output);
+}
+
+void declare(CLI::App &App, arguments &Arguments) {
+  App.add_option("--node", Arguments.Node,
+                 "Operators' address of a node, host:port")
+      ->envname("GALENALINK_NODE")
+      ->capture_default_str();
+  App.add_option("--token-file", Arguments.TokenFile,
+                 "File with the operators' token")
+      ->envname("GALENALINK_TOKEN_FILE");
+  App.add_option("--output", Arguments.Output, "Form of the result")
+      ->check(CLI::IsMember({"text", "json"}))
+      ->capture_default_str();
+  App.add_option("--author", Arguments.Author,
+                 "Who makes the change, for its record")
+      ->envname("USER");
+  App.require_subcommand(1);
+  App.fallthrough();
+  const auto Verb = [&](const char *Name, const char *Help) {
+    return App.add_subcommand(Name, Help);
+  };
+  auto *Check = Verb("check", "Check service files without publishing them");
+  auto *Publish = Verb("publish", "Put service files into force");
+  for (auto *Each : {Check, Publish})
+    Each->add_option("directory", Arguments.Directory,
+                     "Directory with service files")
+        ->required();
+  Publish->add_flag("--prune", Arguments.Prune,
+                    "Remove documents that the directory does not have");
+  Verb("status", "Show whether the promises hold");
+  Verb("pools", "Show pools, their VMs and budgets");
+  Verb("vms", "Show VMs, where they are and what happens to them");
+  Verb("queues", "Show the queues of the shards at home on the node");
+  Verb("explain", "Show the decisions about a request or a VM")
+      ->add_option("subject", Arguments.Subject, "Request key or VM")
+      ->required();
+  Verb("result", "Show what became of a change by its id")
+      ->add_option("id", Arguments.Subject, "Id that the change printed")
+      ->required();
+  auto *Move = Verb("move", "Move a VM to another pool");
+  Move->add_option("vm", Arguments.Subject, "VM")->required();
+  Move->add_option("--to", Arguments.Pool, "Pool that receives the VM");
+  Move->add_flag("--cancel", Arguments.Cancel, "Undo a move in progress");
+  Verb("maintain", "Drain and reboot a VM when its budget allows")
+      ->add_option("vm", Arguments.Subject, "VM")
+      ->required();
+  Verb("version", "Show the version");
+  App.footer("Examples:\n"
+             "  galenalink check services/\n"
+             "  galenalink publish services/ --author ann\n"
+             "  galenalink move vm-7 --to refunds\n"
+             "  galenalink explain 0190a6c1-7b1e-7c3d-9a51-3f2b6f5f0a11\n"
+             "Exit status: 0 done, 2 bad input, 3 unreachable, 4 refused, "
+             "5 outcome unknown.");
+}
+
+[[nodiscard]] exit_code codeOf(const error &Error) noexcept {
+  switch (Error.Code) {
+  case errc::Unavailable:
+    return exit_code::Unreachable;
+  case errc::UnknownOutcome:
+    return exit_code::Unknown;
+  default:
+    return exit_code::BadInput;
+  }
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  CLI::App App{"Operators' command line of galenalink.", "galenalink"};
+  arguments Arguments;
+  declare(App, Arguments);
+  CLI11_PARSE(App, Argc, Argv);
+  const std::string Verb = App.get_subcommands().front()->get_name();
+  if (Verb == "version") {
+    std::cout << "galenalink " GALENALINK_VERSION "\n";
+    return 0;
+  }
+  const auto Run = [&]() -> result<exit_code> {
+    try {
+      return run(Verb, Arguments);
+    } catch (const nlohmann::json::exception &Error) {
+      return fail(errc::Corrupt, std::string{"unexpected answer of the "
+                                             "node: "} +
+                                     Error.what());
+    }
+  };
+  return static_cast<int>(tryOr(Run, [](const error &Error) {
+    std::cerr << "galenalink: " << Error.Message << '\n';
+    return codeOf(Error);
+  }));
+}
--- /dev/null
+++ b/src/galenalink/node/application.cpp
@@ -0,0 +1,186 @@
+#include "galenalink/node/application.hpp"
+#include "galenalink/core/random.hpp"
+#include "galenalink/platform/http_adapter.hpp"
+#include "galenalink/telemetry/log.hpp"
+#include "peer.pb.h"
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+namespace galenalink::node {
+
+namespace {
+
+constexpr telemetry::logger Log{"node"};
+
+constexpr duration SupervisionPeriod = std::chrono::milliseconds{50};
+/** Health answers "stopping" this long before the listener closes, so that
+ * the balancer sends no request to a closed port. */
+constexpr duration HealthNotice = std::chrono::milliseconds{500};
+
+[[nodiscard]] result<std::string> readToken(const std::string &File) {
+  if (File.empty())
+    return std::string{};
+  std::ifstream Input{File};
+  std::string Token;
+  if (!Input || !std::getline(Input, Token) || Token.empty())
+    return fail(errc::BadInput, "no token can be read from " + File);
+  return Token;
+}
+
+} // namespace
+
+result<secrets> readSecrets(const config::settings &Settings) {
+  BOOST_LEAF_AUTO(Operators, readToken(Settings.Operators.TokenFile));
+  BOOST_LEAF_AUTO(Peers, readToken(Settings.Peers.TokenFile));
+  return secrets{std::move(Operators), std::move(Peers)};
+}
+
+application::application(http::loop &Loop, config::settings SettingsIn,
+                         secrets SecretsIn)
+    : Loop{Loop}, Settings{std::move(SettingsIn)},
+      Secrets{std::move(SecretsIn)}, Client{Loop, {}}, Backend{Client} {}
+
+application::~application() = default;
+
+environment application::environmentOf() {
+  return {Loop, Settings, Adapter, Backend, Metrics, Decisions};
+}
+
+result<void> application::start() {
+  if (Settings.Platform.Kind == config::platform_kind::Http) {
+    BOOST_LEAF_ASSIGN(PlatformAddress,
+                      http::parseAddress(Settings.Platform.Address));
+  }
+  Adapter = makeAdapter();
+  Callers = std::make_unique<caller_api>(
+      caller_hooks{[this](call Call, reply_hook Done) {
+                     route(std::move(Call), std::move(Done));
+                   },
+                   [this](const call &Call) { return defaultTimeout(Call); },
+                   [this] { return !Stopping && Current->serving(); }});
+  Operators = std::make_unique<operator_api>(
+      [this]() -> incarnation & { return *Current; }, environmentOf(),
+      Secrets.Operators);
+  CallerServer = std::make_unique<http::server>(
+      Loop, http::server_options{}, [this](http::exchange Exchange) {
+        Callers->handle(std::move(Exchange));
+      });
+  OperatorServer = std::make_unique<http::server>(
+      Loop, http::server_options{}, [this](http::exchange Exchange) {
+        Operators->handle(std::move(Exchange));
+      });
+  BOOST_LEAF_ASSIGN(CallerPort, CallerServer->listen(Settings.Callers.Host,
+                                                     Settings.Callers.Port));
+  BOOST_LEAF_ASSIGN(
+      OperatorPort,
+      OperatorServer->listen(Settings.Operators.Host, Settings.Operators.Port));
+  Log.info("Listening.", {{"callers", CallerPort},
+                          {"operators", OperatorPort},
+                          {"peers", PeerPort}});
+  makeIncarnation();
+  Supervisor = Loop.every(SupervisionPeriod, [this] { supervise(); });
+  return {};
+}
+
+void application::makeIncarnation() {
+  const auto Address = [](const std::string &Host, const std::uint16_t Port) {
+    return http::toString({Host, Port});
+  };
+  node_description Self{node_id{randomId()},
+                        Settings.Name,
+                        Settings.Place,
+                        Settings.Member,
+                        Address(Settings.Peers.Host, PeerPort),
+                        Address(Settings.Callers.Host, CallerPort)};
+  Current = std::make_unique<incarnation>(
+      environmentOf(), std::move(Self),
+      [](node_id /*Node*/, const wire::peer_message & /*Message*/) {
+        return false;
+      });
+  Current->start();
+}
+
+platform::adapter application::makeAdapter() {
+  if (Settings.Platform.Kind == config::platform_kind::Http)
+    return platform::makeHttpAdapter(Client, {PlatformAddress});
+  std::vector<platform::vm> Vms;
+  for (const auto &Vm : Settings.Platform.Vms)
+    Vms.push_back({Vm.Vm, Vm.Member, Vm.Place, Vm.Rack, Vm.Address, Vm.Pool});
+  Embedded = std::make_unique<platform::embedded>(platform::store::options{},
+                                                  std::move(Vms));
+  return Embedded->makeAdapter([this](std::function<void()> Function) {
+    Loop.post(std::move(Function));
+  });
+}
+
+void application::route(call Call, reply_hook Done) {
+  const auto Started = boot_clock::now();
+  const std::string Service = Call.Member + '/' + Call.Service;
+  Current->router().route(std::move(Call), [this, Started, Service,
+                                            Done =
+                                                std::move(Done)](reply Reply) {
+    Metrics
+        .count("galenalink_requests_total", "Requests of callers by outcome.",
+               {{"service", Service},
+                {"outcome", std::string{nameOf(OutcomeNames, Reply.Outcome)}},
+                {"reason", std::string{nameOf(RefusalNames, Reply.Refusal)}}})
+        .add();
+    Metrics
+        .times("galenalink_request_seconds",
+               "Time from a request to its answer.")
+        .observe(
+            std::chrono::duration<double>(boot_clock::now() - Started).count());
+    Done(std::move(Reply));
+  });
+}
+
+std::optional<duration> application::defaultTimeout(const call &Call) const {
+  const auto *Service = Current->catalog().find(Call.Member, Call.Service);
+  if (Service == nullptr)
+    return std::nullopt;
+  constexpr duration QueryTimeout = std::chrono::seconds{5};
+  if (Call.Operation != operation::Submit)
+    return QueryTimeout;
+  const auto *Queue = Service->findQueue(Call.Queue);
+  if (Queue == nullptr)
+    return std::nullopt;
+  return std::chrono::milliseconds{Queue->TimeoutMs};
+}
+
+void application::stop() {
+  if (Stopping) {
+    Log.warning("Stopped by a second signal.");
+    Loop.stop();
+    return;
+  }
+  Stopping = true;
+  const auto Now = boot_clock::now();
+  StopDeadline = Now + std::chrono::milliseconds{Settings.StopDeadlineMs};
+  CloseAt = Now + HealthNotice;
+  Log.info("Stopping.", {{"waiting", Current->router().pending()}});
+}
+
+void application::supervise() {
+  const auto Now = boot_clock::now();
+  if (!Stopping) {
+    if (Current->evicted()) {
+      Log.warning("Evicted; joining again under a new id.");
+      makeIncarnation();
+    }
+    return;
+  }
+  if (CloseAt != NoDeadline && CloseAt <= Now) {
+    CloseAt = NoDeadline;
+    CallerServer->stopAccepting();
+    Current->stop(StopDeadline);
+  }
+  const bool Idle = CloseAt == NoDeadline && Current->idle() &&
+                    CallerServer->openExchanges() == 0;
+  if (Idle || StopDeadline <= Now) {
+    Log.info("Stopped.", {{"unanswered", CallerServer->openExchanges()}});
+    Loop.stop();
+  }
+}
+
+} // namespace galenalink::node
--- /dev/null
+++ b/src/galenalink/node/incarnation.cpp
@@ -0,0 +1,260 @@
+#include "galenalink/node/incarnation.hpp"
+#include "galenalink/telemetry/log.hpp"
+#include "peer.pb.h"
+#include <utility>
+
+namespace galenalink::node {
+
+namespace {
+
+constexpr telemetry::logger Logger{"node"};
+
+/** Resolution of admission, expiry and takeover. */
+constexpr duration TickPeriod = std::chrono::milliseconds{20};
+/** A leaving VM gets no new work within 3 s of its own answer. */
+constexpr duration PollPeriod = std::chrono::seconds{2};
+
+constexpr duration VmPollPeriod = std::chrono::seconds{1};
+
+[[nodiscard]] fleet::lease_settings
+leaseSettings(const config::settings &Settings) {
+  fleet::lease_settings Lease;
+  Lease.Lease = std::chrono::milliseconds{Settings.AuthorityMs};
+  Lease.OutageAllowance = std::chrono::seconds{Settings.OutageAllowanceS};
+  Lease.Suspect = std::chrono::milliseconds{Settings.SuspectMs};
+  return Lease;
+}
+
+[[nodiscard]] host_settings hostSettings(const config::settings &Settings) {
+  host_settings Host;
+  const duration Retention = std::chrono::seconds{Settings.KeyRetentionS};
+  Host.Ledger.Retention = Retention;
+  Host.Ledger.RequiredReplicas = Settings.DurabilityReplicas;
+  Host.Replica.Retention = Retention;
+  Host.Takeover.Retention = Retention;
+  return Host;
+}
+
+} // namespace
+
+incarnation::incarnation(const environment &Environment,
+                         node_description SelfIn, send_hook Send)
+    : Environment{Environment}, Self{std::move(SelfIn)},
+      State{config::parseServiceFile}, Authority{Self.Id,
+                                                 leaseSettings(
+                                                     Environment.Settings)},
+      Barrier{Self.Id, leaseSettings(Environment.Settings)},
+      Shards{Environment.Settings.DurabilityReplicas}, View{Self.Id, State,
+                                                            Shards, Authority,
+                                                            Barrier},
+      Log{Environment.Loop, Environment.Adapter, State, followerHooks()},
+      Host{View, Catalog, hostSettings(Environment.Settings), hostHooks(Send)},
+      Router{View,
+             Catalog,
+             Host,
+             {Send,
+              [this](const std::string_view Subject, std::string Text) {
+                decide(Subject, std::move(Text));
+              }}},
+      Dispatcher{View, Catalog, Environment.Backend, dispatcherHooks()},
+      Members{View, Log, Self}, Vms{View, Environment.Adapter, Log,
+                                    [this](const std::string &Vm) {
+                                      Host.leaving(Vm);
+                                    }},
+      Duties{View, Environment.Adapter, Log, dutyHooks()} {}
+
+incarnation::~incarnation() = default;
+
+follower_hooks incarnation::followerHooks() {
+  follower_hooks Hooks;
+  Hooks.Folded = [this](const wire::record & /*Record*/,
+                        const fleet::applied &Applied) { folded(Applied); };
+  Hooks.Evidence = [this](const time_point SentAt) {
+    Authority.logRead(State, SentAt, State.Offset + 1);
+  };
+  Hooks.Gap = [](const log_offset Next, const log_offset First) {
+    Logger.error("Records have expired before they were read.",
+                 {{"next", Next}, {"first", First}});
+  };
+  return Hooks;
+}
+
+host_hooks incarnation::hostHooks(const send_hook &Send) {
+  host_hooks Hooks;
+  Hooks.Send = Send;
+  Hooks.Dispatch = [this](const std::shared_ptr<shard> &Shard,
+                          const request::dispatch &Dispatch) {
+    Dispatcher.run(Shard, Dispatch);
+  };
+  Hooks.Stop = [this](const std::shared_ptr<shard> & /*Shard*/,
+                      const request::stop_attempt &Stop) {
+    Dispatcher.stop(Stop);
+  };
+  Hooks.Decided = [this](const std::string_view Subject, std::string Text) {
+    decide(Subject, std::move(Text));
+  };
+  Hooks.Waited = [this](const std::string &Queue, const duration Wait) {
+    Environment.Metrics
+        .times("galenalink_request_wait_seconds",
+               "Time from admission to dispatch.", {{"queue", Queue}})
+        .observe(std::chrono::duration<double>(Wait).count());
+  };
+  Hooks.Adopted = [this](const shard_id &Id) {
+    if (const auto Shard = Host.find(Id))
+      Dispatcher.poll(Shard);
+  };
+  return Hooks;
+}
+
+dispatcher_hooks incarnation::dispatcherHooks() {
+  dispatcher_hooks Hooks;
+  Hooks.Leaving = [this](const std::string &Vm) { Host.leaving(Vm); };
+  Hooks.Decided = [this](const std::string_view Subject, std::string Text) {
+    decide(Subject, std::move(Text));
+  };
+  Hooks.Ended = [this](const run_end End) {
+    Environment.Metrics
+        .count("galenalink_attempts_total", "Attempts by how they ended.",
+               {{"end", std::string{nameOf(RunEndNames, End)}}})
+        .add();
+  };
+  return Hooks;
+}
+
+vm_duty_hooks incarnation::dutyHooks() {
+  vm_duty_hooks Hooks;
+  Hooks.RunningOn = [this](const std::string &Vm) {
+    return Host.runningOn(Vm);
+  };
+  Hooks.IdleAt = [this](const std::string &Vm) {
+    return Dispatcher.idleAt(Vm);
+  };
+  Hooks.Decided = [this](const std::string_view Subject, std::string Text) {
+    decide(Subject, std::move(Text));
+  };
+  return Hooks;
+}
+
+void incarnation::decide(const std::string_view Subject, std::string Text) {
+  Environment.Decisions.add(wallNow(), Subject, std::move(Text));
+}
+
+void incarnation::start() {
+  Log.start();
+  Ticker = Environment.Loop.every(TickPeriod, [this] { tick(); });
+  VmPoller = Environment.Loop.every(VmPollPeriod, [this] { Vms.poll(); });
+  Poller = Environment.Loop.every(PollPeriod, [this] { poll(); });
+}
+
+void incarnation::folded(const fleet::applied & /*Applied*/) {
+  const auto Now = boot_clock::now();
+  Authority.folded(State, Now);
+  Barrier.folded(State, Now);
+  Shards.update(State);
+  Catalog.update(State);
+  if (!Stopping)
+    Host.follow(Now);
+}
+
+void incarnation::tick() {
+  const auto Now = boot_clock::now();
+  Barrier.advance(State, Now);
+  Members.tick(Now);
+  Host.tick(Now);
+  Router.tick(Now);
+}
+
+void incarnation::poll() {
+  for (const auto &[Unused, Shard] : Host.shards())
+    Dispatcher.poll(Shard);
+  if (!Stopping)
+    Duties.tick(boot_clock::now());
+  observe();
+}
+
+void incarnation::observe() {
+  auto &Metrics = Environment.Metrics;
+  Metrics.level("galenalink_folded_offset", "Newest folded offset of the log.")
+      .set(static_cast<double>(State.Offset));
+  Metrics
+      .level("galenalink_log_lag_records",
+             "Records of the log that are not folded yet.")
+      .set(static_cast<double>(Log.end()) - static_cast<double>(State.Offset) -
+           1);
+  Metrics
+      .level("galenalink_config_version",
+             "Offset of the configuration in force.")
+      .set(static_cast<double>(State.Config.Version));
+  Metrics.level("galenalink_authority", "1 if the node may dispatch.")
+      .set(Authority.holds(boot_clock::now()) ? 1 : 0);
+  Metrics.level("galenalink_homes", "Shards of which the node is home.")
+      .set(static_cast<double>(Host.shards().size()));
+  Metrics
+      .level("galenalink_running_attempts", "Attempts whose answer is awaited.")
+      .set(static_cast<double>(Host.running()));
+}
+
+bool incarnation::serving() const noexcept {
+  return !Stopping && Members.joined();
+}
+
+bool incarnation::idle() const noexcept {
+  return Router.pending() == 0 && Host.waiting() == 0;
+}
+
+void incarnation::stop(const time_point Deadline) {
+  Stopping = true;
+  const auto Now = boot_clock::now();
+  const bool Alone = State.Roster.nodes().size() <= 1;
+  Router.stop(Alone);
+  Host.retireAll(Now);
+  Authority.resign();
+  Logger.info("Leaving the roster.");
+  Members.leave(Deadline, [] { Logger.info("Left the roster."); });
+}
+
+void incarnation::connected(const node_id Node) { Host.connected(Node); }
+
+void incarnation::disconnected(const node_id Node) {
+  Router.disconnected(Node);
+}
+
+void incarnation::answered(const node_id Peer, const time_point SentAt,
+                           const log_offset Folded) {
+  Authority.peerAnswered(State, Peer, SentAt, Folded);
+  heard(Peer, Folded);
+}
+
+void incarnation::heard(const node_id Peer, const log_offset Folded) {
+  Barrier.acknowledged(Peer, Folded, boot_clock::now());
+  if (Folded > State.Offset)
+    Log.hurry();
+}
+
+void incarnation::received(const node_id From,
+                           const wire::peer_message &Message) {
+  switch (Message.body_case()) {
+  case wire::peer_message::kForward:
+    Router.receive(From, Message.forward());
+    return;
+  case wire::peer_message::kForwardReply:
+    Router.receive(From, Message.forward_reply());
+    return;
+  case wire::peer_message::kReplicate:
+    Host.receive(From, Message.replicate());
+    return;
+  case wire::peer_message::kReplicateReply:
+    Host.receive(From, Message.replicate_reply());
+    return;
+  case wire::peer_message::kCollect:
+    Host.receive(From, Message.collect());
+    return;
+  case wire::peer_message::kCollectReply:
+    Host.receive(From, Message.collect_reply());
+    return;
+  default:
+    return;
+  }
+}
+
+} // namespace galenalink::node
--- /dev/null
+++ b/src/galenalink/node/incarnation.hpp
@@ -0,0 +1,115 @@
+#ifndef GALENALINK_NODE_INCARNATION_HPP
+#define GALENALINK_NODE_INCARNATION_HPP
+
+#include "galenalink/config/settings.hpp"
+#include "galenalink/fleet/rights.hpp"
+#include "galenalink/node/backend.hpp"
+#include "galenalink/node/catalog.hpp"
+#include "galenalink/node/decision_log.hpp"
+#include "galenalink/node/dispatcher.hpp"
+#include "galenalink/node/log_follower.hpp"
+#include "galenalink/node/membership.hpp"
+#include "galenalink/node/router.hpp"
+#include "galenalink/node/shard_host.hpp"
+#include "galenalink/node/vm_duties.hpp"
+#include "galenalink/node/vm_watch.hpp"
+#include "galenalink/telemetry/metrics.hpp"
+#include <memory>
+
+namespace galenalink::wire {
+class peer_message;
+} // namespace galenalink::wire
+
+namespace galenalink::node {
+
+/** @brief What outlives an incarnation. */
+struct environment {
+  http::loop &Loop;
+  const config::settings &Settings;
+  const platform::adapter &Adapter;
+  backend &Backend;
+  telemetry::metrics &Metrics;
+  decision_log &Decisions;
+};
+
+/**
+ * @brief One membership of the process on the roster, from a join to an
+ * eviction or a leave. Everything that is bound to the node id is in here.
+ */
+class incarnation {
+public:
+  using send_hook = std::function<bool(node_id, const wire::peer_message &)>;
+
+  incarnation(const environment &Environment, node_description Self,
+              send_hook Send);
+  ~incarnation();
+  incarnation(const incarnation &) = delete;
+  incarnation &operator=(const incarnation &) = delete;
+
+  void start();
+
+  // Events of the peer connections.
+  void connected(node_id Node);
+  void disconnected(node_id Node);
+  void received(node_id From, const wire::peer_message &Message);
+  /** @brief A peer answered a heartbeat sent at `SentAt`. */
+  void answered(node_id Peer, time_point SentAt, log_offset Folded);
+  /** @brief A heartbeat of a peer showed its folded offset. */
+  void heard(node_id Peer, log_offset Folded);
+
+  /**
+   * @brief Hands queued work over, or refuses it as not run, and leaves the
+   * roster.
+   */
+  void stop(time_point Deadline);
+  /** @brief Whether no caller waits for an answer from here. */
+  [[nodiscard]] bool idle() const noexcept;
+  [[nodiscard]] bool evicted() const noexcept { return Members.evicted(); }
+  /** @brief Whether callers may be sent here. */
+  [[nodiscard]] bool serving() const noexcept;
+
+  [[nodiscard]] node_id self() const noexcept { return View.Self; }
+  [[nodiscard]] const fleet::node_view &view() const noexcept { return View; }
+  [[nodiscard]] fleet::state &state() noexcept { return State; }
+  [[nodiscard]] const node::catalog &catalog() const noexcept {
+    return Catalog;
+  }
+  [[nodiscard]] node::router &router() noexcept { return Router; }
+  [[nodiscard]] shard_host &host() noexcept { return Host; }
+  [[nodiscard]] log_follower &log() noexcept { return Log; }
+
+private:
+  [[nodiscard]] follower_hooks followerHooks();
+  [[nodiscard]] host_hooks hostHooks(const send_hook &Send);
+  [[nodiscard]] dispatcher_hooks dispatcherHooks();
+  [[nodiscard]] vm_duty_hooks dutyHooks();
+  void folded(const fleet::applied &Applied);
+  void tick();
+  void poll();
+  void observe();
+  void decide(std::string_view Subject, std::string Text);
+
+  environment Environment;
+  node_description Self;
+  fleet::state State;
+  fleet::authority Authority;
+  fleet::barrier Barrier;
+  fleet::shard_map Shards;
+  fleet::node_view View;
+  node::catalog Catalog;
+  log_follower Log;
+  shard_host Host;
+  node::router Router;
+  dispatcher Dispatcher;
+  membership Members;
+  vm_watch Vms;
+  vm_duties Duties;
+  http::timer VmPoller;
+  http::timer Ticker;
+  http::timer Poller;
+  bool Stopping{false};
+};
+
+} // namespace galenalink::node
+
+#endif
--- a/test/galenalink/cli/publish.cpp
+++ b/test/galenalink/cli/publish.cpp
@@ -8,8 +8,8 @@
 BOOST_AUTO_TEST_CASE(only_changed_documents_are_sent) {
   const documents InForce{{"a", "1"}, {"b", "2"}, {"c", "3"}};
   const documents Wanted{{"a", "1"}, {"b", "two"}, {"d", "4"}};
-  BOOST_TEST((changed(Wanted, InForce, false) ==
-              documents{{"b", "two"}, {"d", "4"}}));
+  BOOST_TEST(
+      (changed(Wanted, InForce, false) == documents{{"b", "two"}, {"d", "4"}}));
 }
 
 // Another member's documents must not vanish by publishing one directory.
--- a/test/galenalink/cli/views.cpp
+++ b/test/galenalink/cli/views.cpp
@@ -1,5 +1,5 @@
-#include "galenalink/cli/table.hpp"
 #include "galenalink/cli/views.hpp"
+#include "galenalink/cli/table.hpp"
 #include <boost/test/unit_test.hpp>
 
 using namespace galenalink::cli;
