--- a/src/galenalink/request/effects.hpp
+++ b/src/galenalink/request/effects.hpp
@@ -12,7 +12,7 @@
   std::uint32_t Index{};
   std::uint32_t Generation{};
 
-  [[nodiscard]] auto operator<=>(const entry_handle &) const noexcept = default;
+  [[nodiscard]] bool operator==(const entry_handle &) const noexcept = default;
 };
 
 /** @brief Tells a caller what became of its request. */
--- a/src/galenalink/request/entry.hpp
+++ b/src/galenalink/request/entry.hpp
@@ -8,6 +8,7 @@
 #include "galenalink/request/fwd.hpp"
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace galenalink::request {
 
@@ -48,7 +49,11 @@
   std::string Service;
   std::string Key;
 
-  [[nodiscard]] auto operator<=>(const request_key &) const = default;
+  [[nodiscard]] bool operator==(const request_key &) const = default;
+  [[nodiscard]] bool operator<(const request_key &Other) const noexcept {
+    return std::tie(Member, Service, Key) <
+           std::tie(Other.Member, Other.Service, Other.Key);
+  }
 };
 
 /** @brief Hash of a key, for tables in memory. */
@@ -75,7 +80,11 @@
   /** Counts the records of one home; never reused by a ledger. */
   std::uint64_t Sequence{};
 
-  [[nodiscard]] auto operator<=>(const revision &) const noexcept = default;
+  [[nodiscard]] bool operator==(const revision &) const noexcept = default;
+  [[nodiscard]] bool operator<(const revision &Other) const noexcept {
+    return std::tie(Version, Sequence) <
+           std::tie(Other.Version, Other.Sequence);
+  }
 };
 
 /** @brief What replicas hold of an entry. */
@@ -111,18 +120,25 @@
   wall_ms FreshAfter{};
 };
 
-/** @brief Both clocks, read once for an operation. */
+/**
+ * @brief How long a key is remembered. A timed key may be accepted when it is
+ * one skew ahead of the home, and judged by another home one skew behind.
+ */
+[[nodiscard]] constexpr duration rememberedFor(const duration Retention,
+                                               const duration Skew) noexcept {
+  return Retention + 2 * Skew;
+}
+
+/** @brief Time and authority, read once for an operation. */
 struct instant {
   time_point Now;
   wall_ms Wall{};
-};
-
-/** @brief Permission to dispatch, as values. */
-struct authority {
-  time_point Now;
-  time_point Deadline{NoDeadline};
+  /** The node may act as home before this deadline. */
+  time_point AuthorityDeadline{NoDeadline};
 
-  [[nodiscard]] constexpr bool valid() const noexcept { return Now < Deadline; }
+  [[nodiscard]] constexpr bool authorized() const noexcept {
+    return Now < AuthorityDeadline;
+  }
 };
 
 } // namespace galenalink::request
--- a/src/galenalink/request/fwd.hpp
+++ b/src/galenalink/request/fwd.hpp
@@ -15,7 +15,6 @@
 struct entry_handle;
 struct horizon;
 struct revision;
-struct authority;
 struct instant;
 struct submission;
 struct ledger_settings;
@@ -25,6 +24,8 @@
 class ledger;
 class replica;
 class takeover;
+struct roster_step;
+struct takeover_result;
 
 /** @brief Opaque token of a caller that waits for an answer. */
 using waiter = std::uint64_t;
--- a/src/galenalink/request/ledger.cpp
+++ b/src/galenalink/request/ledger.cpp
@@ -51,6 +51,10 @@
   if (entry *const Entry = Table.find(Submission.Key)) {
     if (Entry->BodyHash != bodyHash(Submission.Queue, Submission.Body))
       return Refuse(refusal::KeyReused, {});
+    const bool Ended = Entry->State == entry_state::Completed ||
+                       Entry->State == entry_state::Failed;
+    if (!Ended && !At.authorized())
+      return Refuse(refusal::NoAuthority, {});
     // A refusal that was kept for its handle does not block a new try, and
     // idempotent work may be tried again.
     if (Entry->State == entry_state::Refused ||
@@ -66,6 +70,8 @@
       return submit_result::Joined;
     }
   }
+  if (!At.authorized())
+    return Refuse(refusal::NoAuthority, {});
   if (const auto Issued = uuid7IssueTime(Submission.Key.Key)) {
     if (*Issued + milliseconds(Settings.Retention) < At.Wall)
       return Refuse(refusal::KeyExpired, {});
@@ -137,6 +143,11 @@
   entry *const Entry = Table.find(Key);
   if (Entry == nullptr)
     return cancel_result::NotFound;
+  if (!At.authorized() && !isFinal(Entry->State)) {
+    Out.emplace_back(
+        answer{Waiter, outcome::NotRun, refusal::NoAuthority, duration{}, {}});
+    return cancel_result::NoAuthority;
+  }
   switch (Entry->Phase) {
   case phase::Done:
     replay(*Entry, Waiter, Out);
@@ -159,7 +170,7 @@
     break;
   }
   Entry->Waiters.push_back(Waiter);
-  withdraw(*Entry, refusal::Cancelled, At.Now, Out);
+  withdraw(*Entry, refusal::Cancelled, At, Out);
   return Entry->Phase == phase::Done ? cancel_result::Cancelled
                                      : cancel_result::Withdrawing;
 }
@@ -205,7 +216,8 @@
              isFinal(Entry.State) ? Entry.Payload : std::string{}});
 }
 
-void ledger::tick(const time_point Now, effects &Out) {
+void ledger::tick(const instant At, effects &Out) {
+  const time_point Now = At.Now;
   LastNow = Now;
   while (entry *const Entry = Table.firstExpiry()) {
     if (Entry->ExpiresAt > Now)
@@ -217,7 +229,7 @@
       break;
     switch (Entry->Phase) {
     case phase::Accepting:
-      withdraw(*Entry, refusal::NoReplicas, Now, Out);
+      withdraw(*Entry, refusal::NoReplicas, At, Out);
       break;
     case phase::Preparing:
       release(*Entry, true, Out);
@@ -226,9 +238,13 @@
       if (Entry->LongWork)
         requeue(*Entry, Out);
       else
-        withdraw(*Entry, refusal::NoReplicas, Now, Out);
+        withdraw(*Entry, refusal::NoReplicas, At, Out);
       break;
     case phase::Withdrawing:
+      if (Replicas.empty() && At.authorized()) {
+        finishWithdrawal(*Entry, Now, Out);
+        break;
+      }
       // A replica may still hold the record; only its callers are told.
       answerAll(*Entry, outcome::Unknown, Out);
       Table.scheduleStep(*Entry, Now + Settings.AckTimeout);
@@ -240,6 +256,7 @@
 }
 
 void ledger::setHorizon(const horizon Horizon, const time_point Now) {
+  LastNow = Now;
   UnknownUntil = Now + Horizon.Remaining;
   FreshAfter = Horizon.FreshAfter;
 }
--- a/src/galenalink/request/ledger.hpp
+++ b/src/galenalink/request/ledger.hpp
@@ -61,6 +61,8 @@
 
 enum class cancel_result : std::uint8_t {
   NotFound,
+  /** Nothing was changed. */
+  NoAuthority,
   Cancelled,
   /** Not run once the replicas know; the answer follows. */
   Withdrawing,
@@ -91,6 +93,10 @@
 /**
  * @brief The requests of one shard, at its home.
  *
+ * Without authority another node may be home already, so no request is called
+ * "not run" but for `NotHome` or `NoAuthority`; these state only that this
+ * node did not run it, and the entry node asks the home again.
+ *
  * Every operation appends its effects to the given list. Work that is not
  * idempotent is dispatched, and long work is accepted, only after all replicas
  * of the current roster version acknowledged the record, with an authority
@@ -120,11 +126,10 @@
    * @param Attempt Never used before by this node.
    */
   prepare_result prepare(entry_handle Entry, attempt_id Attempt, std::string Vm,
-                         std::uint64_t Epoch, authority Authority,
-                         effects &Out);
+                         std::uint64_t Epoch, instant At, effects &Out);
   /** @brief Refuses a queued entry as not run; false if it is not queued. */
   bool refuse(entry_handle Entry, refusal Reason, duration RetryAfter,
-              time_point Now, effects &Out);
+              instant At, effects &Out);
 
   // Reports about attempts; false if the attempt is not awaited.
   bool answered(attempt_id Attempt, std::string Result, time_point Now,
@@ -140,13 +145,12 @@
   // Replication.
   /** @brief Starts, or continues, as home under a roster version. */
   void rosterChanged(log_offset NewVersion, const std::vector<node_id> &Nodes,
-                     effects &Out);
-  void acknowledged(const replicate_reply &Reply, authority Authority,
-                    effects &Out);
+                     time_point Now, effects &Out);
+  void acknowledged(const replicate_reply &Reply, instant At, effects &Out);
   /** @brief Repeats all that a replica has not acknowledged. */
-  void resend(node_id Node, effects &Out);
+  void resend(node_id Node, time_point Now, effects &Out);
   /** @brief Runs what is due: expiry and steps without acknowledgements. */
-  void tick(time_point Now, effects &Out);
+  void tick(instant At, effects &Out);
 
   // Change of the home.
   /** @brief Adds an entry of a former home, in order of rising `ExpiresIn`. */
@@ -192,8 +196,7 @@
   void requeue(detail::entry &Entry, effects &Out);
   void finish(detail::entry &Entry, entry_state State, std::string Result,
               time_point Now, effects &Out);
-  void withdraw(detail::entry &Entry, refusal Reason, time_point Now,
-                effects &Out);
+  void withdraw(detail::entry &Entry, refusal Reason, instant At, effects &Out);
   void finishWithdrawal(detail::entry &Entry, time_point Now, effects &Out);
   void release(detail::entry &Entry, bool Certain, effects &Out);
   void dispatchNow(detail::entry &Entry, effects &Out);
@@ -204,14 +207,17 @@
   void send(const detail::entry &Entry, node_id To, effects &Out) const;
   void forgetPending(detail::entry &Entry);
   void erase(detail::entry &Entry);
+  [[nodiscard]] duration remembered() const noexcept {
+    return rememberedFor(Settings.Retention, Settings.ClockSkew);
+  }
   [[nodiscard]] bool allSynced() const noexcept;
   void recordNotRun(detail::entry &Entry, std::vector<entry_record> &Records);
-  void chunkAcknowledged(std::size_t Bit, authority Authority, effects &Out);
+  void chunkAcknowledged(std::size_t Bit, instant At, effects &Out);
   void sendChunk(replica_link &Replica, effects &Out);
-  void recordAcknowledged(detail::entry &Entry, std::size_t Bit,
-                          authority Authority, effects &Out);
-  void stepDone(detail::entry &Entry, authority Authority, effects &Out);
-  void becameReady(authority Authority, effects &Out);
+  void recordAcknowledged(detail::entry &Entry, std::size_t Bit, instant At,
+                          effects &Out);
+  void stepDone(detail::entry &Entry, instant At, effects &Out);
+  void becameReady(instant At, effects &Out);
 
   ledger_settings Settings;
   detail::entry_table Table;
--- a/src/galenalink/request/ledger_attempts.cpp
+++ b/src/galenalink/request/ledger_attempts.cpp
@@ -8,13 +8,13 @@
 
 prepare_result ledger::prepare(const entry_handle Handle,
                                const attempt_id Attempt, std::string Vm,
-                               const std::uint64_t Epoch,
-                               const authority Authority, effects &Out) {
-  LastNow = Authority.Now;
+                               const std::uint64_t Epoch, const instant At,
+                               effects &Out) {
+  LastNow = At.Now;
   entry *const Entry = Table.find(Handle);
   if (Entry == nullptr || Entry->Phase != phase::Queued || Retired)
     return prepare_result::NotQueued;
-  if (!Authority.valid())
+  if (!At.authorized())
     return prepare_result::NoAuthority;
   if (!Entry->Idempotent && !ready())
     return prepare_result::NotReady;
@@ -26,7 +26,7 @@
     return prepare_result::Dispatched;
   }
   Entry->Phase = phase::Preparing;
-  Table.scheduleStep(*Entry, Authority.Now + Settings.AckTimeout);
+  Table.scheduleStep(*Entry, At.Now + Settings.AckTimeout);
   push(*Entry, Out);
   return prepare_result::Waiting;
 }
@@ -57,27 +57,29 @@
 }
 
 bool ledger::refuse(const entry_handle Handle, const refusal Reason,
-                    const duration RetryAfter, const time_point Now,
-                    effects &Out) {
-  LastNow = Now;
+                    const duration RetryAfter, const instant At, effects &Out) {
+  LastNow = At.Now;
   entry *const Entry = Table.find(Handle);
   if (Entry == nullptr || Entry->Phase != phase::Queued)
     return false;
   Entry->RetryAfter = RetryAfter;
-  withdraw(*Entry, Reason, Now, Out);
+  withdraw(*Entry, Reason, At, Out);
   return true;
 }
 
-void ledger::withdraw(entry &Entry, const refusal Reason, const time_point Now,
+void ledger::withdraw(entry &Entry, const refusal Reason, const instant At,
                       effects &Out) {
   Table.unbindAttempt(Entry);
   Table.endStep(Entry);
   Entry.Refusal = Reason;
   if (Entry.Ran) {
-    finish(Entry, entry_state::Unknown, {}, Now, Out);
+    finish(Entry, entry_state::Unknown, {}, At.Now, Out);
     return;
   }
   Entry.State = entry_state::Accepted;
+  // Another home may have run the work by now.
+  if (!At.authorized())
+    Entry.Refusal = refusal::NoAuthority;
   Entry.Phase = phase::Withdrawing;
   const bool Recorded = Entry.Attempt != attempt_id{} && !Entry.Idempotent;
   if (!Replicas.empty() && (Entry.Exposed || Recorded))
@@ -85,9 +87,9 @@
   // A new home never runs work of which it knows an attempt, so only a record
   // from which it would run the work has to be taken back first.
   if (Entry.Exposed && !Replicas.empty())
-    Table.scheduleStep(Entry, Now + Settings.AckTimeout);
+    Table.scheduleStep(Entry, At.Now + Settings.AckTimeout);
   else
-    finishWithdrawal(Entry, Now, Out);
+    finishWithdrawal(Entry, At.Now, Out);
 }
 
 void ledger::finishWithdrawal(entry &Entry, const time_point Now,
@@ -99,7 +101,7 @@
   Entry.Phase = phase::Done;
   answerAll(Entry, outcome::NotRun, Out);
   if (Cancelled || Entry.HandleGiven)
-    Table.scheduleExpiry(Entry, Now + Settings.Retention + Settings.ClockSkew);
+    Table.scheduleExpiry(Entry, Now + remembered());
   else
     erase(Entry);
 }
@@ -113,7 +115,7 @@
   if (State != entry_state::Unknown)
     Table.unbindAttempt(Entry);
   Table.setPayload(Entry, std::move(Result));
-  Table.scheduleExpiry(Entry, Now + Settings.Retention + Settings.ClockSkew);
+  Table.scheduleExpiry(Entry, Now + remembered());
   answerAll(Entry,
             State == entry_state::Completed ? outcome::Complete
             : State == entry_state::Failed  ? outcome::Failed
--- a/src/galenalink/request/ledger_replication.cpp
+++ b/src/galenalink/request/ledger_replication.cpp
@@ -56,7 +56,7 @@
   Record.Idempotent = Entry.Idempotent;
   Record.LongWork = Entry.LongWork;
   Record.Revision = Entry.Revision;
-  Record.ExpiresIn = Settings.Retention + Settings.ClockSkew;
+  Record.ExpiresIn = remembered();
   Record.State = Entry.State;
   switch (Entry.Phase) {
   case phase::Preparing:
@@ -111,7 +111,9 @@
 }
 
 void ledger::rosterChanged(const log_offset NewVersion,
-                           const std::vector<node_id> &Nodes, effects &Out) {
+                           const std::vector<node_id> &Nodes,
+                           const time_point Now, effects &Out) {
+  LastNow = Now;
   GALENALINK_ASSERT(Nodes.size() <= 8, "at most eight replicas");
   GALENALINK_ASSERT(!Retired && NewVersion >= Version,
                     "roster versions only rise while a node is home");
@@ -130,8 +132,6 @@
       // Acknowledgements of the former version do not count.
       release(*Entry, true, Out);
       requeue(*Entry, Out);
-    } else if (Entry->Phase == phase::Withdrawing && Nodes.empty()) {
-      finishWithdrawal(*Entry, LastNow, Out);
     }
   }
   for (replica_link &Replica : Replicas)
@@ -161,9 +161,9 @@
   Out.emplace_back(std::move(Message));
 }
 
-void ledger::acknowledged(const replicate_reply &Reply,
-                          const authority Authority, effects &Out) {
-  LastNow = Authority.Now;
+void ledger::acknowledged(const replicate_reply &Reply, const instant At,
+                          effects &Out) {
+  LastNow = At.Now;
   if (Retired || !Reply.Accepted || Reply.Version != Version)
     return;
   const auto Found = std::find_if(
@@ -173,16 +173,16 @@
     return;
   const auto Bit = static_cast<std::size_t>(Found - Replicas.begin());
   if (Reply.Call == Found->SyncCall) {
-    chunkAcknowledged(Bit, Authority, Out);
+    chunkAcknowledged(Bit, At, Out);
     return;
   }
   const auto Record = Pending.find(Reply.Call);
   if (Record == Pending.end())
     return;
-  recordAcknowledged(*Table.at(Record->second), Bit, Authority, Out);
+  recordAcknowledged(*Table.at(Record->second), Bit, At, Out);
 }
 
-void ledger::chunkAcknowledged(const std::size_t Bit, const authority Authority,
+void ledger::chunkAcknowledged(const std::size_t Bit, const instant At,
                                effects &Out) {
   replica_link &Replica = Replicas[Bit];
   if (Replica.Synced)
@@ -192,7 +192,7 @@
   for (const auto &[Index, Sent] : Chunk) {
     entry *const Entry = Table.at(Index);
     if (Entry != nullptr && Entry->Revision.Sequence == Sent)
-      recordAcknowledged(*Entry, Bit, Authority, Out);
+      recordAcknowledged(*Entry, Bit, At, Out);
   }
   if (!Replica.MarkerSent) {
     Replica.Begin = Replica.Cursor;
@@ -201,24 +201,24 @@
   }
   Replica.Synced = true;
   if (allSynced())
-    becameReady(Authority, Out);
+    becameReady(At, Out);
 }
 
 void ledger::recordAcknowledged(entry &Entry, const std::size_t Bit,
-                                const authority Authority, effects &Out) {
+                                const instant At, effects &Out) {
   Entry.Missing &= static_cast<std::uint8_t>(~(1U << Bit));
   if (Entry.Missing != 0)
     return;
   Pending.erase(Entry.Revision.Sequence);
   if (allSynced())
-    stepDone(Entry, Authority, Out);
+    stepDone(Entry, At, Out);
 }
 
-void ledger::stepDone(entry &Entry, const authority Authority, effects &Out) {
+void ledger::stepDone(entry &Entry, const instant At, effects &Out) {
   switch (Entry.Phase) {
   case phase::Accepting:
     // Without authority, or with too few replicas, the step times out.
-    if (!Authority.valid() || !ready())
+    if (!At.authorized() || !ready())
       return;
     Entry.HandleGiven = true;
     answerAll(Entry, outcome::Accepted, Out);
@@ -226,7 +226,7 @@
     return;
   case phase::Preparing:
     Table.endStep(Entry);
-    if (Authority.valid() && ready()) {
+    if (At.authorized() && ready()) {
       dispatchNow(Entry, Out);
       return;
     }
@@ -234,7 +234,8 @@
     requeue(Entry, Out);
     return;
   case phase::Withdrawing:
-    finishWithdrawal(Entry, Authority.Now, Out);
+    if (At.authorized())
+      finishWithdrawal(Entry, At.Now, Out);
     return;
   case phase::Queued:
   case phase::Running:
@@ -243,7 +244,7 @@
   }
 }
 
-void ledger::becameReady(const authority Authority, effects &Out) {
+void ledger::becameReady(const instant At, effects &Out) {
   entry *Next = Table.firstStep();
   while (Next != nullptr) {
     entry &Entry = *Next;
@@ -254,12 +255,13 @@
         push(Entry, Out);
       }
     } else if (Entry.Missing == 0) {
-      stepDone(Entry, Authority, Out);
+      stepDone(Entry, At, Out);
     }
   }
 }
 
-void ledger::resend(const node_id Node, effects &Out) {
+void ledger::resend(const node_id Node, const time_point Now, effects &Out) {
+  LastNow = Now;
   const auto Found = std::find_if(
       Replicas.begin(), Replicas.end(),
       [&](const replica_link &Known) { return Known.Node == Node; });
@@ -322,6 +324,8 @@
 
 void ledger::restore(entry_record Record, const time_point Now, effects &Out) {
   LastNow = Now;
+  // Sequences stay unique among all records that this ledger holds.
+  Sequence = std::max(Sequence, Record.Revision.Sequence);
   entry &Entry = Table.create(std::move(Record.Key));
   Entry.BodyHash = Record.BodyHash;
   Entry.Queue = std::move(Record.Queue);
--- a/test/galenalink/request/ledger.cpp
+++ b/test/galenalink/request/ledger.cpp
@@ -22,10 +22,8 @@
   std::uint64_t Attempts{};
 
   [[nodiscard]] instant at() const {
-    return {time_point{Time}, WallStart + Time / milliseconds{1}};
-  }
-  [[nodiscard]] authority valid() const {
-    return {time_point{Time}, time_point{Time + seconds{1}}};
+    return {time_point{Time}, WallStart + Time / milliseconds{1},
+            time_point{Time + seconds{1}}};
   }
 
   submission make(std::string Key, bool Idempotent, bool Long,
@@ -55,19 +53,18 @@
 
   /** Acknowledges what was sent, and what that sends, from one replica. */
   void acknowledge(const node_id From, const log_offset Version,
-                   const authority Authority) {
+                   const instant At) {
     const auto Sent = all<replicate>();
     for (const replicate &Message : Sent)
       if (Message.To == From)
-        Ledger.acknowledged({From, Message.Call, Version, true}, Authority,
-                            Out);
+        Ledger.acknowledged({From, Message.Call, Version, true}, At, Out);
   }
 
   void sync() {
     Out.clear();
-    Ledger.rosterChanged(10, {First, Second}, Out);
-    acknowledge(First, 10, valid());
-    acknowledge(Second, 10, valid());
+    Ledger.rosterChanged(10, {First, Second}, at().Now, Out);
+    acknowledge(First, 10, at());
+    acknowledge(Second, 10, at());
     BOOST_TEST_REQUIRE(Ledger.ready());
   }
 
@@ -77,7 +74,7 @@
     const auto Entry = all<enqueue>().at(0).Entry;
     const attempt_id Attempt{Self, ++Attempts};
     Out.clear();
-    BOOST_TEST((Ledger.prepare(Entry, Attempt, "vm1", 3, valid(), Out) ==
+    BOOST_TEST((Ledger.prepare(Entry, Attempt, "vm1", 3, at(), Out) ==
                 prepare_result::Waiting));
     BOOST_TEST(all<dispatch>().empty());
     return Attempt;
@@ -98,14 +95,14 @@
 BOOST_AUTO_TEST_CASE(dispatch_follows_all_acknowledgements) {
   sync();
   const auto Attempt = prepare("k");
-  acknowledge(First, 10, valid());
-  acknowledge(First, 10, valid());
-  acknowledge(Second, 9, valid());
+  acknowledge(First, 10, at());
+  acknowledge(First, 10, at());
+  acknowledge(Second, 9, at());
   BOOST_TEST(all<dispatch>().empty());
-  acknowledge(Second, 10, valid());
+  acknowledge(Second, 10, at());
   BOOST_TEST_REQUIRE(all<dispatch>().size() == 1U);
   BOOST_TEST((all<dispatch>()[0].Attempt == Attempt));
-  acknowledge(Second, 10, valid());
+  acknowledge(Second, 10, at());
   BOOST_TEST(all<dispatch>().size() == 1U);
 }
 
@@ -114,8 +111,8 @@
 BOOST_AUTO_TEST_CASE(expired_authority_stops_the_dispatch) {
   sync();
   prepare("k");
-  acknowledge(First, 10, valid());
-  acknowledge(Second, 10, {time_point{Time}, time_point{Time}});
+  acknowledge(First, 10, at());
+  acknowledge(Second, 10, {time_point{Time}, at().Wall, time_point{Time}});
   BOOST_TEST(all<dispatch>().empty());
   BOOST_TEST(all<enqueue>().size() == 1U);
   BOOST_TEST(all<release_slot>().size() == 1U);
@@ -124,10 +121,10 @@
 BOOST_AUTO_TEST_CASE(missing_acknowledgements_refuse_as_not_run) {
   sync();
   prepare("k");
-  acknowledge(First, 10, valid());
+  acknowledge(First, 10, at());
   Out.clear();
   Time += seconds{2};
-  Ledger.tick(time_point{Time}, Out);
+  Ledger.tick(at(), Out);
   BOOST_TEST((onlyAnswer().Outcome == outcome::NotRun));
   BOOST_TEST((onlyAnswer().Refusal == refusal::NoReplicas));
   // The refusal may be retried at once.
@@ -139,23 +136,23 @@
 BOOST_AUTO_TEST_CASE(exposed_work_is_withdrawn_before_not_run) {
   sync();
   BOOST_TEST((submit(make("k", false, true)) == submit_result::New));
-  acknowledge(First, 10, valid());
+  acknowledge(First, 10, at());
   Out.clear();
   Time += seconds{2};
-  Ledger.tick(time_point{Time}, Out);
+  Ledger.tick(at(), Out);
   BOOST_TEST(all<answer>().empty());
-  acknowledge(First, 10, valid());
+  acknowledge(First, 10, at());
   BOOST_TEST(all<answer>().empty());
-  acknowledge(Second, 10, valid());
+  acknowledge(Second, 10, at());
   BOOST_TEST((onlyAnswer().Outcome == outcome::NotRun));
 }
 
 BOOST_AUTO_TEST_CASE(handle_follows_all_acknowledgements) {
   sync();
   submit(make("k", false, true));
-  acknowledge(First, 10, valid());
+  acknowledge(First, 10, at());
   BOOST_TEST(all<answer>().empty());
-  acknowledge(Second, 10, valid());
+  acknowledge(Second, 10, at());
   BOOST_TEST((onlyAnswer().Outcome == outcome::Accepted));
   BOOST_TEST(all<enqueue>().size() == 1U);
 }
@@ -183,15 +180,15 @@
 
 BOOST_AUTO_TEST_CASE(without_enough_replicas_only_idempotent_work_runs) {
   Out.clear();
-  Ledger.rosterChanged(11, {First}, Out);
-  acknowledge(First, 11, valid());
+  Ledger.rosterChanged(11, {First}, at().Now, Out);
+  acknowledge(First, 11, at());
   submit(make("a", false, false));
   BOOST_TEST((onlyAnswer().Refusal == refusal::NoReplicas));
   submit(make("b", true, true));
   BOOST_TEST((onlyAnswer().Refusal == refusal::NoReplicas));
   BOOST_TEST((submit(make("c", true, false)) == submit_result::New));
   const auto Entry = all<enqueue>().at(0).Entry;
-  BOOST_TEST((Ledger.prepare(Entry, {Self, 1}, "vm", 1, valid(), Out) ==
+  BOOST_TEST((Ledger.prepare(Entry, {Self, 1}, "vm", 1, at(), Out) ==
               prepare_result::Dispatched));
 }
 
@@ -201,12 +198,11 @@
   sync();
   submit(make("k", true, false));
   const auto Entry = all<enqueue>().at(0).Entry;
-  Ledger.prepare(Entry, {Self, 1}, "vm", 1, valid(), Out);
+  Ledger.prepare(Entry, {Self, 1}, "vm", 1, at(), Out);
   BOOST_TEST(Ledger.lost({Self, 1}, true, time_point{Time}, Out));
   BOOST_TEST(!Ledger.answered({Self, 1}, "late", time_point{Time}, Out));
   Out.clear();
-  BOOST_TEST(Ledger.refuse(Entry, refusal::DeadlineUnreachable, {},
-                           time_point{Time}, Out));
+  BOOST_TEST(Ledger.refuse(Entry, refusal::DeadlineUnreachable, {}, at(), Out));
   BOOST_TEST((onlyAnswer().Outcome == outcome::Unknown));
   BOOST_TEST((submit(make("k", true, false)) == submit_result::New));
 }
@@ -214,8 +210,8 @@
 BOOST_AUTO_TEST_CASE(unknown_outcome_becomes_a_result_but_not_back) {
   sync();
   const auto Attempt = prepare("k");
-  acknowledge(First, 10, valid());
-  acknowledge(Second, 10, valid());
+  acknowledge(First, 10, at());
+  acknowledge(Second, 10, at());
   Out.clear();
   BOOST_TEST(Ledger.lost(Attempt, true, time_point{Time}, Out));
   BOOST_TEST((onlyAnswer().Outcome == outcome::Unknown));
