--- a/src/galenalink/request/ledger.cpp
+++ b/src/galenalink/request/ledger.cpp
@@ -256,6 +256,7 @@
 }
 
 void ledger::setHorizon(const horizon Horizon, const time_point Now) {
+  LastNow = Now;
   UnknownUntil = Now + Horizon.Remaining;
   FreshAfter = Horizon.FreshAfter;
 }
--- a/src/galenalink/request/ledger.hpp
+++ b/src/galenalink/request/ledger.hpp
@@ -145,10 +145,10 @@
   // Replication.
   /** @brief Starts, or continues, as home under a roster version. */
   void rosterChanged(log_offset NewVersion, const std::vector<node_id> &Nodes,
-                     effects &Out);
+                     time_point Now, effects &Out);
   void acknowledged(const replicate_reply &Reply, instant At, effects &Out);
   /** @brief Repeats all that a replica has not acknowledged. */
-  void resend(node_id Node, effects &Out);
+  void resend(node_id Node, time_point Now, effects &Out);
   /** @brief Runs what is due: expiry and steps without acknowledgements. */
   void tick(instant At, effects &Out);
 
--- a/src/galenalink/request/ledger_replication.cpp
+++ b/src/galenalink/request/ledger_replication.cpp
@@ -111,7 +111,9 @@
 }
 
 void ledger::rosterChanged(const log_offset NewVersion,
-                           const std::vector<node_id> &Nodes, effects &Out) {
+                           const std::vector<node_id> &Nodes,
+                           const time_point Now, effects &Out) {
+  LastNow = Now;
   GALENALINK_ASSERT(Nodes.size() <= 8, "at most eight replicas");
   GALENALINK_ASSERT(!Retired && NewVersion >= Version,
                     "roster versions only rise while a node is home");
@@ -258,7 +260,8 @@
   }
 }
 
-void ledger::resend(const node_id Node, effects &Out) {
+void ledger::resend(const node_id Node, const time_point Now, effects &Out) {
+  LastNow = Now;
   const auto Found = std::find_if(
       Replicas.begin(), Replicas.end(),
       [&](const replica_link &Known) { return Known.Node == Node; });
--- a/test/galenalink/request/ledger.cpp
+++ b/test/galenalink/request/ledger.cpp
@@ -62,7 +62,7 @@
 
   void sync() {
     Out.clear();
-    Ledger.rosterChanged(10, {First, Second}, Out);
+    Ledger.rosterChanged(10, {First, Second}, at().Now, Out);
     acknowledge(First, 10, at());
     acknowledge(Second, 10, at());
     BOOST_TEST_REQUIRE(Ledger.ready());
@@ -180,7 +180,7 @@
 
 BOOST_AUTO_TEST_CASE(without_enough_replicas_only_idempotent_work_runs) {
   Out.clear();
-  Ledger.rosterChanged(11, {First}, Out);
+  Ledger.rosterChanged(11, {First}, at().Now, Out);
   acknowledge(First, 11, at());
   submit(make("a", false, false));
   BOOST_TEST((onlyAnswer().Refusal == refusal::NoReplicas));
