Join entry nodes into a fleet

Cause: the node served alone; homes, replicas and takeovers need peers. Change: the peer transport carries forwards, replication, collection and heartbeats; heartbeat answers feed authority and barrier; the roster decides whom to dial; an evicted node joins again under a new id. A VM's leaving mark ends unless it is repeated, and only first-hand marks are passed on, because two peers would otherwise keep a mark alive for ever.

--- a/apps/galenalinkd.cpp
+++ b/apps/galenalinkd.cpp
@@ -33,7 +33,8 @@
   BOOST_LEAF_AUTO(Secrets, node::readSecrets(Settings));
   http::loop Loop;
   node::application Application{Loop, Settings, Secrets};
-  BOOST_LEAF_CHECK(Application.start());
+  if (auto Started = Application.start(); !Started)
+    return Started.error();
   Loop.onSignal(SIGTERM, [&] { Application.stop(); });
   Loop.onSignal(SIGINT, [&] { Application.stop(); });
   Loop.run();
--- a/src/galenalink/cli/views.cpp
+++ b/src/galenalink/cli/views.cpp
@@ -31,11 +31,13 @@
       !Json[std::string{Array}].is_array())
     return {};
   std::vector<std::string> Headings;
+  Headings.reserve(Columns.size());
   for (const auto &[Heading, Unused] : Columns)
     Headings.push_back(Heading);
   table Table{Headings};
   for (const auto &Row : Json[std::string{Array}]) {
     std::vector<std::string> Cells;
+    Cells.reserve(Columns.size());
     for (const auto &[Unused, Key] : Columns)
       Cells.push_back(cell(Row, Key));
     Table.add(std::move(Cells));
--- a/src/galenalink/node/application.cpp
+++ b/src/galenalink/node/application.cpp
@@ -62,6 +62,16 @@
   Operators = std::make_unique<operator_api>(
       [this]() -> incarnation & { return *Current; }, environmentOf(),
       Secrets.Operators);
+  const node_id Self{randomId()};
+  makeTransport(Self);
+  if (auto Opened = openListeners(); !Opened)
+    return Opened.error();
+  makeIncarnation(Self);
+  Supervisor = Loop.every(SupervisionPeriod, [this] { supervise(); });
+  return {};
+}
+
+result<void> application::openListeners() {
   CallerServer = std::make_unique<http::server>(
       Loop, http::server_options{}, [this](http::exchange Exchange) {
         Callers->handle(std::move(Exchange));
@@ -75,28 +85,96 @@
   BOOST_LEAF_ASSIGN(
       OperatorPort,
       OperatorServer->listen(Settings.Operators.Host, Settings.Operators.Port));
+  BOOST_LEAF_ASSIGN(PeerPort,
+                    Peers->listen({Settings.Peers.Host, Settings.Peers.Port}));
   Log.info("Listening.", {{"callers", CallerPort},
                           {"operators", OperatorPort},
                           {"peers", PeerPort}});
-  makeIncarnation();
-  Supervisor = Loop.every(SupervisionPeriod, [this] { supervise(); });
   return {};
 }
 
-void application::makeIncarnation() {
+void application::makeTransport(const node_id Self) {
+  peer::options Options;
+  Options.Self = Self;
+  Options.Token = Secrets.Peers;
+  Options.HeartbeatInterval = std::chrono::milliseconds{Settings.HeartbeatMs};
+  peer::hooks Hooks;
+  Hooks.MakeHeartbeat = [this] { return Current->heartbeat(); };
+  Hooks.AnswerOffset = [this] { return Current->answerOffset(); };
+  Peers = std::make_unique<peer::transport>(Loop, std::move(Options),
+                                            std::move(Hooks));
+  Peers->Received.connect(
+      [this](const node_id From, const wire::peer_message &Message) {
+        Current->received(From, Message);
+      });
+  Peers->Connected.connect(
+      [this](const node_id Node) { Current->connected(Node); });
+  Peers->Disconnected.connect(
+      [this](const node_id Node) { Current->disconnected(Node); });
+  Peers->HeartbeatAnswered.connect(
+      [this](const node_id Node, const peer::evidence &Evidence) {
+        Current->answered(Node, Evidence.SentAt, Evidence.Folded);
+      });
+  Peers->Problem.connect([](const std::string &Text) {
+    Log.warning("A peer connection failed.", {{"cause", Text}});
+  });
+}
+
+void application::updateTargets() {
+  const auto &Roster = Current->view().State.Roster;
+  if (Roster.version() == DialedVersion && DialedVersion != 0)
+    return;
+  DialedVersion = Roster.version();
+  std::vector<peer::target> Targets;
+  const auto Add = [&](const std::string &Address,
+                       const std::optional<node_id> Node) {
+    static_cast<void>(tryOr(
+        [&]() -> result<bool> {
+          BOOST_LEAF_AUTO(Parsed, http::parseAddress(Address));
+          Targets.push_back({Parsed, Node});
+          return true;
+        },
+        [](const error &Error) {
+          Log.warning("Skipped a peer address.", {{"cause", Error.Message}});
+          return false;
+        }));
+  };
+  for (const auto &Node : Roster.nodes()) {
+    if (Node->Id != Current->self())
+      Add(Node->PeerAddress, Node->Id);
+  }
+  for (const auto &Seed : Settings.Seeds)
+    Add(Seed, std::nullopt);
+  Peers->setTargets(Targets);
+}
+
+void application::countTraffic() {
+  const auto &Counters = Peers->counters();
+  Metrics
+      .level("galenalink_peer_control_sent_bytes",
+             "Bytes of hellos, heartbeats and their replies that were sent.")
+      .set(static_cast<double>(Counters.ControlSent));
+  Metrics
+      .level("galenalink_peer_sent_bytes",
+             "Bytes that were sent to other nodes.")
+      .set(static_cast<double>(Counters.Sent));
+}
+
+void application::makeIncarnation(const node_id Id) {
   const auto Address = [](const std::string &Host, const std::uint16_t Port) {
     return http::toString({Host, Port});
   };
-  node_description Self{node_id{randomId()},
+  node_description Self{Id,
                         Settings.Name,
                         Settings.Place,
                         Settings.Member,
                         Address(Settings.Peers.Host, PeerPort),
                         Address(Settings.Callers.Host, CallerPort)};
+  DialedVersion = 0;
   Current = std::make_unique<incarnation>(
       environmentOf(), std::move(Self),
-      [](node_id /*Node*/, const wire::peer_message & /*Message*/) {
-        return false;
+      [this](const node_id Node, const wire::peer_message &Message) {
+        return Peers->send(Node, Message) == peer::send_result::Queued;
       });
   Current->start();
 }
@@ -166,8 +244,13 @@
   if (!Stopping) {
     if (Current->evicted()) {
       Log.warning("Evicted; joining again under a new id.");
-      makeIncarnation();
+      const node_id Self{randomId()};
+      Current->abandon();
+      Peers->rename(Self);
+      makeIncarnation(Self);
     }
+    updateTargets();
+    countTraffic();
     return;
   }
   if (CloseAt != NoDeadline && CloseAt <= Now) {
--- a/src/galenalink/node/application.hpp
+++ b/src/galenalink/node/application.hpp
@@ -8,6 +8,7 @@
 #include "galenalink/node/caller_api.hpp"
 #include "galenalink/node/incarnation.hpp"
 #include "galenalink/node/operator_api.hpp"
+#include "galenalink/peer/transport.hpp"
 #include "galenalink/platform/embedded.hpp"
 #include <memory>
 #include <string>
@@ -40,8 +41,13 @@
   void stop();
 
 private:
-  void makeIncarnation();
+  void makeIncarnation(node_id Self);
   [[nodiscard]] platform::adapter makeAdapter();
+  [[nodiscard]] result<void> openListeners();
+  void makeTransport(node_id Self);
+  /** @brief Dials the roster, and the seeds while it is not known. */
+  void updateTargets();
+  void countTraffic();
   void route(call Call, reply_hook Done);
   [[nodiscard]] std::optional<duration> defaultTimeout(const call &Call) const;
   void supervise();
@@ -57,6 +63,7 @@
   http::address PlatformAddress;
   std::unique_ptr<platform::embedded> Embedded;
   platform::adapter Adapter;
+  std::unique_ptr<peer::transport> Peers;
   std::unique_ptr<incarnation> Current;
   std::unique_ptr<caller_api> Callers;
   std::unique_ptr<operator_api> Operators;
@@ -65,6 +72,8 @@
   std::uint16_t CallerPort{0};
   std::uint16_t OperatorPort{0};
   std::uint16_t PeerPort{0};
+  /** Roster version whose nodes are dialed. */
+  log_offset DialedVersion{0};
   http::timer Supervisor;
   time_point StopDeadline{NoDeadline};
   time_point CloseAt{NoDeadline};
--- a/src/galenalink/node/incarnation.cpp
+++ b/src/galenalink/node/incarnation.cpp
@@ -14,6 +14,9 @@
 /** A leaving VM gets no new work within 3 s of its own answer. */
 constexpr duration PollPeriod = std::chrono::seconds{2};
 
+/** Keeps heartbeats small when many VMs leave at once; the list has them all
+ * within a second or two. */
+constexpr std::size_t MaxLeavingVms = 16;
 constexpr duration VmPollPeriod = std::chrono::seconds{1};
 
 [[nodiscard]] fleet::lease_settings
@@ -59,7 +62,7 @@
       Dispatcher{View, Catalog, Environment.Backend, dispatcherHooks()},
       Members{View, Log, Self}, Vms{View, Environment.Adapter, Log,
                                     [this](const std::string &Vm) {
-                                      Host.leaving(Vm);
+                                      Host.leaving(Vm, true);
                                     }},
       Duties{View, Environment.Adapter, Log, dutyHooks()} {}
 
@@ -108,7 +111,7 @@
 
 dispatcher_hooks incarnation::dispatcherHooks() {
   dispatcher_hooks Hooks;
-  Hooks.Leaving = [this](const std::string &Vm) { Host.leaving(Vm); };
+  Hooks.Leaving = [this](const std::string &Vm) { Host.leaving(Vm, true); };
   Hooks.Decided = [this](const std::string_view Subject, std::string Text) {
     decide(Subject, std::move(Text));
   };
@@ -231,9 +234,33 @@
     Log.hurry();
 }
 
+wire::heartbeat incarnation::heartbeat() const {
+  wire::heartbeat Heartbeat;
+  Heartbeat.set_folded_offset(State.Offset);
+  Heartbeat.set_stopping(Stopping);
+  for (const auto &Vm : Host.leavingVms(MaxLeavingVms))
+    Heartbeat.add_leaving_vms(Vm);
+  return Heartbeat;
+}
+
+std::optional<log_offset> incarnation::answerOffset() const noexcept {
+  return Authority.answers() ? std::optional{State.Offset} : std::nullopt;
+}
+
+void incarnation::abandon() {
+  Stopping = true;
+  Authority.resign();
+  Router.abandon();
+}
+
 void incarnation::received(const node_id From,
                            const wire::peer_message &Message) {
   switch (Message.body_case()) {
+  case wire::peer_message::kHeartbeat:
+    heard(From, Message.heartbeat().folded_offset());
+    for (const auto &Vm : Message.heartbeat().leaving_vms())
+      Host.leaving(Vm, false);
+    return;
   case wire::peer_message::kForward:
     Router.receive(From, Message.forward());
     return;
--- a/src/galenalink/node/incarnation.hpp
+++ b/src/galenalink/node/incarnation.hpp
@@ -17,7 +17,7 @@
 #include <memory>
 
 namespace galenalink::wire {
-class peer_message;
+class heartbeat;
 } // namespace galenalink::wire
 
 namespace galenalink::node {
@@ -52,6 +52,10 @@
   void connected(node_id Node);
   void disconnected(node_id Node);
   void received(node_id From, const wire::peer_message &Message);
+  /** @brief Content of the next heartbeat. */
+  [[nodiscard]] wire::heartbeat heartbeat() const;
+  /** @brief Offset to answer heartbeats with; nothing after leaving. */
+  [[nodiscard]] std::optional<log_offset> answerOffset() const noexcept;
   /** @brief A peer answered a heartbeat sent at `SentAt`. */
   void answered(node_id Peer, time_point SentAt, log_offset Folded);
   /** @brief A heartbeat of a peer showed its folded offset. */
@@ -62,6 +66,8 @@
    * roster.
    */
   void stop(time_point Deadline);
+  /** @brief Answers all waiting callers before the incarnation is dropped. */
+  void abandon();
   /** @brief Whether no caller waits for an answer from here. */
   [[nodiscard]] bool idle() const noexcept;
   [[nodiscard]] bool evicted() const noexcept { return Members.evicted(); }
--- a/src/galenalink/node/router.cpp
+++ b/src/galenalink/node/router.cpp
@@ -211,6 +211,19 @@
   Alone = AloneIn;
 }
 
+void router::giveUp(const std::uint64_t Id) {
+  const auto &Entry = Pending.at(Id);
+  const bool MayHaveRun = Entry.MayHaveRun || Entry.Target == View.Self;
+  finish(Id, MayHaveRun ? reply{outcome::Unknown, refusal::None, {}, {}, {}}
+                        : refuse(Entry.LastRefusal, HomeRetry));
+}
+
+void router::abandon() {
+  Stopping = true;
+  while (!Pending.empty())
+    giveUp(Pending.begin()->first);
+}
+
 void router::tick(const time_point Now) {
   std::vector<std::uint64_t> Late;
   std::vector<std::uint64_t> Due;
@@ -223,12 +236,8 @@
     else if (!Sent && Entry.RetryAt <= Now)
       Due.push_back(Id);
   }
-  for (const auto Id : Late) {
-    const auto &Entry = Pending.at(Id);
-    const bool MayHaveRun = Entry.MayHaveRun || Entry.Target == View.Self;
-    finish(Id, MayHaveRun ? reply{outcome::Unknown, refusal::None, {}, {}, {}}
-                          : refuse(Entry.LastRefusal, HomeRetry));
-  }
+  for (const auto Id : Late)
+    giveUp(Id);
   for (const auto Id : Due) {
     if (Pending.contains(Id))
       attempt(Id);
--- a/src/galenalink/node/router.hpp
+++ b/src/galenalink/node/router.hpp
@@ -48,6 +48,8 @@
    * are refused at once.
    */
   void stop(bool Alone);
+  /** @brief Answers all calls: what was not sent as not run, else unknown. */
+  void abandon();
   /** @brief Retries what is due and ends what is late. */
   void tick(time_point Now);
 
@@ -70,6 +72,8 @@
   void local(const call &Call, reply_hook Done);
   void replied(std::uint64_t Id, reply Reply);
   void finish(std::uint64_t Id, reply Reply);
+  /** @brief Ends a call without an answer of its home. */
+  void giveUp(std::uint64_t Id);
   [[nodiscard]] std::optional<reply> check(const call &Call) const;
   [[nodiscard]] std::optional<node_id> homeOf(const shard_id &Shard) const;
   [[nodiscard]] shard_id shardFor(const call &Call) const;
--- a/src/galenalink/node/shard.cpp
+++ b/src/galenalink/node/shard.cpp
@@ -166,9 +166,10 @@
 
 void shard::rosterChanged(const log_offset Version,
                           const std::vector<node_id> &Replicas) {
+  const auto Now = boot_clock::now();
   request::effects Effects;
-  Ledger.rosterChanged(Version, Replicas, Effects);
-  process(std::move(Effects), boot_clock::now());
+  Ledger.rosterChanged(Version, Replicas, Now, Effects);
+  process(std::move(Effects), Now);
 }
 
 void shard::acknowledged(const request::replicate_reply &Reply) {
@@ -180,9 +181,10 @@
 }
 
 void shard::resend(const node_id Node) {
+  const auto Now = boot_clock::now();
   request::effects Effects;
-  Ledger.resend(Node, Effects);
-  process(std::move(Effects), boot_clock::now());
+  Ledger.resend(Node, Now, Effects);
+  process(std::move(Effects), Now);
 }
 
 std::vector<request::entry_record> shard::retire(const time_point Now) {
--- a/src/galenalink/node/shard_host.cpp
+++ b/src/galenalink/node/shard_host.cpp
@@ -17,6 +17,9 @@
 constexpr duration TakeoverGrace = std::chrono::milliseconds{500};
 /** How long a takeover waits for nodes that do not answer at all. */
 constexpr duration TakeoverLimit = std::chrono::seconds{3};
+/** Several periods of the VM list and of the status, so that one lost answer
+ * does not end the mark of a VM that still leaves. */
+constexpr duration LeavingMark = std::chrono::seconds{10};
 constexpr duration AskAgainPeriod = std::chrono::milliseconds{250};
 /** Told to callers while a shard has no home yet. */
 constexpr duration HomeRetry = std::chrono::milliseconds{500};
@@ -118,6 +121,8 @@
     const shard_id Id = Current->first;
     advance(Id, Current->second, Now);
   }
+  std::erase_if(
+      Leaving, [&](const auto &Entry) { return Entry.second.Deadline <= Now; });
   const bool Due = RefreshedAt != View.State.Offset || NextRefresh <= Now;
   if (Due && View.Authority.holds(Now)) {
     RefreshedAt = View.State.Offset;
@@ -351,13 +356,31 @@
         std::string{nameOf(request::EntryStateNames, Found->State)}});
 }
 
-void shard_host::leaving(const std::string &Vm) {
-  if (!Leaving.insert(Vm).second)
+void shard_host::leaving(const std::string &Vm, const bool FirstHand) {
+  const auto Deadline = boot_clock::now() + LeavingMark;
+  auto [Mark, New] = Leaving.try_emplace(Vm);
+  Mark->second.Deadline = Deadline;
+  // Only first-hand evidence is passed on, or two peers would keep a mark
+  // alive for ever.
+  if (FirstHand)
+    Mark->second.FirstHandUntil = Deadline;
+  if (!New)
     return;
+  Log.info("A VM is leaving.", {{"vm", Vm}});
   for (const auto &[Unused, Shard] : Homes)
     Shard->drainVm(Vm, schedule::vm_state::Leaving);
 }
 
+std::vector<std::string> shard_host::leavingVms(const std::size_t Limit) const {
+  std::vector<std::string> Vms;
+  const auto Now = boot_clock::now();
+  for (const auto &[Vm, Mark] : Leaving) {
+    if (Vms.size() < Limit && Mark.FirstHandUntil > Now)
+      Vms.push_back(Vm);
+  }
+  return Vms;
+}
+
 void shard_host::connected(const node_id Node) {
   for (const auto &[Id, Shard] : Homes)
     Shard->resend(Node);
--- a/src/galenalink/node/shard_host.hpp
+++ b/src/galenalink/node/shard_host.hpp
@@ -10,7 +10,6 @@
 #include "galenalink/wire/fwd.hpp"
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -73,8 +72,12 @@
   /** @brief Repeats what a node that connected again may have missed. */
   void connected(node_id Node);
 
-  /** @brief A backend server, the VM list or a peer says that it leaves. */
-  void leaving(const std::string &Vm);
+  /**
+   * @brief A VM is said to leave; it gets no new work until this has not been
+   * repeated for a while.
+   * @param FirstHand Said by the VM list or the VM's own answer, not by a peer.
+   */
+  void leaving(const std::string &Vm, bool FirstHand);
   /**
    * @brief Gives up all shards and refuses new requests. Queued requests are
    * answered as not run, running ones are awaited.
@@ -93,11 +96,8 @@
   [[nodiscard]] std::size_t running() const;
   /** @brief Attempts that run on a VM, by what this node dispatched. */
   [[nodiscard]] std::size_t runningOn(const std::string &Vm) const;
-  /** @brief VMs that were said to leave. */
-  [[nodiscard]] const std::set<std::string, std::less<>> &
-  leavingVms() const noexcept {
-    return Leaving;
-  }
+  /** @brief VMs that this node itself saw leaving, for its peers. */
+  [[nodiscard]] std::vector<std::string> leavingVms(std::size_t Limit) const;
   [[nodiscard]] std::size_t takeovers() const noexcept {
     return Takeovers.size();
   }
@@ -143,7 +143,11 @@
   std::vector<std::shared_ptr<shard>> Retired;
   std::map<shard_id, request::replica> Replicas;
   std::map<shard_id, pending_takeover> Takeovers;
-  std::set<std::string, std::less<>> Leaving;
+  struct leaving_mark {
+    time_point Deadline;
+    time_point FirstHandUntil{NoDeadline};
+  };
+  std::map<std::string, leaving_mark, std::less<>> Leaving;
 };
 
 } // namespace galenalink::node
