Read the data of finished attempts from the status

Cause: /status gives an answer as base64 in "data"; the node read "body", found nothing and delivered an empty answer after a takeover. Seen as 2 of 958 and 3 of 1759 answers that were not the callers' own, with one node killed or paused for 6 s under load. Conclusion: only the whole answer becomes a result.

--- a/src/galenalink/node/backend.cpp
+++ b/src/galenalink/node/backend.cpp
@@ -1,4 +1,5 @@
 #include "galenalink/node/backend.hpp"
+#include "galenalink/platform/base64.hpp"
 #include <nlohmann/json.hpp>
 
 namespace galenalink::node {
@@ -85,9 +86,11 @@
     const auto Attempt = attemptAt(Item["attempt"]);
     // Only a stated outcome turns an unknown attempt into a result.
     const auto Outcome = textAt(Item, "outcome");
-    if (Attempt && (Outcome == "complete" || Outcome == "failed"))
-      Status.Recent.push_back(
-          {*Attempt, Outcome == "failed", textAt(Item, "body")});
+    // An entry without its data is not the whole answer.
+    const auto Body = platform::decodeBase64(textAt(Item, "data"));
+    if (Attempt && Body && Item.contains("data") &&
+        (Outcome == "complete" || Outcome == "failed"))
+      Status.Recent.push_back({*Attempt, Outcome == "failed", *Body});
   }
   return Status;
 }
--- a/test/standin/executor.cpp
+++ b/test/standin/executor.cpp
@@ -98,10 +98,12 @@
   const bool Full = Running.size() >= Slots;
   if (Faults.Refuse || Stale || Full) {
     ++Refused;
-    Exchange.reply(
-        Full ? 429 : 503,
-        {{"Galenalink-Not-Run", "1"}, {"Galenalink-Attempt", Run.Attempt}},
-        Stale ? "stale epoch" : "refused");
+    http::headers Headers{{"Galenalink-Not-Run", "1"},
+                          {"Galenalink-Attempt", Run.Attempt}};
+    if (Stale)
+      Headers.push_back({"Galenalink-Stale-Epoch", "1"});
+    Exchange.reply(Full ? 429 : 503, Headers,
+                   Stale ? "stale epoch" : "refused");
     return;
   }
   Epoch = Run.Epoch;
