--- a/src/galenalink/request/detail/entry_table.cpp
+++ b/src/galenalink/request/detail/entry_table.cpp
@@ -77,7 +77,8 @@
 
 void entry_table::setPayload(entry &Entry, std::string Payload) {
   Bytes -= Entry.Payload.size();
-  Entry.Payload = std::move(Payload);
+  // Assigning a short result would keep the memory of the long body.
+  std::swap(Entry.Payload, Payload);
   Bytes += Entry.Payload.size();
 }
 
--- a/src/galenalink/request/detail/entry_table.hpp
+++ b/src/galenalink/request/detail/entry_table.hpp
@@ -59,8 +59,10 @@
   std::uint8_t Missing{};
   bool Idempotent{};
   bool LongWork{};
-  /** The caller was given a handle. */
+  /** The caller was given a handle, which all replicas hold. */
   bool HandleGiven{};
+  /** A former home may have given a handle. */
+  bool Restored{};
   /** A replica may hold a record from which a new home would run the work. */
   bool Exposed{};
   /** An attempt of this idempotent work may have run, without a result. */
--- a/src/galenalink/request/ledger.cpp
+++ b/src/galenalink/request/ledger.cpp
@@ -206,14 +206,19 @@
   for (const waiter Waiter : Entry.Waiters)
     Out.emplace_back(answer{Waiter, Outcome, Entry.Refusal, Entry.RetryAfter,
                             WithResult ? Entry.Payload : std::string{}});
-  Entry.Waiters.clear();
+  // A finished entry is kept for long, so its list gives up its memory.
+  Entry.Waiters = std::vector<waiter>{};
 }
 
 void ledger::replay(const entry &Entry, const waiter Waiter,
                     effects &Out) const {
-  Out.emplace_back(
-      answer{Waiter, outcomeOf(Entry.State), Entry.Refusal, Entry.RetryAfter,
-             isFinal(Entry.State) ? Entry.Payload : std::string{}});
+  answer Answer{Waiter, outcomeOf(Entry.State), refusal::None, duration{}, {}};
+  if (isFinal(Entry.State)) {
+    Answer.Refusal = Entry.Refusal;
+    Answer.RetryAfter = Entry.RetryAfter;
+    Answer.Body = Entry.Payload;
+  }
+  Out.emplace_back(std::move(Answer));
 }
 
 void ledger::tick(const instant At, effects &Out) {
@@ -227,8 +232,15 @@
   while (entry *const Entry = Table.firstStep()) {
     if (Entry->StepDeadline > Now)
       break;
+    // The acknowledgements may have come while there was no authority.
+    const bool Acknowledged =
+        Entry->Missing == 0 && allSynced() && At.authorized();
     switch (Entry->Phase) {
     case phase::Accepting:
+      if (Acknowledged && Entry->Exposed && ready()) {
+        stepDone(*Entry, At, Out);
+        break;
+      }
       withdraw(*Entry, refusal::NoReplicas, At, Out);
       break;
     case phase::Preparing:
@@ -241,7 +253,7 @@
         withdraw(*Entry, refusal::NoReplicas, At, Out);
       break;
     case phase::Withdrawing:
-      if (Replicas.empty() && At.authorized()) {
+      if (Acknowledged) {
         finishWithdrawal(*Entry, Now, Out);
         break;
       }
--- a/src/galenalink/request/ledger_attempts.cpp
+++ b/src/galenalink/request/ledger_attempts.cpp
@@ -100,7 +100,7 @@
   Entry.State = Cancelled ? entry_state::Cancelled : entry_state::Refused;
   Entry.Phase = phase::Done;
   answerAll(Entry, outcome::NotRun, Out);
-  if (Cancelled || Entry.HandleGiven)
+  if (Cancelled || Entry.HandleGiven || Entry.Restored)
     Table.scheduleExpiry(Entry, Now + remembered());
   else
     erase(Entry);
--- a/src/galenalink/request/ledger_replication.cpp
+++ b/src/galenalink/request/ledger_replication.cpp
@@ -239,12 +239,23 @@
     return;
   case phase::Queued:
   case phase::Running:
+    if (Entry.Restored && At.authorized() && ready()) {
+      Entry.HandleGiven = true;
+      answerAll(Entry, outcome::Accepted, Out);
+    }
+    return;
   case phase::Done:
     return;
   }
 }
 
 void ledger::becameReady(const instant At, effects &Out) {
+  for (std::size_t Slot = 0; Slot < Table.slots(); ++Slot) {
+    entry *const Entry = Table.at(Slot);
+    if (Entry != nullptr && Entry->Restored && !Entry->HandleGiven &&
+        Entry->Missing == 0)
+      stepDone(*Entry, At, Out);
+  }
   entry *Next = Table.firstStep();
   while (Next != nullptr) {
     entry &Entry = *Next;
@@ -336,7 +347,10 @@
   Entry.State = Record.State;
   Entry.Refusal = Record.Refusal;
   Entry.Revision = Record.Revision;
-  Entry.HandleGiven = Record.LongWork;
+  Entry.Restored = Record.LongWork;
+  // Other handles are confirmed when the replicas hold them again: a single
+  // copy may be all that is left of this entry.
+  Entry.HandleGiven = Record.LongWork && Settings.RequiredReplicas == 0;
   Entry.Exposed = Record.LongWork;
   Entry.Attempt = Record.Attempt;
   GALENALINK_ASSERT(Entry.State != entry_state::Dispatched,
--- a/test/galenalink/request/interleaving.cpp
+++ b/test/galenalink/request/interleaving.cpp
@@ -1,4 +1,4 @@
-#include "galenalink/request/message_bag.hpp"
+#include "galenalink/request/unknown_share.hpp"
 #include <boost/test/unit_test.hpp>
 
 using namespace galenalink::request;
@@ -88,6 +88,23 @@
   checkClean(run(Options, 30, 20000));
 }
 
+// As many losses as replicas leave a copy: only work that was running is
+// unknown, until backend servers report it. One more loss leaves nothing.
+BOOST_AUTO_TEST_CASE(share_of_unknown_keys) {
+  BOOST_TEST_MESSAGE(unknownTable());
+  for (std::size_t Replicas = 0; Replicas <= 2; ++Replicas) {
+    for (std::size_t Losses = 1; Losses <= 3; ++Losses) {
+      const unknown_share Share = measureUnknown(Replicas, Losses);
+      const std::size_t Lost = Losses > Replicas ? unknown_share::PerGroup : 0U;
+      BOOST_TEST(Share.Finished == Lost);
+      BOOST_TEST(Share.Running == unknown_share::PerGroup);
+      BOOST_TEST(Share.Reconciled == Lost);
+      BOOST_TEST(Share.New == Lost);
+      BOOST_TEST(Share.Queued == Lost);
+    }
+  }
+}
+
 // The checks above can fail: without replication before the dispatch they
 // find double runs.
 BOOST_AUTO_TEST_CASE(dispatch_without_replication_is_found) {
--- a/test/galenalink/request/message_bag_steps.cpp
+++ b/test/galenalink/request/message_bag_steps.cpp
@@ -48,9 +48,11 @@
   const waiter Waiter = Calls.size();
   Calls.push_back({Index, false});
   ++Key.OpenCalls;
-  // A new try replaces a handle that was refused as not run.
+  // A new try replaces a handle that was refused as not run, and idempotent
+  // work whose outcome is unknown.
   const auto Known = Nodes[Node].Home->query(Key.Key, at(Node));
-  if (Known && Known->State == entry_state::Refused)
+  if (Known && (Known->State == entry_state::Refused ||
+                (Known->State == entry_state::Unknown && Key.Idempotent)))
     Key.HandleGiven = false;
   effects Out;
   Nodes[Node].Home->submit({Key.Key, "proof", "north", Key.Body, Key.Idempotent,
