Test authority of refusals and completeness of replicas

Cause: changed copies of the code in which refusals ignored authority, or replicas kept records of an older version, passed all tests.

Change: two cases for exactly these rules.

Conclusion: both rules are now guarded.

--- a/test/galenalink/request/ledger.cpp
+++ b/test/galenalink/request/ledger.cpp
@@ -222,4 +222,26 @@
   BOOST_TEST(onlyAnswer().Body == "result");
 }
 
+// A node that was paused may have been replaced: its "not run" must send the
+// entry node on to the new home, not end the request.
+BOOST_AUTO_TEST_CASE(without_authority_nothing_is_called_not_run) {
+  sync();
+  submit(make("k", false, false));
+  const auto Entry = all<enqueue>().at(0).Entry;
+  instant Expired = at();
+  Expired.AuthorityDeadline = Expired.Now;
+  Out.clear();
+  Ledger.submit(make("other", false, false), Expired, Out);
+  BOOST_TEST((onlyAnswer().Refusal == refusal::NoAuthority));
+  Out.clear();
+  const request_key Key{"halloran", "newsletters", "k"};
+  BOOST_TEST(
+      (Ledger.cancel(Key, 8, Expired, Out) == cancel_result::NoAuthority));
+  BOOST_TEST((onlyAnswer().Refusal == refusal::NoAuthority));
+  BOOST_TEST((Ledger.query(Key, at())->State == entry_state::Accepted));
+  Out.clear();
+  BOOST_TEST(Ledger.refuse(Entry, refusal::QueueFull, {}, Expired, Out));
+  BOOST_TEST((onlyAnswer().Refusal == refusal::NoAuthority));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/galenalink/request/takeover.cpp
+++ b/test/galenalink/request/takeover.cpp
@@ -153,4 +153,32 @@
   BOOST_TEST(!Ledger.query(Plain, {Passed, Wall, {}}).has_value());
 }
 
+// Records of an older version may have been taken back since; a full copy
+// must not bring them back, and a full table must not lose a record.
+BOOST_AUTO_TEST_CASE(a_replica_holds_one_version_completely) {
+  replica Copy{Self, {1, 1000, {}}};
+  const auto Store = [&](const log_offset Version, const bool Synced,
+                         std::vector<entry_record> Records) {
+    return Copy
+        .store({Self, 1, Version, std::move(Records), Synced, {}}, At.Now)
+        .Accepted;
+  };
+  Copy.rosterChanged({7, 5}, true);
+  BOOST_TEST(Store(7, false, {record(entry_state::Accepted, false)}));
+  BOOST_TEST(!Store(5, false, {record(entry_state::Accepted, false)}));
+  entry_record Large = record(entry_state::Completed, false);
+  Large.Revision.Sequence = 9;
+  Large.Result = std::string(2000, 'r');
+  BOOST_TEST(!Store(7, false, {Large}));
+  BOOST_TEST(Copy.size() == 1U);
+  BOOST_TEST(Store(7, true, {}));
+  Copy.rosterChanged({8, 7}, true);
+  BOOST_TEST(Copy.collect(8, At.Now)->SyncedAt == 7U);
+  BOOST_TEST(!Copy.collect(7, At.Now).has_value());
+  BOOST_TEST(Copy.size() == 1U);
+  BOOST_TEST(Store(8, true, {}));
+  BOOST_TEST(Copy.size() == 0U);
+  BOOST_TEST(Copy.collect(8, At.Now)->SyncedAt == 8U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
