--- a/bench/schedule_policy.cpp
+++ b/bench/schedule_policy.cpp
@@ -1,7 +1,7 @@
+#include "placement_cycle.hpp"
 #include "schedule_driver.hpp"
 #include <cstdio>
 #include <cstdlib>
-#include <deque>
 #include <new>
 
 namespace {
@@ -10,29 +10,35 @@
 
 } // namespace
 
-// Counts every allocation of the program.
-void *operator new(const std::size_t Size) {
+// Counts every allocation of the program. Not inlined, because the compiler
+// would see malloc and free where it expects new and delete.
+[[gnu::noinline]] void *operator new(const std::size_t Size) {
   ++Allocations;
   if (void *Memory = std::malloc(Size))
     return Memory;
   throw std::bad_alloc{};
 }
-void *operator new(const std::size_t Size, const std::align_val_t Alignment) {
+[[gnu::noinline]] void *operator new(const std::size_t Size,
+                                     const std::align_val_t Alignment) {
   ++Allocations;
   const auto Unit = static_cast<std::size_t>(Alignment);
   if (void *Memory = std::aligned_alloc(Unit, (Size + Unit - 1) / Unit * Unit))
     return Memory;
   throw std::bad_alloc{};
 }
-void operator delete(void *const Memory) noexcept { std::free(Memory); }
-void operator delete(void *const Memory, std::size_t) noexcept {
+[[gnu::noinline]] void operator delete(void *const Memory) noexcept {
   std::free(Memory);
 }
-void operator delete(void *const Memory, std::align_val_t) noexcept {
+[[gnu::noinline]] void operator delete(void *const Memory,
+                                       std::size_t) noexcept {
   std::free(Memory);
 }
-void operator delete(void *const Memory, std::size_t,
-                     std::align_val_t) noexcept {
+[[gnu::noinline]] void operator delete(void *const Memory,
+                                       std::align_val_t) noexcept {
+  std::free(Memory);
+}
+[[gnu::noinline]] void operator delete(void *const Memory, std::size_t,
+                                       std::align_val_t) noexcept {
   std::free(Memory);
 }
 
@@ -284,62 +290,6 @@
       "= 0", Counts.OverPlaced == 0 && Lagging > 0);
 }
 
-/** Shards in which half of the slots are taken and work comes and goes. */
-class placement_cycle {
-public:
-  placement_cycle(const std::uint32_t Shards, const std::uint32_t Vms) {
-    settings Settings;
-    Settings.MaxItems = 4096;
-    for (std::uint32_t Index = 0; Index < Shards; ++Index) {
-      auto &Shard = this->Shards.emplace_back(Settings);
-      Queue = Shard.setQueue({.Name = "short",
-                              .Service = "service",
-                              .Idempotent = true,
-                              .ExpectedRun = milliseconds{100}});
-      Team = Shard.setTeam({.Name = "team", .Member = "member"});
-      for (std::uint32_t Vm = 0; Vm < Vms; ++Vm)
-        Shard.addVm("vm" + std::to_string(Vm), 1);
-      auto &Oldest = Running.emplace_back();
-      for (std::uint32_t Slot = 0; Slot < Vms * SlotsPerVm / 2; ++Slot)
-        Oldest.push_back(place(Shard));
-      Positions.push_back(0);
-    }
-  }
-
-  /** One placement and the end of the oldest attempt, on each shard in turn. */
-  void turn() {
-    auto &Shard = Shards[Turn];
-    auto &Oldest = Running[Turn][Positions[Turn]];
-    Positions[Turn] = (Positions[Turn] + 1) % Running[Turn].size();
-    Turn = (Turn + 1) % Shards.size();
-    Now += duration{100};
-    Shard.finished(Oldest, Now);
-    Oldest = place(Shard);
-  }
-
-private:
-  attempt_id place(shard_scheduler &Shard) {
-    ++Sequence;
-    if (!Shard.enqueue({item_id{Sequence}, Queue, Team, Now + seconds{10}}, Now)
-             .admitted())
-      std::abort();
-    const auto Placed = Shard.next({node_id{1}, Sequence}, Now);
-    if (!Placed)
-      std::abort();
-    return Placed->Attempt;
-  }
-
-  std::deque<shard_scheduler> Shards;
-  /** Ring of running attempts of each shard, and the oldest one in it. */
-  std::vector<std::vector<attempt_id>> Running;
-  std::vector<std::size_t> Positions;
-  queue_index Queue{};
-  team_index Team{};
-  std::size_t Turn{0};
-  std::uint64_t Sequence{0};
-  time_point Now{Start};
-};
-
 void placementCost() {
   placement_cycle Today{5, 10};
   placement_cycle Later{32, 6700 / 32};
@@ -376,14 +326,21 @@
 
 } // namespace galenalink::schedule::bench
 
-int main() {
+// Runs all parts, or only those named on the command line.
+int main(const int Count, const char *const *const Arguments) {
   using namespace galenalink::schedule::bench;
-  headOfLine(Halloran);
-  headOfLine(Authority);
-  overload();
-  retries();
-  badVm();
-  overPlacement();
-  placementCost();
+  const std::vector<std::string> Wanted(Arguments + 1, Arguments + Count);
+  const auto Run = [&](const char *const Name, const auto &Part) {
+    if (Wanted.empty() ||
+        std::find(Wanted.begin(), Wanted.end(), Name) != Wanted.end())
+      Part();
+  };
+  Run("halloran", [] { headOfLine(Halloran); });
+  Run("authority", [] { headOfLine(Authority); });
+  Run("overload", overload);
+  Run("retries", retries);
+  Run("bad-vm", badVm);
+  Run("over-placement", overPlacement);
+  Run("placement", placementCost);
   return AllPassed ? EXIT_SUCCESS : EXIT_FAILURE;
 }
