Index attempts and items without nodes

The maps from attempt to slot and from item to its entry held one node for each key: a lookup followed two pointers, and an erase computed the hash twice.

flat_index keeps keys and values in one table by linear probing, with deletion that closes gaps, so it does not rehash in steady state either.

--- /dev/null
+++ b/src/galenalink/schedule/flat_index.hpp
@@ -0,0 +1,113 @@
+#ifndef GALENALINK_SCHEDULE_FLAT_INDEX_HPP
+#define GALENALINK_SCHEDULE_FLAT_INDEX_HPP
+
+#include <bit>
+#include <cstdint>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace galenalink::schedule {
+
+/**
+ * @brief Map from a key to a number that never allocates between calls of
+ * `reserve`.
+ *
+ * Linear probing in a table that is at most half full, with deletion that
+ * closes the gap (Knuth, "The Art of Computer Programming" 3, 6.4, algorithm
+ * R). The unordered maps of the standard library and of Boost allocate a node
+ * for each key, or rehash after many insertions and deletions.
+ *
+ * @tparam Hash Function object from a key to 64 well-mixed bits.
+ */
+template <typename Key, typename Hash> class flat_index {
+public:
+  /** @brief Makes room for a number of keys; keeps what is held. */
+  void reserve(const std::size_t Keys) {
+    const auto Size = std::bit_ceil(2 * Keys);
+    if (Size <= Table.size())
+      return;
+    auto Old = std::exchange(Table, std::vector<entry>(Size));
+    Count = 0;
+    for (const auto &Entry : Old) {
+      if (Entry.Used)
+        insert(Entry.Name, Entry.Value);
+    }
+  }
+
+  /**
+   * @brief Adds a key; there must be room for it.
+   * @return False if the key is held, which changes nothing.
+   */
+  bool insert(const Key &Name, const std::uint32_t Value) noexcept {
+    auto Position = home(Name);
+    for (; Table[Position].Used; Position = after(Position)) {
+      if (Table[Position].Name == Name)
+        return false;
+    }
+    Table[Position] = {Name, Value, true};
+    ++Count;
+    return true;
+  }
+
+  [[nodiscard]] std::optional<std::uint32_t>
+  find(const Key &Name) const noexcept {
+    const auto Position = locate(Name);
+    return Position == Table.size() ? std::nullopt
+                                    : std::optional{Table[Position].Value};
+  }
+
+  /** @return Value of the key that was removed, if it was held. */
+  std::optional<std::uint32_t> erase(const Key &Name) noexcept {
+    auto Gap = locate(Name);
+    if (Gap == Table.size())
+      return std::nullopt;
+    const auto Value = Table[Gap].Value;
+    // Moves up each entry of the run that is found from the gap on.
+    for (auto Next = after(Gap); Table[Next].Used; Next = after(Next)) {
+      const auto Mask = Table.size() - 1;
+      const auto Distance = (Next - home(Table[Next].Name)) & Mask;
+      if (Distance >= ((Next - Gap) & Mask)) {
+        Table[Gap] = Table[Next];
+        Gap = Next;
+      }
+    }
+    Table[Gap].Used = false;
+    --Count;
+    return Value;
+  }
+
+  [[nodiscard]] std::size_t size() const noexcept { return Count; }
+
+private:
+  struct entry {
+    Key Name{};
+    std::uint32_t Value{0};
+    bool Used{false};
+  };
+
+  [[nodiscard]] std::size_t home(const Key &Name) const noexcept {
+    return Hash{}(Name) & (Table.size() - 1);
+  }
+  [[nodiscard]] std::size_t after(const std::size_t Position) const noexcept {
+    return (Position + 1) & (Table.size() - 1);
+  }
+  /** Position of a key, or the size of the table. */
+  [[nodiscard]] std::size_t locate(const Key &Name) const noexcept {
+    if (Table.empty())
+      return 0;
+    for (auto Position = home(Name); Table[Position].Used;
+         Position = after(Position)) {
+      if (Table[Position].Name == Name)
+        return Position;
+    }
+    return Table.size();
+  }
+
+  std::vector<entry> Table;
+  std::size_t Count{0};
+};
+
+} // namespace galenalink::schedule
+
+#endif
--- a/src/galenalink/schedule/queue_set.cpp
+++ b/src/galenalink/schedule/queue_set.cpp
@@ -31,7 +31,7 @@
 }
 
 queue_set::queue_set(const limits Limits)
-    : Limits{Limits}, Table(Limits.MaxItems), ById{&Memory} {
+    : Limits{Limits}, Table(Limits.MaxItems) {
   Unused.reserve(Limits.MaxItems);
   for (auto Index = Limits.MaxItems; Index > 0; --Index)
     Unused.push_back(Index - 1);
@@ -126,7 +126,7 @@
                                const duration Cost, const time_point StartBy) {
   GALENALINK_ASSERT(!Unused.empty(), "an item is not inserted when full");
   const auto Index = Unused.back();
-  const bool Added = ById.emplace(Work.Id, Index).second;
+  const bool Added = ById.insert(Work.Id, Index);
   GALENALINK_ASSERT(Added, "an item is held once");
   Unused.pop_back();
   auto &Item = Table[Index];
@@ -232,7 +232,7 @@
 
 queued_item *queue_set::find(const item_id Item) noexcept {
   const auto Found = ById.find(Item);
-  return Found == ById.end() ? nullptr : &Table[Found->second];
+  return Found ? &Table[*Found] : nullptr;
 }
 
 std::uint32_t queue_set::waiting(const work_class Class) const noexcept {
--- a/src/galenalink/schedule/queue_set.hpp
+++ b/src/galenalink/schedule/queue_set.hpp
@@ -1,13 +1,14 @@
 #ifndef GALENALINK_SCHEDULE_QUEUE_SET_HPP
 #define GALENALINK_SCHEDULE_QUEUE_SET_HPP
 
+#include "galenalink/core/hash.hpp"
 #include "galenalink/schedule/fair_queue.hpp"
+#include "galenalink/schedule/flat_index.hpp"
 #include "galenalink/schedule/timer_wheel.hpp"
 #include "galenalink/schedule/types.hpp"
 #include <array>
 #include <boost/intrusive/list.hpp>
 #include <memory>
-#include <memory_resource>
 #include <optional>
 #include <span>
 #include <unordered_map>
@@ -144,6 +145,12 @@
       boost::intrusive::list<queued_item,
                              boost::intrusive::constant_time_size<false>>;
 
+  struct item_hash {
+    [[nodiscard]] std::size_t operator()(const item_id Id) const noexcept {
+      return hashCombine(static_cast<std::uint64_t>(Id), 0);
+    }
+  };
+
   struct flow_record {
     queue_index Queue{};
     std::uint32_t Count{0};
@@ -189,8 +196,7 @@
   timer_wheel Timers;
   std::array<std::uint32_t, 2> Waiting{};
   std::array<duration, 2> Backlog{};
-  std::pmr::unsynchronized_pool_resource Memory;
-  std::pmr::unordered_map<item_id, std::uint32_t> ById;
+  flat_index<item_id, item_hash> ById;
 };
 
 } // namespace galenalink::schedule
--- a/src/galenalink/schedule/slot_table.cpp
+++ b/src/galenalink/schedule/slot_table.cpp
@@ -23,8 +23,6 @@
 
 } // namespace
 
-slot_table::slot_table() : ByAttempt{&Memory} {}
-
 slot_table::vm_record &slot_table::at(const vm_index Vm) {
   GALENALINK_ASSERT(known(Vm), "VM index in use");
   return Vms[raw(Vm)];
@@ -168,7 +166,7 @@
   if (Slot >= SlotsPerVm)
     return std::nullopt;
   const slot_index Taken{raw(Vm) * SlotsPerVm + Slot};
-  if (!ByAttempt.emplace(Attempt, Taken).second)
+  if (!ByAttempt.insert(Attempt, raw(Taken)))
     return std::nullopt;
   const auto Bit = static_cast<mask>(1U << Slot);
   unlink(Record);
@@ -181,11 +179,10 @@
 }
 
 std::optional<slot_index> slot_table::release(const attempt_id Attempt) {
-  const auto Found = ByAttempt.find(Attempt);
-  if (Found == ByAttempt.end())
+  const auto Found = ByAttempt.erase(Attempt);
+  if (!Found)
     return std::nullopt;
-  const auto Slot = Found->second;
-  ByAttempt.erase(Found);
+  const slot_index Slot{*Found};
   auto &Record = at(vmOf(Slot));
   const auto Keep = static_cast<mask>(~(1U << (raw(Slot) % SlotsPerVm)));
   unlink(Record);
@@ -252,7 +249,7 @@
 std::optional<slot_index>
 slot_table::slotOf(const attempt_id Attempt) const noexcept {
   const auto Found = ByAttempt.find(Attempt);
-  return Found == ByAttempt.end() ? std::nullopt : std::optional{Found->second};
+  return Found ? std::optional{slot_index{*Found}} : std::nullopt;
 }
 
 std::uint32_t slot_table::used(const vm_index Vm) const noexcept {
--- a/src/galenalink/schedule/slot_table.hpp
+++ b/src/galenalink/schedule/slot_table.hpp
@@ -2,11 +2,11 @@
 #define GALENALINK_SCHEDULE_SLOT_TABLE_HPP
 
 #include "galenalink/core/hash.hpp"
+#include "galenalink/schedule/flat_index.hpp"
 #include "galenalink/schedule/types.hpp"
 #include <array>
 #include <boost/intrusive/list.hpp>
 #include <deque>
-#include <memory_resource>
 #include <optional>
 #include <span>
 #include <string>
@@ -22,8 +22,7 @@
  * VMs that may receive work are indexed by their number of free slots, apart
  * for VMs that run long work, so a choice looks at no more than 18 lists. A VM
  * that is at the head of its list goes to the back when it receives work.
- * Nothing is allocated when slots are taken and released, once as many
- * attempts were held as there are slots.
+ * Nothing is allocated when slots are taken and released.
  */
 class slot_table {
 public:
@@ -49,8 +48,6 @@
     std::uint32_t Excess{0};
   };
 
-  slot_table();
-
   /**
    * @brief Adds a VM in state `Up`, or brings back one of that name. An epoch
    * lower than the known one changes nothing.
@@ -162,8 +159,7 @@
   std::deque<vm_record> Vms;
   std::vector<vm_index> Unused;
   std::unordered_map<std::string_view, vm_index> ByName;
-  std::pmr::unsynchronized_pool_resource Memory;
-  std::pmr::unordered_map<attempt_id, slot_index, attempt_hash> ByAttempt;
+  flat_index<attempt_id, attempt_hash> ByAttempt;
   /** First index: 1 for VMs that run long work. Second: free slots. */
   std::array<std::array<vm_list, SlotsPerVm + 1>, 2> Index;
   totals Total;
