Skip the timing wheel until something can be due

Each decision advances three wheels and looked through the current bucket of each, although it comes several times in one tick.

The wheel knows a time before which nothing is due and returns at once until then.

--- a/src/galenalink/schedule/timer_wheel.cpp
+++ b/src/galenalink/schedule/timer_wheel.cpp
@@ -6,6 +6,7 @@
 void timer_wheel::add(timer &Timer, const time_point Due) noexcept {
   remove(Timer);
   Timer.Due = Due;
+  NextDue = std::min(NextDue, Due);
   // A deadline in the past goes where the next advance looks first.
   Timer.Bucket =
       static_cast<std::uint32_t>(std::max(tickOf(Due), Tick) % Buckets);
--- a/src/galenalink/schedule/timer_wheel.hpp
+++ b/src/galenalink/schedule/timer_wheel.hpp
@@ -3,6 +3,7 @@
 
 #include "galenalink/core/time.hpp"
 #include "galenalink/schedule/fwd.hpp"
+#include <algorithm>
 #include <array>
 #include <boost/intrusive/list.hpp>
 
@@ -43,11 +44,15 @@
    */
   template <typename Function>
   void advance(const time_point Now, Function &&Fire) {
+    // Most calls end here, before they touch a bucket.
+    if (Now < NextDue)
+      return;
     const auto Last = tickOf(Now);
     if (Last < Tick)
       return;
     const auto First = Last - Tick < Buckets ? Tick : Last - Buckets + 1;
     Tick = Last;
+    NextDue = time_point{(Last + 1) * TickLength};
     for (auto Current = First; Current <= Last; ++Current) {
       // Timers that are not due are kept aside, so that a timer that `Fire`
       // adds to this bucket is visited as well.
@@ -56,10 +61,12 @@
       while (!Bucket.empty()) {
         auto &Timer = Bucket.front();
         Bucket.pop_front();
-        if (Timer.Due <= Now)
+        if (Timer.Due <= Now) {
           Fire(Timer);
-        else
+        } else {
+          NextDue = std::min(NextDue, Timer.Due);
           Kept.push_back(Timer);
+        }
       }
       Bucket.swap(Kept);
     }
@@ -81,8 +88,10 @@
     return Time.time_since_epoch() / TickLength;
   }
 
-  std::array<bucket, Buckets> Wheel;
   std::int64_t Tick{0};
+  /** No timer is due before this. */
+  time_point NextDue{};
+  std::array<bucket, Buckets> Wheel;
 };
 
 } // namespace galenalink::schedule
