Keep what a placement touches on fewer cache lines

With 6,700 VMs the state of the shards does not fit into the second-level cache, and a placement cost what its cache misses cost.

An item takes two lines and a running attempt one, and the record of a VM that a choice reads no longer contains its name and attempts. An item remembers five VMs instead of eight; it fails for good before that, or is refused four times.

--- a/src/galenalink/schedule/queue_set.cpp
+++ b/src/galenalink/schedule/queue_set.cpp
@@ -131,7 +131,6 @@
   Unused.pop_back();
   auto &Item = Table[Index];
   Item.Work = Work;
-  Item.StartBy = StartBy;
   Item.Cost = Cost;
   Item.Flow = Flow;
   Item.Refusals = 0;
@@ -140,11 +139,11 @@
   Item.Began = false;
   Item.Again = false;
   Item.Attempt = {};
-  push(Item);
+  push(Item, StartBy);
   return Item;
 }
 
-void queue_set::push(queued_item &Item) {
+void queue_set::push(queued_item &Item, const time_point StartBy) {
   auto &Record = *Flows[Item.Flow];
   if (Record.Items.empty()) {
     const auto Class = index(Queues[raw(Record.Queue)].Class);
@@ -152,7 +151,7 @@
   }
   Record.Items.push_back(Item);
   Item.Queued = true;
-  Timers.add(Item, Item.StartBy);
+  Timers.add(Item, StartBy);
   count(Item, true);
 }
 
@@ -161,7 +160,7 @@
   Item.Again = true;
   Item.Queued = true;
   Again.push_back(Item);
-  Timers.add(Item, Item.StartBy);
+  Timers.add(Item, Item.startBy());
   count(Item, true);
 }
 
--- a/src/galenalink/schedule/queue_set.hpp
+++ b/src/galenalink/schedule/queue_set.hpp
@@ -16,19 +16,22 @@
 
 namespace galenalink::schedule {
 
-/** @brief An admitted item, queued or running. */
-struct queued_item
+/**
+ * @brief An admitted item, queued or running. Two cache lines: the items of a
+ * large pool do not fit into the cache.
+ */
+struct alignas(64) queued_item
     : timer,
       boost::intrusive::list_base_hook<
           boost::intrusive::link_mode<boost::intrusive::safe_link>> {
   /** VMs on which an item failed or that refused it. */
-  static constexpr std::uint32_t MaxTried = 8;
+  static constexpr std::uint32_t MaxTried = 5;
 
   work_item Work;
-  /** Latest useful start. */
-  time_point StartBy{};
   /** Estimated slot time, as counted in the backlog. */
   duration Cost{};
+  /** Set while running. */
+  attempt_id Attempt{};
   /** Flow, set from the first push on. */
   std::uint32_t Flow{0};
   std::uint8_t Refusals{0};
@@ -41,15 +44,17 @@
   /** Waits in the list of items that are placed again. */
   bool Again{false};
   std::array<vm_index, MaxTried> Tried{};
-  /** Set while running. */
-  attempt_id Attempt{};
 
+  /** @brief Latest useful start. */
+  [[nodiscard]] time_point startBy() const noexcept { return due(); }
   [[nodiscard]] std::span<const vm_index> tried() const noexcept {
     return {Tried.data(), TriedCount};
   }
   void addTried(vm_index Vm, bool Failed) noexcept;
 };
 
+static_assert(sizeof(queued_item) == 128);
+
 /**
  * @brief Bounded queues, one for each queue and team, served by fair share
  * within each work class.
@@ -119,7 +124,7 @@
 
   [[nodiscard]] queued_item *find(item_id Item) noexcept;
 
-  /** @brief Calls `Fire` for each queued item whose `StartBy` passed. */
+  /** @brief Calls `Fire` for each queued item whose latest start passed. */
   template <typename Function>
   void expire(const time_point Now, Function &&Fire) {
     Timers.advance(
@@ -177,7 +182,7 @@
   };
 
   void remove(queued_item &Item);
-  void push(queued_item &Item);
+  void push(queued_item &Item, time_point StartBy);
   void count(const queued_item &Item, bool Add) noexcept;
   [[nodiscard]] queue_record &queue(queue_index Queue);
 
--- a/src/galenalink/schedule/shard_scheduler.cpp
+++ b/src/galenalink/schedule/shard_scheduler.cpp
@@ -250,7 +250,7 @@
     }
     return giveUp(*Item, Vm, verdict::NeverRuns);
   }
-  if (Now >= Item->StartBy || Item->TriedCount == queued_item::MaxTried ||
+  if (Now >= Item->startBy() || Item->TriedCount == queued_item::MaxTried ||
       !Budgets[Record.Service].retry())
     return giveUp(*Item, Vm, verdict::Failed);
   Queues.pushAgain(*Item);
@@ -274,7 +274,7 @@
   hold(Vm);
   Item->addTried(Vm, false);
   ++Item->Refusals;
-  if (Now >= Item->StartBy || Item->Refusals >= Settings.MaxRefusals)
+  if (Now >= Item->startBy() || Item->Refusals >= Settings.MaxRefusals)
     return giveUp(*Item, Vm, Item->Began ? verdict::Failed : verdict::NotRun);
   Queues.pushAgain(*Item);
   return {verdict::Requeued, Item->Work.Id, Vm};
--- a/src/galenalink/schedule/shard_scheduler.hpp
+++ b/src/galenalink/schedule/shard_scheduler.hpp
@@ -102,7 +102,7 @@
     std::uint32_t Member{0};
   };
   /** What holds a slot. */
-  struct running : timer {
+  struct alignas(64) running : timer {
     slot_index Slot{};
     queued_item *Item{nullptr};
     time_point Since{};
--- a/src/galenalink/schedule/slot_table.cpp
+++ b/src/galenalink/schedule/slot_table.cpp
@@ -63,10 +63,11 @@
                          const std::uint64_t Epoch) {
   if (const auto Found = find(Name)) {
     auto &Vm = at(*Found);
-    if (Epoch < Vm.Epoch)
+    auto &Known = Details[raw(*Found)].Epoch;
+    if (Epoch < Known)
       return *Found;
     unlink(Vm);
-    Vm.Epoch = Epoch;
+    Known = Epoch;
     changeState(Vm, vm_state::Up);
     Vm.Removed = false;
     link(Vm);
@@ -75,6 +76,7 @@
   if (Unused.empty()) {
     Unused.push_back(vm_index{limit()});
     Vms.emplace_back();
+    Details.emplace_back();
     ByAttempt.reserve(Vms.size() * SlotsPerVm);
   }
   const auto Chosen = Unused.back();
@@ -82,11 +84,11 @@
   auto &Vm = Vms[raw(Chosen)];
   Vm = vm_record{};
   Vm.Index = Chosen;
-  Vm.Epoch = Epoch;
   Vm.Known = true;
-  Vm.Name = Name;
+  auto &Detail = Details[raw(Chosen)];
+  Detail = {.Epoch = Epoch, .Name = std::string{Name}};
   ++Up;
-  ByName.emplace(Vm.Name, Chosen);
+  ByName.emplace(Detail.Name, Chosen);
   link(Vm);
   return Chosen;
 }
@@ -108,7 +110,7 @@
 void slot_table::forgetIfUnused(vm_record &Vm) {
   if (!Vm.Removed || Vm.Taken != 0)
     return;
-  ByName.erase(Vm.Name);
+  ByName.erase(Details[raw(Vm.Index)].Name);
   Vm.Known = false;
   Unused.push_back(Vm.Index);
 }
@@ -173,7 +175,7 @@
   Record.Taken |= Bit;
   if (Class == work_class::Long)
     Record.Long |= Bit;
-  Record.Attempts[Slot] = Attempt;
+  Details[raw(Vm)].Attempts[Slot] = Attempt;
   link(Record);
   return Taken;
 }
@@ -236,7 +238,7 @@
   const auto &Record = at(vmOf(Slot));
   const auto Position = raw(Slot) % SlotsPerVm;
   return (Record.Adopted & (1U << Position)) != 0
-             ? std::optional{Record.Attempts[Position]}
+             ? std::optional{Details[raw(vmOf(Slot))].Attempts[Position]}
              : std::nullopt;
 }
 
@@ -259,10 +261,12 @@
   return at(Vm).State;
 }
 const std::string &slot_table::name(const vm_index Vm) const noexcept {
-  return at(Vm).Name;
+  GALENALINK_ASSERT(known(Vm), "VM index in use");
+  return Details[raw(Vm)].Name;
 }
 std::uint64_t slot_table::epoch(const vm_index Vm) const noexcept {
-  return at(Vm).Epoch;
+  GALENALINK_ASSERT(known(Vm), "VM index in use");
+  return Details[raw(Vm)].Epoch;
 }
 bool slot_table::known(const vm_index Vm) const noexcept {
   return raw(Vm) < Vms.size() && Vms[raw(Vm)].Known;
--- a/src/galenalink/schedule/slot_table.hpp
+++ b/src/galenalink/schedule/slot_table.hpp
@@ -134,6 +134,9 @@
     bool Held{false};
     bool Known{false};
     bool Removed{false};
+  };
+  /** Kept apart from the fields that a choice of a VM reads. */
+  struct vm_detail {
     std::uint64_t Epoch{0};
     std::array<attempt_id, SlotsPerVm> Attempts{};
     std::string Name;
@@ -157,6 +160,7 @@
   void forgetIfUnused(vm_record &Vm);
 
   std::deque<vm_record> Vms;
+  std::deque<vm_detail> Details;
   std::vector<vm_index> Unused;
   std::unordered_map<std::string_view, vm_index> ByName;
   flat_index<attempt_id, attempt_hash> ByAttempt;
--- a/test/galenalink/schedule/queue_set.cpp
+++ b/test/galenalink/schedule/queue_set.cpp
@@ -154,7 +154,7 @@
       Now += milliseconds{Below(30)};
       std::uint32_t Expired = 0;
       Queues.expire(Now, [&](queued_item &Item) {
-        BOOST_REQUIRE(Item.StartBy <= Now);
+        BOOST_REQUIRE(Item.startBy() <= Now);
         ++Expired;
         Queues.erase(Item);
       });
@@ -207,7 +207,7 @@
           Queues.erase(*Item);
         } else {
           Queues.pushAgain(*Item);
-          Naive.Again.push_back({Item->Work, Item->Cost, Item->StartBy});
+          Naive.Again.push_back({Item->Work, Item->Cost, Item->startBy()});
         }
       } else if (Kind < 95 && LastItem > 0) {
         const item_id Id{1 + Below(LastItem)};
