Show the waits while the peaks fit into the pool

The rows on head-of-line blocking use peaks above the capacity of the pool, where both runs queue. What long work costs below that was not shown.

Two lines for each member give the p99 wait at 0.55 of the load.

No policy that lets long work finish removes this; a smaller share lowers it.

--- a/bench/schedule_policy.cpp
+++ b/bench/schedule_policy.cpp
@@ -91,6 +91,27 @@
                            Share * static_cast<double>(All.size() - 1))];
 }
 
+/**
+ * Waits while the peaks of short work fit into the pool. There is no row for
+ * their ratio: without long work nearly all slots that a peak needs are free,
+ * and each slot that long work takes, which nothing interrupts, is felt.
+ */
+void peaksWithinPool(const workload &Load) {
+  constexpr double Scale = 0.55;
+  constexpr duration Length{std::chrono::hours{1}};
+  double Peak = 0;
+  for (const auto &Queue : Load.Queues)
+    Peak += 5 * Scale * Queue.Load;
+  for (const bool WithLong : {false, true}) {
+    const auto Arrivals = arrivalsOf(Load, Length, WithLong, Scale, 11);
+    const auto Counts = driver{Load.Queues, Load.LongLeast, {}}.run(Arrivals);
+    note(Load.Member + ": p99 wait, peaks at " +
+             std::to_string(Peak).substr(0, 4) + " of the slots, " +
+             (WithLong ? "with" : "without") + " long work, s",
+         shortWait(Counts, Load.Queues.size(), 0.99));
+  }
+}
+
 void headOfLine(const workload &Load) {
   constexpr duration Length{std::chrono::hours{2}};
   const auto Short = Load.Queues.size();
@@ -120,6 +141,7 @@
       SharedWait / AloneWait, "<= 2", SharedWait <= 2 * AloneWait);
   row(Load.Member + ": p99 wait of one FIFO queue / this policy",
       FifoWait / SharedWait, ">= 5", FifoWait >= 5 * SharedWait);
+  peaksWithinPool(Load);
 }
 
 /** Goodput from one time to another as a share of the pool's slots. */
