--- a/src/galenalink/schedule/queue_set.cpp
+++ b/src/galenalink/schedule/queue_set.cpp
@@ -31,7 +31,7 @@
 }
 
 queue_set::queue_set(const limits Limits)
-    : Limits{Limits}, Table(Limits.MaxItems), ById{&Memory} {
+    : Limits{Limits}, Table(Limits.MaxItems) {
   Unused.reserve(Limits.MaxItems);
   for (auto Index = Limits.MaxItems; Index > 0; --Index)
     Unused.push_back(Index - 1);
@@ -126,12 +126,11 @@
                                const duration Cost, const time_point StartBy) {
   GALENALINK_ASSERT(!Unused.empty(), "an item is not inserted when full");
   const auto Index = Unused.back();
-  const bool Added = ById.emplace(Work.Id, Index).second;
+  const bool Added = ById.insert(Work.Id, Index);
   GALENALINK_ASSERT(Added, "an item is held once");
   Unused.pop_back();
   auto &Item = Table[Index];
   Item.Work = Work;
-  Item.StartBy = StartBy;
   Item.Cost = Cost;
   Item.Flow = Flow;
   Item.Refusals = 0;
@@ -140,11 +139,11 @@
   Item.Began = false;
   Item.Again = false;
   Item.Attempt = {};
-  push(Item);
+  push(Item, StartBy);
   return Item;
 }
 
-void queue_set::push(queued_item &Item) {
+void queue_set::push(queued_item &Item, const time_point StartBy) {
   auto &Record = *Flows[Item.Flow];
   if (Record.Items.empty()) {
     const auto Class = index(Queues[raw(Record.Queue)].Class);
@@ -152,7 +151,7 @@
   }
   Record.Items.push_back(Item);
   Item.Queued = true;
-  Timers.add(Item, Item.StartBy);
+  Timers.add(Item, StartBy);
   count(Item, true);
 }
 
@@ -161,7 +160,7 @@
   Item.Again = true;
   Item.Queued = true;
   Again.push_back(Item);
-  Timers.add(Item, Item.StartBy);
+  Timers.add(Item, Item.startBy());
   count(Item, true);
 }
 
@@ -232,7 +231,7 @@
 
 queued_item *queue_set::find(const item_id Item) noexcept {
   const auto Found = ById.find(Item);
-  return Found == ById.end() ? nullptr : &Table[Found->second];
+  return Found ? &Table[*Found] : nullptr;
 }
 
 std::uint32_t queue_set::waiting(const work_class Class) const noexcept {
--- a/src/galenalink/schedule/queue_set.hpp
+++ b/src/galenalink/schedule/queue_set.hpp
@@ -1,13 +1,14 @@
 #ifndef GALENALINK_SCHEDULE_QUEUE_SET_HPP
 #define GALENALINK_SCHEDULE_QUEUE_SET_HPP
 
+#include "galenalink/core/hash.hpp"
 #include "galenalink/schedule/fair_queue.hpp"
+#include "galenalink/schedule/flat_index.hpp"
 #include "galenalink/schedule/timer_wheel.hpp"
 #include "galenalink/schedule/types.hpp"
 #include <array>
 #include <boost/intrusive/list.hpp>
 #include <memory>
-#include <memory_resource>
 #include <optional>
 #include <span>
 #include <unordered_map>
@@ -15,19 +16,22 @@
 
 namespace galenalink::schedule {
 
-/** @brief An admitted item, queued or running. */
-struct queued_item
+/**
+ * @brief An admitted item, queued or running. Two cache lines: the items of a
+ * large pool do not fit into the cache.
+ */
+struct alignas(64) queued_item
     : timer,
       boost::intrusive::list_base_hook<
           boost::intrusive::link_mode<boost::intrusive::safe_link>> {
   /** VMs on which an item failed or that refused it. */
-  static constexpr std::uint32_t MaxTried = 8;
+  static constexpr std::uint32_t MaxTried = 5;
 
   work_item Work;
-  /** Latest useful start. */
-  time_point StartBy{};
   /** Estimated slot time, as counted in the backlog. */
   duration Cost{};
+  /** Set while running. */
+  attempt_id Attempt{};
   /** Flow, set from the first push on. */
   std::uint32_t Flow{0};
   std::uint8_t Refusals{0};
@@ -40,15 +44,17 @@
   /** Waits in the list of items that are placed again. */
   bool Again{false};
   std::array<vm_index, MaxTried> Tried{};
-  /** Set while running. */
-  attempt_id Attempt{};
 
+  /** @brief Latest useful start. */
+  [[nodiscard]] time_point startBy() const noexcept { return due(); }
   [[nodiscard]] std::span<const vm_index> tried() const noexcept {
     return {Tried.data(), TriedCount};
   }
   void addTried(vm_index Vm, bool Failed) noexcept;
 };
 
+static_assert(sizeof(queued_item) == 128);
+
 /**
  * @brief Bounded queues, one for each queue and team, served by fair share
  * within each work class.
@@ -118,7 +124,10 @@
 
   [[nodiscard]] queued_item *find(item_id Item) noexcept;
 
-  /** @brief Calls `Fire` for each queued item whose `StartBy` passed. */
+  /** @brief Starts to load what `find` and `insert` need for an item. */
+  void prefetch(const item_id Item) const noexcept { ById.prefetch(Item); }
+
+  /** @brief Calls `Fire` for each queued item whose latest start passed. */
   template <typename Function>
   void expire(const time_point Now, Function &&Fire) {
     Timers.advance(
@@ -144,6 +153,12 @@
       boost::intrusive::list<queued_item,
                              boost::intrusive::constant_time_size<false>>;
 
+  struct item_hash {
+    [[nodiscard]] std::size_t operator()(const item_id Id) const noexcept {
+      return hashCombine(static_cast<std::uint64_t>(Id), 0);
+    }
+  };
+
   struct flow_record {
     queue_index Queue{};
     std::uint32_t Count{0};
@@ -170,7 +185,7 @@
   };
 
   void remove(queued_item &Item);
-  void push(queued_item &Item);
+  void push(queued_item &Item, time_point StartBy);
   void count(const queued_item &Item, bool Add) noexcept;
   [[nodiscard]] queue_record &queue(queue_index Queue);
 
@@ -189,8 +204,7 @@
   timer_wheel Timers;
   std::array<std::uint32_t, 2> Waiting{};
   std::array<duration, 2> Backlog{};
-  std::pmr::unsynchronized_pool_resource Memory;
-  std::pmr::unordered_map<item_id, std::uint32_t> ById;
+  flat_index<item_id, item_hash> ById;
 };
 
 } // namespace galenalink::schedule
--- a/src/galenalink/schedule/shard_scheduler.cpp
+++ b/src/galenalink/schedule/shard_scheduler.cpp
@@ -116,6 +116,7 @@
 
 std::optional<dispatch> shard_scheduler::next(const attempt_id Attempt,
                                               const time_point Now) {
+  Slots.prefetch(Attempt);
   advance(Now);
   if (Slots.total().Free == 0 && !Health.probeDue())
     return std::nullopt;
@@ -173,10 +174,18 @@
 }
 
 shard_scheduler::running *shard_scheduler::end(const attempt_id Attempt) {
-  const auto Slot = Slots.release(Attempt);
+  const auto Slot = Slots.slotOf(Attempt);
   if (!Slot)
     return nullptr;
+  // In a large pool each of these is a cache miss; they are loaded together.
   auto &Run = Running[raw(*Slot)];
+  __builtin_prefetch(&Run, 1);
+  Health.prefetch(vmOf(*Slot));
+  Slots.release(Attempt);
+  if (Run.Item != nullptr) {
+    __builtin_prefetch(Run.Item, 1);
+    __builtin_prefetch(reinterpret_cast<const std::byte *>(Run.Item) + 64, 1);
+  }
   Overruns.remove(Run);
   Run.Adopted = false;
   return &Run;
@@ -250,7 +259,7 @@
     }
     return giveUp(*Item, Vm, verdict::NeverRuns);
   }
-  if (Now >= Item->StartBy || Item->TriedCount == queued_item::MaxTried ||
+  if (Now >= Item->startBy() || Item->TriedCount == queued_item::MaxTried ||
       !Budgets[Record.Service].retry())
     return giveUp(*Item, Vm, verdict::Failed);
   Queues.pushAgain(*Item);
@@ -274,7 +283,7 @@
   hold(Vm);
   Item->addTried(Vm, false);
   ++Item->Refusals;
-  if (Now >= Item->StartBy || Item->Refusals >= Settings.MaxRefusals)
+  if (Now >= Item->startBy() || Item->Refusals >= Settings.MaxRefusals)
     return giveUp(*Item, Vm, Item->Began ? verdict::Failed : verdict::NotRun);
   Queues.pushAgain(*Item);
   return {verdict::Requeued, Item->Work.Id, Vm};
