Project the queue from the observation to the present

Observed demand is 1 to 3 s old. While a peak begins, the queue grows by the excess over the pool's slots in this time, and the planner asked for too few VMs; at the end of a peak it kept them too long. The queue is now projected by the age of the observation and the slots that serve.

It is now checked against the owner's. The functions of demand are in a file of their own.

--- a/src/galenalink/plan/buffer.cpp
+++ b/src/galenalink/plan/buffer.cpp
@@ -10,11 +10,6 @@
 
 namespace {
 
-[[nodiscard]] std::uint32_t ceilDiv(const std::uint64_t Value,
-                                    const std::uint64_t By) noexcept {
-  return By == 0 ? 0 : static_cast<std::uint32_t>((Value + By - 1) / By);
-}
-
 /** @brief One round of planning; holds the counts as moves are added. */
 class buffer_round {
 public:
@@ -113,11 +108,14 @@
 
 void buffer_round::countDemand() {
   for (pool_index I = 0; I < Count.size(); ++I) {
-    const auto &Demand = Input.Demand[I];
     auto &Pool = Count[I];
     if (Input.Pools[I].Spare)
       continue;
-    Pool.Fresh = Now - Demand.AtMs <= Input.Settings.StaleMs;
+    const auto Age = Now - Input.Demand[I].AtMs;
+    const auto Serving = static_cast<std::uint32_t>(Pool.Vms.size());
+    const auto Demand =
+        projected(Input.Demand[I], Age, Serving * Input.Settings.SlotsPerVm);
+    Pool.Fresh = Age <= Input.Settings.StaleMs;
     Pool.Need = Pool.Fresh ? neededVms(Demand, Input.Settings) : 0;
     Pool.Kept = std::max(Pool.Need, keptVms(Demand, Input.Settings));
   }
@@ -328,25 +326,18 @@
 
 void buffer_round::returnSurplus() {
   for (pool_index I = 0; I < Count.size(); ++I) {
-    if (Input.Pools[I].Spare)
-      continue;
-    while (surplusFor(I, Input.Settings.ReturnAfterMs) &&
-           InMotion[memberOf(I)] < Input.Settings.MaxInMotion) {
-      bool Returned = false;
-      for (const auto Vm : Count[I].Vms) {
-        const auto Spare = sparePool(Input.Vms[Vm].Owner);
-        if (!Moved[Vm] && canGive(Vm) && Spare) {
-          const auto Owner = Input.Vms[Vm].Owner;
-          const auto Best = pick(I, *Spare, [&](const vm_index Candidate) {
-            return canGive(Candidate) && Input.Vms[Candidate].Owner == Owner;
-          });
-          add(*Best, *Spare, move_reason::Return);
-          Returned = true;
-          break;
-        }
-      }
-      if (!Returned)
+    for (const auto Vm : Count[I].Vms) {
+      if (!surplusFor(I, Input.Settings.ReturnAfterMs))
         break;
+      const auto Owner = Input.Vms[Vm].Owner;
+      const auto Spare = sparePool(Owner);
+      if (Moved[Vm] || !canGive(Vm) || !Spare ||
+          InMotion[Owner] >= Input.Settings.MaxInMotion)
+        continue;
+      const auto Best = pick(I, *Spare, [&](const vm_index Candidate) {
+        return canGive(Candidate) && Input.Vms[Candidate].Owner == Owner;
+      });
+      add(*Best, *Spare, move_reason::Return);
     }
   }
 }
@@ -372,25 +363,6 @@
 
 } // namespace
 
-std::uint32_t neededVms(const pool_demand &Demand,
-                        const buffer_settings &Settings) noexcept {
-  const auto Horizon = static_cast<std::uint64_t>(Settings.HorizonMs);
-  const auto Wait =
-      static_cast<std::uint64_t>(Demand.SlackMs) * Settings.WaitPercent / 100;
-  const auto Work = Demand.QueuedSlotMs + Demand.Slots * Horizon;
-  return Work <= Settings.MoveCostSlotMs
-             ? 0
-             : ceilDiv(Work - Settings.MoveCostSlotMs,
-                       Settings.SlotsPerVm * (Horizon + Wait));
-}
-
-std::uint32_t keptVms(const pool_demand &Demand,
-                      const buffer_settings &Settings) noexcept {
-  const auto Horizon = static_cast<std::uint64_t>(Settings.HorizonMs);
-  return ceilDiv(Demand.QueuedSlotMs + Demand.Slots * Horizon,
-                 Settings.SlotsPerVm * Horizon);
-}
-
 buffer_plan planBuffer(const buffer_input &Input, const wall_ms Now) {
   return buffer_round{Input, Now}.run();
 }
--- a/src/galenalink/plan/buffer.hpp
+++ b/src/galenalink/plan/buffer.hpp
@@ -2,23 +2,12 @@
 #define GALENALINK_PLAN_BUFFER_HPP
 
 #include "galenalink/core/enum_names.hpp"
+#include "galenalink/plan/demand.hpp"
 #include "galenalink/plan/view.hpp"
 #include <span>
 
 namespace galenalink::plan {
 
-/** @brief Observed demand of a pool; it lags behind the actual demand. */
-struct pool_demand {
-  /** When it was observed. */
-  wall_ms AtMs{0};
-  /** Slots that arriving work occupies: arrival rate times run time. */
-  std::uint32_t Slots{0};
-  /** Queued work as slots times their run time. */
-  std::uint64_t QueuedSlotMs{0};
-  /** Time that work may wait and still meet its deadline. */
-  wall_ms SlackMs{10'000};
-};
-
 /** @brief VMs that one member may hold of another one at a time. */
 struct lending_quota {
   member_index From{0};
@@ -26,28 +15,6 @@
   std::uint32_t MaxVms{0};
 };
 
-struct buffer_settings {
-  std::uint32_t SlotsPerVm{8};
-  /** Time over which observed demand is assumed to last. */
-  wall_ms HorizonMs{10'000};
-  /** Part of the slack that work may wait before VMs are moved, in percent. */
-  std::uint32_t WaitPercent{50};
-  /** Work that a move must save. */
-  std::uint64_t MoveCostSlotMs{16'000};
-  /** A surplus must last this long before VMs are taken from it. */
-  wall_ms SurplusHoldMs{2'000};
-  /** A VM is not moved again this soon after a move, except by a recall. */
-  wall_ms CoolDownMs{5'000};
-  /** VMs in motion for each member, recalls not counted. */
-  std::uint32_t MaxInMotion{8};
-  /** Older observations neither add nor take VMs. */
-  wall_ms StaleMs{6'000};
-  /** A surplus that lasts this long goes back to the spare pool. */
-  wall_ms ReturnAfterMs{120'000};
-  /** Time within which a recalled VM must be back with its owner. */
-  wall_ms RecallWithinMs{30'000};
-};
-
 /** @brief What the planner remembers between two rounds. */
 struct buffer_state {
   /** For each pool, since when it has a surplus. */
@@ -90,21 +57,6 @@
   std::vector<std::uint32_t> Unmet;
 };
 
-/**
- * @brief VMs that a pool needs so that its work starts in time.
- *
- * With `n` VMs, work that arrives over the horizon and the queue exceed what
- * is served over the horizon and the permitted wait by
- * `Queue + Slots * H - SlotsPerVm * n * (H + W)`. The result is the smallest
- * `n` for which this is not more than the cost of a move.
- */
-[[nodiscard]] std::uint32_t neededVms(const pool_demand &Demand,
-                                      const buffer_settings &Settings) noexcept;
-
-/** @brief VMs that serve the demand and the queue with no use of the slack. */
-[[nodiscard]] std::uint32_t keptVms(const pool_demand &Demand,
-                                    const buffer_settings &Settings) noexcept;
-
 /**
  * @brief Decides which VMs to move.
  *
