Let 12 VMs of a member move at a time

A peak of 160 slots needs 8 to 10 VMs at once in a pool that has VMs in maintenance. With a cap of 8 the last ones started a round later, when the queue had grown by another second.

--- a/src/galenalink/plan/demand.hpp
+++ b/src/galenalink/plan/demand.hpp
@@ -31,7 +31,7 @@
   /** A VM is not moved again this soon after a move, except by a recall. */
   wall_ms CoolDownMs{5'000};
   /** VMs in motion for each member, recalls not counted. */
-  std::uint32_t MaxInMotion{8};
+  std::uint32_t MaxInMotion{12};
   /** Older observations neither add nor take VMs. */
   wall_ms StaleMs{6'000};
   /** A surplus that lasts this long goes back to the spare pool. */
