Take VMs from a surplus after one second

After a peak the next pool needs the VMs at once. With lagging demand the hold of 2 s came on top of 3 s, so that VMs of the last peak arrived when the queue of the next one had used up its slack. The gap between the VMs kept and the VMs needed is the larger part of the hysteresis and stays as it is.

--- a/src/galenalink/plan/demand.hpp
+++ b/src/galenalink/plan/demand.hpp
@@ -27,7 +27,7 @@
   /** Work that a move must save. */
   std::uint64_t MoveCostSlotMs{16'000};
   /** A surplus must last this long before VMs are taken from it. */
-  wall_ms SurplusHoldMs{2'000};
+  wall_ms SurplusHoldMs{1'000};
   /** A VM is not moved again this soon after a move, except by a recall. */
   wall_ms CoolDownMs{5'000};
   /** VMs in motion for each member, recalls not counted. */
