Pace a wave so that all pools of a member are ready together

All misses came from the time of the roll-out. A pool with room 3 had 3 of 10 VMs out at once, although a pool with room 1 made the roll-out last two to three times as long anyway. A pool now has only as many VMs out as it needs to be ready together with the slowest pool of its member; VMs past their period are not held back.

--- a/src/galenalink/plan/maintenance.cpp
+++ b/src/galenalink/plan/maintenance.cpp
@@ -112,12 +112,53 @@
   /** Borrowed VMs that are past their period. */
   std::vector<vm_index> Overdue;
   bool BorrowedOut{false};
+
+  /** @brief VMs that wait for maintenance or are in it. */
+  [[nodiscard]] std::uint32_t todo() const noexcept {
+    return static_cast<std::uint32_t>(Due.size() + Out.size());
+  }
   std::vector<vm_index> Out;
   std::vector<vm_index> Failed;
 };
 
+/** @brief Rounds that the slowest pool of each member still needs. */
+[[nodiscard]] std::map<member_index, std::uint32_t>
+remainingRounds(const std::span<const pool_view> Pools,
+                const std::vector<pool_vms> &Members,
+                const std::vector<headroom> &Heads) {
+  std::map<member_index, std::uint32_t> Rounds;
+  for (std::size_t I = 0; I < Pools.size(); ++I) {
+    auto Full = Heads[I];
+    Full.Room = Full.FullRoom;
+    const auto Room = roomAtHomeSize(Pools[I], Full);
+    auto &Slowest = Rounds[Pools[I].Member];
+    if (Room > 0 && Pools[I].MinUp > 0)
+      Slowest = std::max(Slowest, (Members[I].todo() + Room - 1) / Room);
+  }
+  return Rounds;
+}
+
+/**
+ * @brief VMs that a pool may have out at a time so that it is ready together
+ * with the slowest pool of its member. Being ready earlier does not shorten
+ * the roll-out and takes more VMs from work at once. VMs past their period are
+ * not held back.
+ */
+[[nodiscard]] std::uint32_t pace(const std::span<const vm_view> Vms,
+                                 const pool_view &Pool, const pool_vms &Members,
+                                 const std::uint32_t Rounds,
+                                 const wall_ms Now) {
+  const bool Late = std::ranges::any_of(Members.Due, [&](const vm_index Vm) {
+    return Vms[Vm].MaintainedMs + Pool.PeriodMs <= Now;
+  });
+  if (Late || Rounds == 0)
+    return std::numeric_limits<std::uint32_t>::max();
+  return (Members.todo() + Rounds - 1) / Rounds;
+}
+
 void planPool(const std::span<const vm_view> Vms, const pool_view &Pool,
-              const pool_vms &Members, const headroom &Head, const wall_ms Now,
+              const pool_vms &Members, const headroom &Head,
+              const std::uint32_t Rounds, const wall_ms Now,
               maintenance_plan &Plan, pool_wave &Wave) {
   Wave.Due = static_cast<std::uint32_t>(Members.Due.size());
   Wave.WaveSinceMs = Pool.WaveSinceMs;
@@ -148,8 +189,10 @@
   std::ranges::for_each(Members.Out, [&](vm_index Vm) { Order.addOut(Vm); });
   std::ranges::for_each(Members.Due, [&](vm_index Vm) { Order.add(Vm); });
   const auto &Sorted = Order.sorted();
-  const auto Count =
-      std::min<std::size_t>(roomAtHomeSize(Pool, Head), Sorted.size());
+  const auto Pace = pace(Vms, Pool, Members, Rounds, Now);
+  const auto Out = static_cast<std::uint32_t>(Members.Out.size());
+  const auto Count = std::min<std::size_t>(
+      {roomAtHomeSize(Pool, Head), Sorted.size(), Pace > Out ? Pace - Out : 0});
   for (std::size_t I = 0; I < Count; ++I)
     Plan.Permits.push_back({Sorted[I], Vms[Sorted[I]].Epoch});
   // A borrowed VM is in no budget and therefore needs no room.
@@ -159,7 +202,7 @@
     Plan.Permits.push_back({Vm, Vms[Vm].Epoch});
   }
   if (Plan.Permits.size() == Before) {
-    Wave.Status = wave_status::NoRoom;
+    Wave.Status = Pace <= Out ? wave_status::Paced : wave_status::NoRoom;
     return;
   }
   Wave.Status = wave_status::Permitted;
@@ -195,8 +238,10 @@
       Plan.Stuck.push_back(I);
   }
   const auto Heads = headrooms(Vms, Pools);
+  const auto Rounds = remainingRounds(Pools, Members, Heads);
   for (pool_index I = 0; I < Pools.size(); ++I)
-    planPool(Vms, Pools[I], Members[I], Heads[I], Now, Plan, Plan.Pools[I]);
+    planPool(Vms, Pools[I], Members[I], Heads[I], Rounds.at(Pools[I].Member),
+             Now, Plan, Plan.Pools[I]);
   return Plan;
 }
 
--- a/src/galenalink/plan/maintenance.hpp
+++ b/src/galenalink/plan/maintenance.hpp
@@ -19,14 +19,17 @@
   Permitted,
   OutsideWindow,
   FailureInWave,
+  /** As many VMs are out as the slowest pool of the member allows. */
+  Paced,
   NoRoom,
 };
 
-inline constexpr enum_names<wave_status, 5> WaveStatusNames{{
+inline constexpr enum_names<wave_status, 6> WaveStatusNames{{
     {wave_status::NothingDue, "nothing-due"},
     {wave_status::Permitted, "permitted"},
     {wave_status::OutsideWindow, "outside-window"},
     {wave_status::FailureInWave, "failure-in-wave"},
+    {wave_status::Paced, "paced"},
     {wave_status::NoRoom, "no-room"},
 }};
 
@@ -53,7 +56,8 @@
 /**
  * @brief Decides which VMs get a maintenance permit now.
  *
- * Permits never exceed a pool's headroom at its home size. A wave finishes one
+ * Permits never exceed a pool's headroom at its home size, nor what it needs to
+ * be ready together with the slowest pool of its member. A wave finishes one
  * place and one rack before the next where headroom allows; places and racks
  * are taken in the order of their most overdue VM, and VMs past their period go
  * first, so no VM waits longer than one wave. VMs with long work come last
