Check maintenance over four periods in bench_plan_policy

A permit that starves shows only over whole periods. The run covers 200 days with a nightly window, long work, VM failures, a lost rack each week and stuck VMs.

--- /dev/null
+++ b/bench/plan_periods.hpp
@@ -0,0 +1,115 @@
+#ifndef GALENALINK_BENCH_PLAN_PERIODS_HPP
+#define GALENALINK_BENCH_PLAN_PERIODS_HPP
+
+#include "galenalink/plan/headroom.hpp"
+#include "galenalink/plan/maintenance.hpp"
+#include <algorithm>
+#include <random>
+
+namespace galenalink::bench {
+
+/** @brief Result of maintenance over several periods. */
+struct period_figures {
+  std::uint32_t Maintained{0};
+  /** VMs maintained after their period, though neither stuck nor failed. */
+  std::uint32_t Late{0};
+  std::uint32_t Stuck{0};
+  wall_ms LongestMs{0};
+  wall_ms BreachMs{0};
+};
+
+/**
+ * @brief Runs maintenance alone for 200 days: 5 pools of 10 VMs, a window from
+ * 22 to 6 o'clock, 1% of the VMs fail each day for an hour, a rack is lost for
+ * an hour each week, and one reboot in 50 is stuck until an operator repairs
+ * the VM a day later. VMs run long work for up to 6 hours at any time.
+ */
+inline period_figures runPeriods(const std::uint64_t Seed) {
+  constexpr wall_ms Minute = 60'000;
+  constexpr wall_ms Hour = 60 * Minute;
+  constexpr wall_ms Day = 24 * Hour;
+  constexpr wall_ms StepMs = 10 * Minute;
+  constexpr std::uint32_t Count = 50;
+  std::mt19937_64 Random{Seed};
+  std::vector<plan::pool_view> Pools(5);
+  for (auto &Pool : Pools) {
+    Pool.MinUp = 6;
+    Pool.HomeVms = 10;
+    Pool.PeriodMs = 49 * Day;
+    Pool.LeadMs = 7 * Day;
+    Pool.Windows = {{22, 6}};
+  }
+  std::vector<plan::vm_view> Vms(Count);
+  std::vector<wall_ms> EndMs(Count);
+  std::vector<wall_ms> FailedUntilMs(Count);
+  std::vector<bool> Disturbed(Count);
+  for (std::uint32_t I = 0; I < Count; ++I) {
+    Vms[I].Pool = I % 5;
+    Vms[I].Rack = I / 4;
+    Vms[I].Place = Vms[I].Rack % 4;
+    // The age of the fleet is mixed, but no VM is due before the start.
+    Vms[I].MaintainedMs = -static_cast<wall_ms>(Random() % (42 * Day));
+  }
+  period_figures Figures;
+  using maintenance = plan::maintenance;
+  for (wall_ms Now = 0; Now < 200 * Day; Now += StepMs) {
+    const auto LostRack = Now % (7 * Day) == 23 * Hour ? Random() % 13 : 13;
+    for (std::uint32_t I = 0; I < Count; ++I) {
+      auto &Vm = Vms[I];
+      if (Random() % (100 * Day / StepMs) == 0 || Vm.Rack == LostRack) {
+        FailedUntilMs[I] = Now + Hour;
+        Disturbed[I] = true;
+      }
+      const bool Down = Now < FailedUntilMs[I];
+      if (Down != (Vm.State == plan::vm_state::Down)) {
+        Vm.State = Down ? plan::vm_state::Down : plan::vm_state::Up;
+        Vm.StateSinceMs = Now;
+      }
+      if (Vm.HoldUntilMs <= Now)
+        Vm.HoldUntilMs = Random() % 200 == 0 ? Now + 6 * Hour : 0;
+      if (Vm.Maintenance == maintenance::Permitted && Vm.HoldUntilMs == 0) {
+        Vm.Maintenance = maintenance::Rebooting;
+        EndMs[I] = Now + StepMs;
+      } else if (Vm.Maintenance == maintenance::Rebooting && EndMs[I] <= Now &&
+                 Random() % 50 == 0) {
+        Vm.Maintenance = maintenance::Stuck;
+        EndMs[I] = Now + Day;
+        Disturbed[I] = true;
+        ++Figures.Stuck;
+      } else if (Vm.Maintenance != maintenance::None && EndMs[I] <= Now &&
+                 Vm.Maintenance != maintenance::Permitted) {
+        const auto Age = Now - Vm.MaintainedMs;
+        ++Figures.Maintained;
+        Figures.LongestMs = std::max(Figures.LongestMs, Age);
+        Figures.Late += Age > 49 * Day && !Disturbed[I] ? 1 : 0;
+        Vm.Maintenance = maintenance::None;
+        Vm.MaintainedMs = Now;
+        Disturbed[I] = false;
+      }
+    }
+    for (std::uint32_t I = 0; I < Count; ++I)
+      Figures.Late += Now - Vms[I].MaintainedMs == 49 * Day + StepMs &&
+                              !Disturbed[I] &&
+                              Vms[I].Maintenance == maintenance::None
+                          ? 1
+                          : 0;
+    const auto Plan = plan::planMaintenance(Vms, Pools, Now);
+    for (std::size_t I = 0; I < Pools.size(); ++I)
+      Pools[I].WaveSinceMs = Plan.Pools[I].WaveSinceMs;
+    for (const auto &Permit : Plan.Permits)
+      Vms[Permit.Vm].Maintenance = maintenance::Permitted;
+    const auto Heads = plan::headrooms(Vms, Pools);
+    std::array<std::uint32_t, 5> Planned{};
+    for (const auto &Vm : Vms)
+      Planned.at(Vm.Pool) += Vm.State == plan::vm_state::Up && !Vm.isUp();
+    for (std::size_t I = 0; I < Pools.size(); ++I) {
+      if (Heads[I].Up < Pools[I].MinUp && Planned.at(I) > 0)
+        Figures.BreachMs += StepMs;
+    }
+  }
+  return Figures;
+}
+
+} // namespace galenalink::bench
+
+#endif
--- a/bench/plan_policy.cpp
+++ b/bench/plan_policy.cpp
@@ -2,6 +2,7 @@
 // pool and against following demand, on virtual time. Rows end in PASS or
 // FAIL; the exit status is 1 if any row failed.
 #include "plan_driver.hpp"
+#include "plan_periods.hpp"
 #include <cstdio>
 #include <string>
 
@@ -161,6 +162,19 @@
                       Moves <= 0.5));
 }
 
+/** @brief Maintenance over four periods of 49 days. */
+void checkPeriods(const std::uint64_t Seed) {
+  const auto Run = runPeriods(Seed);
+  std::printf(
+      "200 days, seed %llu: %u maintained, longest interval %.1f days, "
+      "%u stuck, breach %lld ms; late without own fault: %u (target "
+      "0)  %s\n",
+      static_cast<unsigned long long>(Seed), Run.Maintained,
+      static_cast<double>(Run.LongestMs) / 86.4e6, Run.Stuck,
+      static_cast<long long>(Run.BreachMs), Run.Late,
+      verdict(Run.Late == 0 && Run.BreachMs == 0 && Run.Maintained > 0));
+}
+
 /** @brief Trade-off over the spares owned and the wait that is used up. */
 void printTable() {
   const workload Load{Seeds[0]};
@@ -202,6 +216,10 @@
     for (const auto Seed : Seeds)
       compare(Faults, Seed);
   }
+  for (const auto Seed : Seeds) {
+    if (Only.empty() || Only == "periods")
+      checkPeriods(Seed);
+  }
   if (Only.empty() || Only == "table")
     printTable();
   return Failed ? 1 : 0;
