--- a/src/galenalink/fleet/append_window.hpp
+++ b/src/galenalink/fleet/append_window.hpp
@@ -3,9 +3,9 @@
 
 #include "galenalink/core/fwd.hpp"
 #include "galenalink/fleet/applied.hpp"
-#include <deque>
+#include "galenalink/fleet/flat_index.hpp"
 #include <optional>
-#include <unordered_map>
+#include <vector>
 
 namespace galenalink::fleet {
 
@@ -18,7 +18,10 @@
   [[nodiscard]] bool operator==(const append_result &) const = default;
 };
 
-/** @brief Results of the newest appends by their id. */
+/**
+ * @brief Results of the newest appends by their id. Every record of the log
+ * passes here; a full window works without allocation.
+ */
 class append_window {
 public:
   /**
@@ -29,30 +32,37 @@
 
   [[nodiscard]] std::optional<append_result>
   find(const std::uint64_t Id) const {
-    const auto Found = ById.find(Id);
-    if (Found == ById.end())
+    const auto Position = Index.find(
+        Id, [&](const std::uint32_t Each) { return Ring[Each].Id == Id; });
+    if (!Position)
       return std::nullopt;
-    return Found->second;
+    return Ring[*Position];
   }
 
+  /** @brief Adds a result; the id must not be in the window. */
   void add(const append_result &Result) {
-    if (Order.size() == Capacity) {
-      ById.erase(Order.front());
-      Order.pop_front();
+    auto Position = static_cast<std::uint32_t>(Ring.size());
+    if (Ring.size() < Capacity) {
+      Ring.push_back(Result);
+    } else {
+      Position = Oldest;
+      Index.erase(Ring[Position].Id, Position);
+      Ring[Position] = Result;
+      Oldest = (Oldest + 1) % Capacity;
     }
-    if (ById.emplace(Result.Id, Result).second)
-      Order.push_back(Result.Id);
+    Index.insert(Result.Id, Position);
   }
 
   /** @brief Visits the results, oldest first. */
   template <typename Visitor> void forEach(const Visitor &Visit) const {
-    for (const auto Id : Order)
-      Visit(ById.at(Id));
+    for (std::size_t Step = 0; Step < Ring.size(); ++Step)
+      Visit(Ring[(Oldest + Step) % Ring.size()]);
   }
 
 private:
-  std::unordered_map<std::uint64_t, append_result> ById;
-  std::deque<std::uint64_t> Order;
+  std::vector<append_result> Ring;
+  std::uint32_t Oldest{0};
+  detail::flat_index Index;
 };
 
 } // namespace galenalink::fleet
--- a/src/galenalink/fleet/apply_vm.cpp
+++ b/src/galenalink/fleet/apply_vm.cpp
@@ -14,7 +14,7 @@
   // A VM that does not count as up costs the budget nothing.
   if (!Vm.usable())
     return rejection::None;
-  const auto Reserve = Pool.largestRackWithout(rackKey(Vm));
+  const auto Reserve = Pool.largestRackWithout(Vm.RackNumber);
   return Pool.Counts.Usable - 1 >= Pool.Budget + Reserve ? rejection::None
                                                          : rejection::Budget;
 }
@@ -31,7 +31,8 @@
     return rejection::WrongState;
   if (Vm.usable() && From.Counts.Usable <= From.Budget)
     return rejection::Budget;
-  if (Target.Member != Vm.Member && Target.Member != From.Member) {
+  if (Target.MemberHash != Vm.MemberHash &&
+      Target.MemberHash != From.MemberHash) {
     const auto &Lending = State.Config.Lending;
     const auto Quota = Lending.find({Vm.Member, Target.Member});
     if (Quota == Lending.end() ||
--- a/src/galenalink/fleet/pool.cpp
+++ b/src/galenalink/fleet/pool.cpp
@@ -1,6 +1,4 @@
 #include "galenalink/fleet/pool.hpp"
-#include "galenalink/core/assert.hpp"
-#include "galenalink/fleet/vm.hpp"
 #include <algorithm>
 
 namespace galenalink::fleet {
@@ -16,37 +14,31 @@
     Budget = std::max(Budget, Needed);
 }
 
-void pool::addRack(const std::string &Rack) {
-  const auto Size = ++RackUsable[Rack];
+void pool::addRack(const std::uint32_t Rack) {
+  if (RackUsable.size() <= Rack)
+    RackUsable.resize(Rack + 1);
+  const std::uint32_t Size = ++RackUsable[Rack];
   if (RacksBySize.size() <= Size)
     RacksBySize.resize(Size + 1);
-  if (Size > 1)
-    --RacksBySize[Size - 1];
+  --RacksBySize[Size - 1];
   ++RacksBySize[Size];
   Counts.LargestRack = std::max(Counts.LargestRack, Size);
 }
 
-void pool::removeRack(const std::string &Rack) {
-  const auto Found = RackUsable.find(Rack);
-  GALENALINK_ASSERT(Found != RackUsable.end(), "a usable VM has its rack");
-  const auto Size = Found->second--;
+void pool::removeRack(const std::uint32_t Rack) noexcept {
+  const std::uint32_t Size = RackUsable[Rack]--;
   --RacksBySize[Size];
-  if (Size > 1)
-    ++RacksBySize[Size - 1];
-  else
-    RackUsable.erase(Found);
+  ++RacksBySize[Size - 1];
   if (Counts.LargestRack == Size && RacksBySize[Size] == 0)
     --Counts.LargestRack;
 }
 
-std::uint32_t pool::largestRackWithout(const std::string &Rack) const noexcept {
-  const auto Found = RackUsable.find(Rack);
-  const bool Only = Found != RackUsable.end() &&
-                    Found->second == Counts.LargestRack &&
+std::uint32_t
+pool::largestRackWithout(const std::uint32_t Rack) const noexcept {
+  const bool Only = Rack < RackUsable.size() && Counts.LargestRack > 0 &&
+                    RackUsable[Rack] == Counts.LargestRack &&
                     RacksBySize[Counts.LargestRack] == 1;
   return Only ? Counts.LargestRack - 1 : Counts.LargestRack;
 }
 
-std::string rackKey(const vm &Vm) { return Vm.Place + '/' + Vm.Rack; }
-
 } // namespace galenalink::fleet
--- a/src/galenalink/fleet/pool.hpp
+++ b/src/galenalink/fleet/pool.hpp
@@ -4,7 +4,6 @@
 #include "galenalink/fleet/fwd.hpp"
 #include <map>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace galenalink::fleet {
@@ -31,6 +30,8 @@
 struct pool {
   std::string Name;
   std::string Member;
+  /** Hash of Member; set by the table. */
+  std::uint64_t MemberHash{0};
   /** Fixed for the life of the name. */
   std::uint32_t Shards{1};
   std::uint32_t MinUp{0};
@@ -44,25 +45,22 @@
   pool_counts Counts;
   /** VMs by shard. */
   std::vector<std::uint32_t> ShardVms;
-  /** Usable VMs by "place/rack". */
-  std::unordered_map<std::string, std::uint32_t> RackUsable;
-  /** Number of racks by their usable VMs. */
+  /** Usable VMs by the number of their rack; narrow, to stay in cache. */
+  std::vector<std::uint16_t> RackUsable;
+  /** Number of racks by their usable VMs; the entry for none wraps. */
   std::vector<std::uint32_t> RacksBySize;
 
   [[nodiscard]] bool configured() const noexcept { return !Document.empty(); }
   /** @brief Shard with the fewest VMs, the first of equals. */
   [[nodiscard]] std::uint32_t emptiestShard() const noexcept;
   void updateBudget() noexcept;
-  void addRack(const std::string &Rack);
-  void removeRack(const std::string &Rack);
+  void addRack(std::uint32_t Rack);
+  void removeRack(std::uint32_t Rack) noexcept;
   /** @brief Usable VMs of the largest rack once one of this rack is gone. */
   [[nodiscard]] std::uint32_t
-  largestRackWithout(const std::string &Rack) const noexcept;
+  largestRackWithout(std::uint32_t Rack) const noexcept;
 };
 
-/** @brief Key of a VM's rack in pool::RackUsable. */
-[[nodiscard]] std::string rackKey(const vm &Vm);
-
 } // namespace galenalink::fleet
 
 #endif
--- a/src/galenalink/fleet/vm.hpp
+++ b/src/galenalink/fleet/vm.hpp
@@ -37,13 +37,12 @@
     {vm_maintenance::Stuck, "stuck"},
 }};
 
-struct vm {
+/**
+ * @brief A VM. Its first two cache lines serve most records, and processors
+ * fetch such a pair at once if it is aligned.
+ */
+struct alignas(128) vm {
   std::string Name;
-  /** Owner; the pool may belong to another member. */
-  std::string Member;
-  std::string Place;
-  std::string Rack;
-  std::string Address;
   pool_index Pool{0};
   std::uint32_t Shard{0};
   /**
@@ -54,25 +53,34 @@
   vm_condition Condition{vm_condition::Unknown};
   vm_motion Motion{vm_motion::None};
   vm_maintenance Maintenance{vm_maintenance::None};
+  /** Failed while a wave ran in its pool and is not back yet. */
+  bool FailedInWave{false};
   /** Pool that receives the VM; valid while it is in motion. */
   pool_index ToPool{0};
-  /** Reason of the move in progress. */
-  std::string MoveReason;
-  log_offset AddedAt{0};
+  /** Number of the rack in the table; set by the table. */
+  std::uint32_t RackNumber{0};
+  /** Hash of Member; set by the table. */
+  std::uint64_t MemberHash{0};
+  /** Identifier of the reboot of the present or last maintenance. */
+  std::uint64_t Action{0};
   /** Offset of the newest release or drained record of the present move. */
   log_offset MotionAt{0};
   /** Offset of the newest permit, reboot or stuck record. */
   log_offset MaintenanceAt{0};
-  /** Identifier of the reboot of the present or last maintenance. */
-  std::uint64_t Action{0};
+  log_offset AddedAt{0};
   /** Log time of the last finished maintenance, or of vm_add. */
   wall_ms MaintainedAt{0};
   /** Log time of the last change of condition. */
   wall_ms ConditionSince{0};
   /** Log time of the last take, or of vm_add. */
   wall_ms OwnedSince{0};
-  /** Failed while a wave ran in its pool and is not back yet. */
-  bool FailedInWave{false};
+  /** Owner; the pool may belong to another member. */
+  std::string Member;
+  /** Reason of the move in progress. */
+  std::string MoveReason;
+  std::string Place;
+  std::string Rack;
+  std::string Address;
 
   /** @brief Whether the VM counts as up for the budget of its pool. */
   [[nodiscard]] bool usable() const noexcept {
--- a/src/galenalink/fleet/vm_table.cpp
+++ b/src/galenalink/fleet/vm_table.cpp
@@ -5,38 +5,29 @@
 
 namespace {
 
-[[nodiscard]] std::optional<std::uint32_t>
-lookUp(const detail::name_index &Index, const std::string_view Name) {
-  const auto Found = Index.find(Name);
-  if (Found == Index.end())
-    return std::nullopt;
-  return Found->second;
-}
-
-[[nodiscard]] std::string pairKey(const std::string &Owner,
-                                  const std::string &Borrower) {
-  return Owner + '\n' + Borrower;
+[[nodiscard]] std::string rackKey(const vm &Vm) {
+  return Vm.Place + '/' + Vm.Rack;
 }
 
 } // namespace
 
-std::size_t
-detail::name_hash::operator()(const std::string_view Name) const noexcept {
-  return hash64(Name);
-}
-
 std::optional<vm_index> vm_table::findVm(const std::string_view Name) const {
-  return lookUp(VmByName, Name);
+  return VmByName.find(hash64(Name), [&](const vm_index Index) {
+    return Vms[Index].Name == Name;
+  });
 }
 
 std::optional<pool_index>
 vm_table::findPool(const std::string_view Name) const {
-  return lookUp(PoolByName, Name);
+  return PoolByName.find(hash64(Name), [&](const pool_index Index) {
+    return Pools[Index].Name == Name;
+  });
 }
 
 std::uint32_t vm_table::lent(const std::string &Owner,
                              const std::string &Borrower) const {
-  const auto Found = LentByPair.find(pairKey(Owner, Borrower));
+  const auto Found =
+      LentByPair.find(hashCombine(hash64(Owner), hash64(Borrower)));
   return Found == LentByPair.end() ? 0 : Found->second;
 }
 
@@ -48,31 +39,32 @@
     Index = Free.back();
     Free.pop_back();
   }
-  VmByName.emplace(Vm.Name, Index);
   Vms[Index] = std::move(Vm);
-  count(Vms[Index], true);
+  enter(Index);
   return Index;
 }
 
 void vm_table::remove(const vm_index Index) {
   count(Vms.at(Index), false);
-  VmByName.erase(Vms[Index].Name);
+  releaseRack(Vms[Index]);
+  VmByName.erase(hash64(Vms[Index].Name), Index);
   Vms[Index] = {};
   Free.push_back(Index);
 }
 
 pool_index vm_table::addPool(const std::string &Name, const std::string &Member,
                              const std::uint32_t Shards) {
-  const auto [Entry, Added] =
-      PoolByName.emplace(Name, static_cast<pool_index>(Pools.size()));
-  if (Added) {
-    pool &Pool = Pools.emplace_back();
-    Pool.Name = Name;
-    Pool.Member = Member;
-    Pool.Shards = Shards;
-    Pool.ShardVms.resize(Shards);
-  }
-  return Entry->second;
+  if (const auto Known = findPool(Name))
+    return *Known;
+  const auto Index = static_cast<pool_index>(Pools.size());
+  PoolByName.insert(hash64(Name), Index);
+  pool &Pool = Pools.emplace_back();
+  Pool.Name = Name;
+  Pool.Member = Member;
+  Pool.MemberHash = hash64(Member);
+  Pool.Shards = Shards;
+  Pool.ShardVms.resize(Shards);
+  return Index;
 }
 
 void vm_table::restore(std::vector<pool> SavedPools, std::vector<vm> SavedSlots,
@@ -81,7 +73,8 @@
   Pools = std::move(SavedPools);
   for (pool_index Index = 0; Index < Pools.size(); ++Index) {
     pool &Pool = Pools[Index];
-    PoolByName.emplace(Pool.Name, Index);
+    PoolByName.insert(hash64(Pool.Name), Index);
+    Pool.MemberHash = hash64(Pool.Member);
     Pool.Counts = {};
     Pool.ShardVms.assign(Pool.Shards, 0);
     Pool.RackUsable.clear();
@@ -91,13 +84,39 @@
   Vms = std::move(SavedSlots);
   Free = std::move(SavedFree);
   for (vm_index Index = 0; Index < Vms.size(); ++Index) {
-    if (!used(Index))
-      continue;
-    VmByName.emplace(Vms[Index].Name, Index);
-    count(Vms[Index], true);
+    if (used(Index))
+      enter(Index);
   }
 }
 
+void vm_table::enter(const vm_index Index) {
+  vm &Vm = Vms[Index];
+  VmByName.insert(hash64(Vm.Name), Index);
+  Vm.RackNumber = holdRack(Vm);
+  Vm.MemberHash = hash64(Vm.Member);
+  count(Vm, true);
+}
+
+std::uint32_t vm_table::holdRack(const vm &Vm) {
+  const auto Next = FreeRacks.empty()
+                        ? static_cast<std::uint32_t>(RackVms.size())
+                        : FreeRacks.back();
+  const auto [Entry, New] = RackByName.emplace(rackKey(Vm), Next);
+  if (New && FreeRacks.empty())
+    RackVms.push_back(0);
+  else if (New)
+    FreeRacks.pop_back();
+  ++RackVms[Entry->second];
+  return Entry->second;
+}
+
+void vm_table::releaseRack(const vm &Vm) {
+  if (--RackVms[Vm.RackNumber] > 0)
+    return;
+  RackByName.erase(rackKey(Vm));
+  FreeRacks.push_back(Vm.RackNumber);
+}
+
 void vm_table::count(const vm &Vm, const bool Add) {
   const auto Step = [Add](std::uint32_t &Counter, const bool Applies) {
     if (Applies)
@@ -115,12 +134,12 @@
   Step(Pool.Counts.FailedInWave, Vm.FailedInWave);
   if (Vm.usable()) {
     Step(Pool.Counts.Usable, true);
-    Add ? Pool.addRack(rackKey(Vm)) : Pool.removeRack(rackKey(Vm));
+    Add ? Pool.addRack(Vm.RackNumber) : Pool.removeRack(Vm.RackNumber);
   }
   pool &Target = Moving ? Pools.at(Vm.ToPool) : Pool;
   Step(Target.Counts.Incoming, Moving);
-  if (Target.Member != Vm.Member)
-    Step(LentByPair[pairKey(Vm.Member, Target.Member)], true);
+  if (Target.MemberHash != Vm.MemberHash)
+    Step(LentByPair[hashCombine(Vm.MemberHash, Target.MemberHash)], true);
 }
 
 } // namespace galenalink::fleet
--- a/src/galenalink/fleet/vm_table.hpp
+++ b/src/galenalink/fleet/vm_table.hpp
@@ -1,6 +1,7 @@
 #ifndef GALENALINK_FLEET_VM_TABLE_HPP
 #define GALENALINK_FLEET_VM_TABLE_HPP
 
+#include "galenalink/fleet/flat_index.hpp"
 #include "galenalink/fleet/pool.hpp"
 #include "galenalink/fleet/vm.hpp"
 #include <optional>
@@ -12,18 +13,6 @@
 
 namespace galenalink::fleet {
 
-namespace detail {
-
-struct name_hash {
-  using is_transparent = void;
-  [[nodiscard]] std::size_t operator()(std::string_view Name) const noexcept;
-};
-
-using name_index =
-    std::unordered_map<std::string, std::uint32_t, name_hash, std::equal_to<>>;
-
-} // namespace detail
-
 /**
  * @brief VMs and pools by dense index. Every change of a VM goes through this
  * table, which keeps the counts of the pools at a cost independent of the
@@ -45,7 +34,9 @@
     return Pools;
   }
   /** @brief Number of VMs. */
-  [[nodiscard]] std::size_t size() const noexcept { return VmByName.size(); }
+  [[nodiscard]] std::size_t size() const noexcept {
+    return Vms.size() - Free.size();
+  }
   /** @brief One past the largest VM index; slots between may be free. */
   [[nodiscard]] std::size_t slots() const noexcept { return Vms.size(); }
   /** @brief Whether the slot holds a VM. */
@@ -83,13 +74,22 @@
 
 private:
   void count(const vm &Vm, bool Add);
+  /** @brief Derives what depends on the VM in a slot. */
+  void enter(vm_index Index);
+  [[nodiscard]] std::uint32_t holdRack(const vm &Vm);
+  void releaseRack(const vm &Vm);
 
   std::vector<vm> Vms;
   std::vector<vm_index> Free;
   std::vector<pool> Pools;
-  detail::name_index VmByName;
-  detail::name_index PoolByName;
-  std::unordered_map<std::string, std::uint32_t> LentByPair;
+  detail::flat_index VmByName;
+  detail::flat_index PoolByName;
+  /** By "place/rack"; a number is reused once its last VM is gone. */
+  std::unordered_map<std::string, std::uint32_t> RackByName;
+  std::vector<std::uint32_t> RackVms;
+  std::vector<std::uint32_t> FreeRacks;
+  /** By the hashes of owner and borrower. */
+  std::unordered_map<std::uint64_t, std::uint32_t> LentByPair;
 };
 
 } // namespace galenalink::fleet
--- a/src/galenalink/wire/fwd.hpp
+++ b/src/galenalink/wire/fwd.hpp
@@ -5,6 +5,8 @@
 
 class record;
 class peer_message;
+class snapshot_chunk;
+class saved_state;
 
 } // namespace galenalink::wire
 
