--- a/src/galenalink/node/application.cpp
+++ b/src/galenalink/node/application.cpp
@@ -59,7 +59,7 @@
                    },
                    [this](const call &Call) { return defaultTimeout(Call); },
                    [this] { return !Stopping && Current->serving(); },
-                   [this] { return Current->joined(); }});
+                   [this] { return Current->ready(); }});
   Operators = std::make_unique<operator_api>(
       [this]() -> incarnation & { return *Current; }, environmentOf(),
       Secrets.Operators);
--- a/src/galenalink/node/incarnation.cpp
+++ b/src/galenalink/node/incarnation.cpp
@@ -1,4 +1,5 @@
 #include "galenalink/node/incarnation.hpp"
+#include "galenalink/core/hash.hpp"
 #include "galenalink/telemetry/log.hpp"
 #include "peer.pb.h"
 #include <utility>
@@ -17,6 +18,8 @@
 /** Keeps heartbeats small when many VMs leave at once; the list has them all
  * within a second or two. */
 constexpr std::size_t MaxLeavingVms = 16;
+/** How long a new node waits for the log before it asks its peers. */
+constexpr duration LogPatience = std::chrono::seconds{1};
 constexpr duration VmPollPeriod = std::chrono::seconds{1};
 
 [[nodiscard]] fleet::lease_settings
@@ -64,20 +67,24 @@
                                     [this](const std::string &Vm) {
                                       Host.leaving(Vm, true);
                                     }},
-      Duties{View, Environment.Adapter, Log, dutyHooks()} {}
+      Duties{View, Environment.Adapter, Log, dutyHooks()},
+      Snapshots{View, Log, [] { return std::string{}; }},
+      Recovery{Environment.Adapter, config::parseServiceFile, recoveryHooks()},
+      Send{Send}, StartedAt{boot_clock::now()} {}
 
 incarnation::~incarnation() = default;
 
 follower_hooks incarnation::followerHooks() {
   follower_hooks Hooks;
   Hooks.Folded = [this](const wire::record & /*Record*/,
-                        const fleet::applied &Applied) { folded(Applied); };
+                        const fleet::applied & /*Applied*/) { folded(); };
   Hooks.Evidence = [this](const time_point SentAt) {
     Authority.logRead(State, SentAt, State.Offset + 1);
   };
-  Hooks.Gap = [](const log_offset Next, const log_offset First) {
-    Logger.error("Records have expired before they were read.",
-                 {{"next", Next}, {"first", First}});
+  Hooks.Gap = [this](const log_offset Next, const log_offset First) {
+    Logger.warning("Records have expired before they were read.",
+                   {{"next", Next}, {"first", First}});
+    Recovery.start(First);
   };
   return Hooks;
 }
@@ -149,7 +156,47 @@
   Poller = Environment.Loop.every(PollPeriod, [this] { poll(); });
 }
 
-void incarnation::folded(const fleet::applied & /*Applied*/) {
+recovery_hooks incarnation::recoveryHooks() {
+  recovery_hooks Hooks;
+  Hooks.AskPeers = [this] { askPeersForState(); };
+  Hooks.Folded = [this] { return State.Offset; };
+  Hooks.Restored = [this](fleet::restored Restored) {
+    restored(std::move(Restored));
+  };
+  return Hooks;
+}
+
+void incarnation::restored(fleet::restored Restored) {
+  State = std::move(Restored.State);
+  FromPeer = true;
+  folded();
+  Log.hurry();
+}
+
+void incarnation::askPeersForState() {
+  wire::peer_message Message;
+  Message.mutable_state_request()->set_call(1);
+  for (const auto Node : Connected)
+    static_cast<void>(Send(Node, Message));
+}
+
+void incarnation::sendState(const node_id To) {
+  const auto Bytes = fleet::serialize(State);
+  const auto Chunks = fleet::makeChunks(Bytes, 1, State.Offset);
+  for (const auto &Chunk : Chunks) {
+    wire::peer_message Message;
+    auto &Reply = *Message.mutable_state_reply();
+    Reply.set_through_offset(State.Offset);
+    Reply.set_checksum(hash64(Bytes));
+    Reply.set_index(Chunk.index());
+    Reply.set_total(Chunk.total());
+    Reply.set_data(Chunk.data());
+    if (!Send(To, Message))
+      return;
+  }
+}
+
+void incarnation::folded() {
   const auto Now = boot_clock::now();
   Authority.folded(State, Now);
   Barrier.folded(State, Now);
@@ -162,6 +209,9 @@
 void incarnation::tick() {
   const auto Now = boot_clock::now();
   Barrier.advance(State, Now);
+  // During an outage of the log, a new node learns the state from its peers.
+  if (State.Offset == 0 && !Log.available() && StartedAt + LogPatience <= Now)
+    Recovery.askPeers(Now);
   Members.tick(Now);
   Host.tick(Now);
   Router.tick(Now);
@@ -170,8 +220,10 @@
 void incarnation::poll() {
   for (const auto &[Unused, Shard] : Host.shards())
     Dispatcher.poll(Shard);
-  if (!Stopping)
+  if (!Stopping) {
     Duties.tick(boot_clock::now());
+    Snapshots.tick(boot_clock::now());
+  }
   observe();
 }
 
@@ -184,6 +236,11 @@
              "Records of the log that are not folded yet.")
       .set(static_cast<double>(Log.end()) - static_cast<double>(State.Offset) -
            1);
+  Metrics
+      .level("galenalink_snapshot_records_left",
+             "Records that may expire before the newest snapshot is useless.")
+      .set(static_cast<double>(State.Snapshot.Through) + 1 -
+           static_cast<double>(Log.first()));
   Metrics
       .level("galenalink_config_version",
              "Offset of the configuration in force.")
@@ -216,9 +273,13 @@
   Members.leave(Deadline, [] { Logger.info("Left the roster."); });
 }
 
-void incarnation::connected(const node_id Node) { Host.connected(Node); }
+void incarnation::connected(const node_id Node) {
+  Connected.insert(Node);
+  Host.connected(Node);
+}
 
 void incarnation::disconnected(const node_id Node) {
+  Connected.erase(Node);
   Router.disconnected(Node);
 }
 
@@ -279,6 +340,14 @@
   case wire::peer_message::kCollectReply:
     Host.receive(From, Message.collect_reply());
     return;
+  case wire::peer_message::kStateRequest:
+    // A node without a state of its own has nothing to offer.
+    if (State.Offset != 0)
+      sendState(From);
+    return;
+  case wire::peer_message::kStateReply:
+    Recovery.receive(From, Message.state_reply());
+    return;
   default:
     return;
   }
--- a/src/galenalink/node/incarnation.hpp
+++ b/src/galenalink/node/incarnation.hpp
@@ -11,10 +11,13 @@
 #include "galenalink/node/membership.hpp"
 #include "galenalink/node/router.hpp"
 #include "galenalink/node/shard_host.hpp"
+#include "galenalink/node/snapshot_duty.hpp"
+#include "galenalink/node/state_recovery.hpp"
 #include "galenalink/node/vm_duties.hpp"
 #include "galenalink/node/vm_watch.hpp"
 #include "galenalink/telemetry/metrics.hpp"
 #include <memory>
+#include <set>
 
 namespace galenalink::wire {
 class heartbeat;
@@ -71,9 +74,12 @@
   /** @brief Whether no caller waits for an answer from here. */
   [[nodiscard]] bool idle() const noexcept;
   [[nodiscard]] bool evicted() const noexcept { return Members.evicted(); }
-  /** @brief Whether the node is, or was, on the roster. */
-  [[nodiscard]] bool joined() const noexcept {
-    return Stopping || Members.joined();
+  /**
+   * @brief Whether the services are known here: the node is, or was, on the
+   * roster, or has a peer's state while the log is out.
+   */
+  [[nodiscard]] bool ready() const noexcept {
+    return Stopping || FromPeer || Members.joined();
   }
   /** @brief Whether callers may be sent here. */
   [[nodiscard]] bool serving() const noexcept;
@@ -93,7 +99,11 @@
   [[nodiscard]] host_hooks hostHooks(const send_hook &Send);
   [[nodiscard]] dispatcher_hooks dispatcherHooks();
   [[nodiscard]] vm_duty_hooks dutyHooks();
-  void folded(const fleet::applied &Applied);
+  [[nodiscard]] recovery_hooks recoveryHooks();
+  void folded();
+  void restored(fleet::restored Restored);
+  void askPeersForState();
+  void sendState(node_id To);
   void tick();
   void poll();
   void observe();
@@ -114,6 +124,13 @@
   membership Members;
   vm_watch Vms;
   vm_duties Duties;
+  snapshot_duty Snapshots;
+  state_recovery Recovery;
+  /** Nodes with an open connection. */
+  std::set<node_id> Connected;
+  send_hook Send;
+  time_point StartedAt;
+  bool FromPeer{false};
   http::timer VmPoller;
   http::timer Ticker;
   http::timer Poller;
--- a/src/galenalink/node/membership.cpp
+++ b/src/galenalink/node/membership.cpp
@@ -63,11 +63,17 @@
 }
 
 void membership::renew(const time_point Now) {
-  if (Now < NextRenewal)
+  // A settled version lets all nodes forget the roster versions before it.
+  const auto Settled = View.Barrier.settled(View.State);
+  const bool Settles = Settled > View.State.Roster.Settled &&
+                       Settled > ReportedSettled && onDuty(View, "settle", Now);
+  if (Now < NextRenewal && !Settles)
     return;
   NextRenewal = Now + RenewalPeriod;
+  ReportedSettled = Settled;
   auto Record = recordOf();
   Record.mutable_renew()->set_node(static_cast<std::uint64_t>(Self.Id));
+  Record.mutable_renew()->set_settled_version(Settled);
   Log.append(std::move(Record), Now + AppendLimit, {});
 }
 
--- a/src/galenalink/node/membership.hpp
+++ b/src/galenalink/node/membership.hpp
@@ -52,6 +52,7 @@
   bool Leaving{false};
   time_point NextJoin{NoDeadline};
   time_point NextRenewal{NoDeadline};
+  log_offset ReportedSettled{0};
   time_point NextEviction{NoDeadline};
 };
 
