Take back the whole evidence of failures caused by a job

Several bad jobs in a row ejected a VM although each was reported as NeverRuns: the evidence was taken back VM by VM, at a failure ratio that still contained the other failures of the job, so each job left some evidence behind.

The ratios are corrected first, and the evidence then at the ratio without the failures of the job.

--- a/src/galenalink/schedule/shard_scheduler.cpp
+++ b/src/galenalink/schedule/shard_scheduler.cpp
@@ -251,12 +251,15 @@
   if (!Record.Settings.Idempotent)
     return giveUp(*Item, Vm, verdict::Failed);
   if (blamedVms(*Item) >= Settings.MaxFailedVms) {
+    std::array<vm_index, queued_item::MaxTried> Blamed{};
+    std::size_t Count = 0;
     for (std::uint32_t Index = 0; Index < Item->TriedCount; ++Index) {
-      if ((Item->FailedOn & (1U << Index)) == 0)
-        continue;
-      Health.forgive(Item->Tried[Index], Queue);
-      hold(Item->Tried[Index]);
+      if ((Item->FailedOn & (1U << Index)) != 0)
+        Blamed[Count++] = Item->Tried[Index];
     }
+    Health.forgive({Blamed.data(), Count}, Queue);
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      hold(Blamed[Index]);
     return giveUp(*Item, Vm, verdict::NeverRuns);
   }
   if (Now >= Item->startBy() || Item->TriedCount == queued_item::MaxTried ||
--- a/src/galenalink/schedule/vm_health.cpp
+++ b/src/galenalink/schedule/vm_health.cpp
@@ -150,16 +150,23 @@
   Timers.add(Record, Now + Record.ProbeWait);
 }
 
-void vm_health::forgive(const vm_index Vm, const queue_index Queue) {
-  if (raw(Vm) >= Vms.size())
-    return;
-  auto &Record = Vms[raw(Vm)];
-  Pool.forgive();
-  ratio(Queue).forgive();
-  Record.Evidence =
-      std::max(Record.Evidence - failureEvidence(expected(Queue)), 0.0);
-  if (Record.Ejected && Record.Evidence < Threshold)
-    endEjection(Record);
+void vm_health::forgive(const std::span<const vm_index> Blamed,
+                        const queue_index Queue) {
+  // First the ratios, then the evidence: the weight of a failure is the one at
+  // the ratio without the failures of this job, so none of it stays behind.
+  for (std::size_t Count = 0; Count < Blamed.size(); ++Count) {
+    Pool.forgive();
+    ratio(Queue).forgive();
+  }
+  const auto Weight = failureEvidence(expected(Queue));
+  for (const auto Vm : Blamed) {
+    if (raw(Vm) >= Vms.size())
+      continue;
+    auto &Record = Vms[raw(Vm)];
+    Record.Evidence = std::max(Record.Evidence - Weight, 0.0);
+    if (Record.Ejected && Record.Evidence < Threshold)
+      endEjection(Record);
+  }
 }
 
 void vm_health::refused(const vm_index Vm, const time_point Now) {
--- a/src/galenalink/schedule/vm_health.hpp
+++ b/src/galenalink/schedule/vm_health.hpp
@@ -7,6 +7,7 @@
 #include <boost/intrusive/list.hpp>
 #include <deque>
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace galenalink::schedule {
@@ -49,8 +50,8 @@
   void failed(vm_index Vm, queue_index Queue, bool Probe, std::uint32_t Vms,
               time_point Now);
 
-  /** @brief Takes back the evidence of a failure caused by the job. */
-  void forgive(vm_index Vm, queue_index Queue);
+  /** @brief Takes back one failure of each VM that was caused by the job. */
+  void forgive(std::span<const vm_index> Blamed, queue_index Queue);
 
   /** @brief Pauses a VM that refused work before starting it. */
   void refused(vm_index Vm, time_point Now);
--- a/test/galenalink/schedule/shard_policy.cpp
+++ b/test/galenalink/schedule/shard_policy.cpp
@@ -228,6 +228,25 @@
   BOOST_TEST(Reported >= 95);
 }
 
+// Several bad jobs in a row fail everywhere; unless their failures are taken
+// back, the VMs look bad.
+BOOST_AUTO_TEST_CASE(failures_of_bad_jobs_are_taken_back) {
+  fixture Fixture{3};
+  int Reported = 0;
+  for (int Item = 0; Item < 220; ++Item) {
+    BOOST_TEST_REQUIRE(Fixture.enqueue(Fixture.Short).admitted());
+    while (const auto Placed = Fixture.next()) {
+      Fixture.Now += milliseconds{1};
+      const auto Result =
+          Item >= 210 ? Fixture.Shard.failed(Placed->Attempt, Fixture.Now)
+                      : Fixture.Shard.finished(Placed->Attempt, Fixture.Now);
+      Reported += Result.Verdict == verdict::NeverRuns ? 1 : 0;
+    }
+    BOOST_TEST_REQUIRE(Fixture.Shard.health().ejectedCount() == 0U);
+  }
+  BOOST_TEST(Reported == 10);
+}
+
 // A second attempt of work that began and is not idempotent runs it twice.
 BOOST_AUTO_TEST_CASE(work_that_is_not_idempotent_is_never_retried) {
   fixture Fixture;
--- a/test/galenalink/schedule/vm_health.cpp
+++ b/test/galenalink/schedule/vm_health.cpp
@@ -149,7 +149,7 @@
                            : Chosen == 1 && Step / 300 % 2 == 0 ? 80U
                                                                 : 2U;
       if (!Probe && Random() % 40 == 0) {
-        Health.forgive(Index, Queue);
+        Health.forgive({&Index, 1}, Queue);
         Naive.forgive(Vm);
       } else if (!Probe && Random() % 40 == 0) {
         Health.refused(Index, Now);
@@ -184,6 +184,22 @@
   BOOST_TEST(Ejections > 15);
 }
 
+// Ejecting every suspect VM would leave too few for the work.
+BOOST_AUTO_TEST_CASE(a_bounded_share_is_ejected) {
+  vm_health Health{settings{}};
+  for (std::uint32_t Vm = 0; Vm < VmCount; ++Vm)
+    Health.reset(vm_index{Vm});
+  for (std::uint32_t Step = 0; Step < 1000; ++Step) {
+    const vm_index Vm{Step % VmCount};
+    if (raw(Vm) < 4)
+      Health.failed(Vm, Queue, false, VmCount, Start);
+    else
+      Health.succeeded(Vm, Queue, false);
+    BOOST_REQUIRE(Health.ejectedCount() <= 2);
+  }
+  BOOST_TEST(Health.ejectedCount() == 2U);
+}
+
 // When a release fails on all VMs, ejecting VMs only takes capacity away.
 BOOST_AUTO_TEST_CASE(a_failing_service_ejects_no_vm) {
   vm_health Health{settings{}};
