--- a/src/galenalink/plan/demand.hpp
+++ b/src/galenalink/plan/demand.hpp
@@ -23,7 +23,7 @@
   /** Time over which observed demand is assumed to last. */
   wall_ms HorizonMs{10'000};
   /** Part of the slack that work may wait before VMs are moved, in percent. */
-  std::uint32_t WaitPercent{60};
+  std::uint32_t WaitPercent{90};
   /** Work that a move must save. */
   std::uint64_t MoveCostSlotMs{16'000};
   /** A surplus must last this long before VMs are taken from it. */
