--- a/bench/plan_policy.cpp
+++ b/bench/plan_policy.cpp
@@ -22,7 +22,7 @@
     {"all", 6, true, 10'000, 3'000},
 }};
 
-constexpr std::array<std::uint64_t, 3> Seeds{11, 22, 33};
+constexpr std::array<std::uint64_t, 5> Seeds{11, 22, 33, 44, 55};
 
 /** Spares that a member owns for its five pools. */
 constexpr std::array<std::uint32_t, Members> Spares{13, 14};
