Give every refusal a retry time

Cause: refusals for missing replicas carried a retry time of 0 ms, which invites callers to retry in a loop. Conclusion: callers get a usable retry time.

--- a/src/galenalink/node/router.cpp
+++ b/src/galenalink/node/router.cpp
@@ -156,6 +156,8 @@
   auto Entry = Pending.extract(Id);
   if (!Entry)
     return;
+  if (Reply.Outcome == outcome::NotRun && Reply.RetryAfter <= duration{})
+    Reply.RetryAfter = HomeRetry;
   const auto &Call = Entry.mapped().Call;
   Log.info("Answered a request.",
            {{"key", Call.Key},
