Plan maintenance and moves in the running node

Change: homes report their demand with their heartbeats; the first node in rank turns the fleet state and the demand into the planner's input and appends the permits and releases that it asks for. Conclusion: planning follows the log like every other duty.

--- a/src/galenalink/node/incarnation.cpp
+++ b/src/galenalink/node/incarnation.cpp
@@ -69,6 +69,11 @@
                                     }},
       Duties{View, Environment.Adapter, Log, dutyHooks()},
       Snapshots{View, Log, [] { return std::string{}; }},
+      Planner{View, Log,
+              [this](const std::string &Pool) { return Vms.homeVms(Pool); },
+              [this](const std::string_view Subject, std::string Text) {
+                decide(Subject, std::move(Text));
+              }},
       Recovery{Environment.Adapter, config::parseServiceFile, recoveryHooks()},
       Send{Send}, StartedAt{boot_clock::now()} {}
 
@@ -153,6 +158,7 @@
   Log.start();
   Ticker = Environment.Loop.every(TickPeriod, [this] { tick(); });
   VmPoller = Environment.Loop.every(VmPollPeriod, [this] { Vms.poll(); });
+  DemandAt = boot_clock::now();
   Poller = Environment.Loop.every(PollPeriod, [this] { poll(); });
 }
 
@@ -223,10 +229,33 @@
   if (!Stopping) {
     Duties.tick(boot_clock::now());
     Snapshots.tick(boot_clock::now());
+    measureDemand(boot_clock::now());
+    Planner.tick(boot_clock::now());
   }
   observe();
 }
 
+void incarnation::measureDemand(const time_point Now) {
+  const auto Elapsed = Now - std::exchange(DemandAt, Now);
+  std::map<std::string, demand_report> ByPool;
+  std::map<std::string, duration> Offered;
+  for (const auto &[Id, Shard] : Host.shards()) {
+    auto &Report = ByPool[Id.Pool];
+    Report.Pool = Id.Pool;
+    Offered[Id.Pool] += Shard->takeOffered();
+    Report.QueuedSlotMs += static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(Shard->backlog())
+            .count());
+  }
+  OwnDemand.clear();
+  for (auto &[Pool, Report] : ByPool) {
+    Report.Slots =
+        static_cast<std::uint32_t>((Offered[Pool] + Elapsed / 2) / Elapsed);
+    Planner.demand().report(View.Self, wallNow(), Report);
+    OwnDemand.push_back(std::move(Report));
+  }
+}
+
 void incarnation::observe() {
   auto &Metrics = Environment.Metrics;
   Metrics.level("galenalink_folded_offset", "Newest folded offset of the log.")
@@ -301,6 +330,12 @@
   Heartbeat.set_stopping(Stopping);
   for (const auto &Vm : Host.leavingVms(MaxLeavingVms))
     Heartbeat.add_leaving_vms(Vm);
+  for (const auto &Report : OwnDemand) {
+    auto &Demand = *Heartbeat.add_demand();
+    Demand.set_pool(Report.Pool);
+    Demand.set_slots(Report.Slots);
+    Demand.set_queued_slot_ms(Report.QueuedSlotMs);
+  }
   return Heartbeat;
 }
 
@@ -321,6 +356,10 @@
     heard(From, Message.heartbeat().folded_offset());
     for (const auto &Vm : Message.heartbeat().leaving_vms())
       Host.leaving(Vm, false);
+    for (const auto &Demand : Message.heartbeat().demand())
+      Planner.demand().report(
+          From, wallNow(),
+          {Demand.pool(), Demand.slots(), Demand.queued_slot_ms()});
     return;
   case wire::peer_message::kForward:
     Router.receive(From, Message.forward());
--- a/src/galenalink/node/incarnation.hpp
+++ b/src/galenalink/node/incarnation.hpp
@@ -9,6 +9,7 @@
 #include "galenalink/node/dispatcher.hpp"
 #include "galenalink/node/log_follower.hpp"
 #include "galenalink/node/membership.hpp"
+#include "galenalink/node/planner.hpp"
 #include "galenalink/node/router.hpp"
 #include "galenalink/node/shard_host.hpp"
 #include "galenalink/node/snapshot_duty.hpp"
@@ -107,6 +108,8 @@
   void tick();
   void poll();
   void observe();
+  /** @brief Samples the demand of the shards at home here. */
+  void measureDemand(time_point Now);
   void decide(std::string_view Subject, std::string Text);
 
   environment Environment;
@@ -125,12 +128,16 @@
   vm_watch Vms;
   vm_duties Duties;
   snapshot_duty Snapshots;
+  planner Planner;
   state_recovery Recovery;
   /** Nodes with an open connection. */
   std::set<node_id> Connected;
   send_hook Send;
   time_point StartedAt;
   bool FromPeer{false};
+  time_point DemandAt{NoDeadline};
+  /** Newest demand of the shards at home here. */
+  std::vector<demand_report> OwnDemand;
   http::timer VmPoller;
   http::timer Ticker;
   http::timer Poller;
--- a/src/galenalink/node/shard.cpp
+++ b/src/galenalink/node/shard.cpp
@@ -220,6 +220,11 @@
   return States;
 }
 
+duration shard::backlog() const noexcept {
+  return Scheduler.queues().backlog(schedule::work_class::Short) +
+         Scheduler.queues().backlog(schedule::work_class::Long);
+}
+
 std::size_t shard::runningOn(const std::string &Vm) const {
   return static_cast<std::size_t>(
       std::count_if(Running.begin(), Running.end(),
@@ -261,6 +266,8 @@
   } else {
     const auto Admission = Scheduler.enqueue(
         {Item, Queue->second, Team->second, Work->Deadline}, Now);
+    if (!Arrived.contains(Item))
+      Offered += Scheduler.medianRun(Queue->second);
     // The scheduler already holds an item that it queued again by itself.
     const bool Held = Admission.Reason == refusal::KeyReused;
     if (Admission.admitted()) {
--- a/src/galenalink/node/shard.hpp
+++ b/src/galenalink/node/shard.hpp
@@ -112,6 +112,12 @@
   [[nodiscard]] std::size_t running() const noexcept { return Running.size(); }
   /** @brief Attempts of this shard that are running on a VM. */
   [[nodiscard]] std::vector<queue_state> queueStates() const;
+  /** @brief Run time of the work that arrived since the last call. */
+  [[nodiscard]] duration takeOffered() noexcept {
+    return std::exchange(Offered, duration{});
+  }
+  /** @brief Estimated run time of the queued work. */
+  [[nodiscard]] duration backlog() const noexcept;
   [[nodiscard]] std::size_t runningOn(const std::string &Vm) const;
 
 private:
@@ -147,6 +153,8 @@
   std::unordered_map<schedule::item_id, time_point> Arrived;
   /** Attempts that hold a slot, and its VM. */
   std::map<attempt_id, std::string> Running;
+  /** Run time of arrived work, refused work included. */
+  duration Offered{};
   /** Item that the scheduler gave up; it must not be queued again. */
   std::optional<schedule::item_id> GivenUp;
 };
--- a/src/galenalink/node/vm_watch.cpp
+++ b/src/galenalink/node/vm_watch.cpp
@@ -94,6 +94,11 @@
     : View{View}, Adapter{Adapter}, Log{Log}, Leaving{std::move(Leaving)},
       Alive{std::make_shared<bool>(true)} {}
 
+std::uint32_t vm_watch::homeVms(const std::string &Pool) const {
+  const auto Known = HomeVms.find(Pool);
+  return Known == HomeVms.end() ? 0 : Known->second;
+}
+
 void vm_watch::poll() {
   if (Asking)
     return;
@@ -111,7 +116,9 @@
 }
 
 void vm_watch::received(const std::vector<platform::vm> &Listed) {
+  HomeVms.clear();
   for (const auto &Vm : Listed) {
+    ++HomeVms[Vm.Pool];
     if (Vm.State == platform::vm_state::Leaving)
       Leaving(Vm.Vm);
   }
--- a/src/galenalink/node/vm_watch.hpp
+++ b/src/galenalink/node/vm_watch.hpp
@@ -5,6 +5,7 @@
 #include "galenalink/node/log_follower.hpp"
 #include "galenalink/platform/adapter.hpp"
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -30,6 +31,8 @@
            log_follower &Log, std::function<void(const std::string &)> Leaving);
 
   void poll();
+  /** @brief Listed VMs of a pool, wherever they are now. */
+  [[nodiscard]] std::uint32_t homeVms(const std::string &Pool) const;
 
 private:
   void received(const std::vector<platform::vm> &Listed);
@@ -40,6 +43,8 @@
   std::function<void(const std::string &)> Leaving;
   bool Asking{false};
   std::size_t Appending{0};
+  /** Listed VMs by their listed pool. */
+  std::map<std::string, std::uint32_t> HomeVms;
   std::shared_ptr<bool> Alive;
 };
 
