Give work that was declared too short its slots back

Cause: work that takes longer than declared was counted as long against the declared typical run time. The belief needed about 48 short runs to turn, and those ran on an eighth of the slots, while admission refused the rest. Ruled out: the move of the spare VMs, which arrived within 4 s. Change: when the typical run time has doubled, the beliefs are formed anew from what each queue has learned.

--- a/src/galenalink/schedule/shard_members.cpp
+++ b/src/galenalink/schedule/shard_members.cpp
@@ -74,6 +74,7 @@
       Shortest = std::min(Shortest, Queue.Settings.ExpectedRun);
     Typical = run_time_estimator{Shortest};
     LongAfter = longAfter();
+    BeliefBasis = LongAfter;
   }
   for (std::uint32_t Index = 0; Index < QueueRecords.size(); ++Index) {
     auto &Queue = QueueRecords[Index];
@@ -85,6 +86,24 @@
   }
 }
 
+void shard_scheduler::rebaseBeliefs() {
+  // Runs were counted as long against a typical run time that was declared too
+  // short. Waiting for as many short runs would take minutes, because work
+  // that is believed long gets a small share of the slots.
+  if (LongAfter < 2 * BeliefBasis)
+    return;
+  BeliefBasis = LongAfter;
+  for (std::uint32_t Index = 0; Index < QueueRecords.size(); ++Index) {
+    auto &Queue = QueueRecords[Index];
+    if (!Queue.RunTime.learned())
+      continue;
+    Queue.Belief =
+        class_belief{Queue.RunTime.median() < LongAfter ? work_class::Short
+                                                        : work_class::Long};
+    applyBelief(queue_index{Index});
+  }
+}
+
 void shard_scheduler::believe(const queue_index Queue, const work_class Run) {
   auto &Belief = QueueRecords[raw(Queue)].Belief;
   const auto Before = Belief.believed();
--- a/src/galenalink/schedule/shard_scheduler.cpp
+++ b/src/galenalink/schedule/shard_scheduler.cpp
@@ -8,7 +8,7 @@
     : Settings{Settings}, Queues{{.MaxItems = Settings.MaxItems,
                                   .MaxFlowItems = Settings.MaxTeamItems}},
       Health{Settings}, Typical{Settings.LongAfterLeast},
-      LongAfter{Settings.LongAfterMost} {}
+      LongAfter{Settings.LongAfterMost}, BeliefBasis{LongAfter} {}
 
 slot_table::adoption
 shard_scheduler::setOccupied(const vm_index Vm,
@@ -212,6 +212,7 @@
   Queue.RunTime.observe(Time);
   Typical.observe(Time);
   LongAfter = longAfter();
+  rebaseBeliefs();
   if (!Run->CountedLong)
     believe(Item->Work.Queue,
             Time < LongAfter ? work_class::Short : work_class::Long);
--- a/src/galenalink/schedule/shard_scheduler.hpp
+++ b/src/galenalink/schedule/shard_scheduler.hpp
@@ -141,6 +141,8 @@
   [[nodiscard]] std::uint32_t blamedVms(const queued_item &Item) const noexcept;
   void hold(vm_index Vm);
   void declareTypical();
+  /** @brief Forms beliefs anew when the typical run time has grown. */
+  void rebaseBeliefs();
 
   settings Settings;
   slot_table Slots;
@@ -155,6 +157,8 @@
   run_time_estimator Typical;
   /** Run time from which work is long; follows `Typical`. */
   duration LongAfter;
+  /** `LongAfter` when the beliefs were last formed. */
+  duration BeliefBasis;
   std::deque<running> Running;
   timer_wheel Overruns;
   std::vector<expired_item> Expired;
--- a/test/galenalink/schedule/shard_policy.cpp
+++ b/test/galenalink/schedule/shard_policy.cpp
@@ -180,6 +180,32 @@
   BOOST_TEST(Fixture.Shard.slots().total().Long == 80);
 }
 
+// When all work takes longer than declared, it was believed long and kept to an
+// eighth of the slots while the rest stood idle.
+BOOST_AUTO_TEST_CASE(work_that_is_declared_too_short_gets_its_slots_back) {
+  fixture Fixture{2};
+  // The bound on long work holds while any queue is believed short.
+  Fixture.Shard.setQueue({.Name = "idle",
+                          .Service = "s",
+                          .Idempotent = true,
+                          .ExpectedRun = milliseconds{200}});
+  std::vector<expired_item> Expired;
+  const auto Round = [&] {
+    for (int Item = 0; Item < 16; ++Item)
+      (void)Fixture.enqueue(Fixture.Short, seconds{60});
+    std::vector<attempt_id> Started;
+    while (const auto Next = Fixture.next())
+      Started.push_back(Next->Attempt);
+    Fixture.Now += seconds{3};
+    Fixture.Shard.expire(Fixture.Now, Expired);
+    for (const auto Attempt : Started)
+      (void)Fixture.Shard.finished(Attempt, Fixture.Now);
+    return Started.size();
+  };
+  BOOST_TEST(Round() == 16U);
+  BOOST_TEST(Round() == 16U);
+}
+
 // Work declared short that runs for minutes is recognised while it runs, and
 // what follows in its queue goes into the share of long work.
 BOOST_AUTO_TEST_CASE(running_work_that_overruns_becomes_long) {
