Judge the wait of short work while its peaks fit into the pool

Cause: the target holds for a pool that is not overloaded, but only the run with peaks beyond the pool had a verdict; this run was printed without one. Change: its ratio is a row with the stated bound of 2.

--- a/bench/schedule_policy.cpp
+++ b/bench/schedule_policy.cpp
@@ -92,9 +92,9 @@
 }
 
 /**
- * Waits while the peaks of short work fit into the pool. There is no row for
- * their ratio: without long work nearly all slots that a peak needs are free,
- * and each slot that long work takes, which nothing interrupts, is felt.
+ * Waits while the peaks of short work fit into the pool. Without long work
+ * nearly all slots that a peak needs are free, so each slot that long work
+ * takes, which nothing interrupts, is felt.
  */
 void peaksWithinPool(const workload &Load) {
   constexpr double Scale = 0.55;
@@ -102,14 +102,21 @@
   double Peak = 0;
   for (const auto &Queue : Load.Queues)
     Peak += 5 * Scale * Queue.Load;
+  const std::string Name = Load.Member + ": p99 wait, peaks at " +
+                           std::to_string(Peak).substr(0, 4) +
+                           " of the slots, ";
+  double Waits[2]{};
   for (const bool WithLong : {false, true}) {
     const auto Arrivals = arrivalsOf(Load, Length, WithLong, Scale, 11);
     const auto Counts = driver{Load.Queues, Load.LongLeast, {}}.run(Arrivals);
-    note(Load.Member + ": p99 wait, peaks at " +
-             std::to_string(Peak).substr(0, 4) + " of the slots, " +
-             (WithLong ? "with" : "without") + " long work, s",
-         shortWait(Counts, Load.Queues.size(), 0.99));
+    Waits[WithLong ? 1 : 0] = shortWait(Counts, Load.Queues.size(), 0.99);
+    note(Name + (WithLong ? "with" : "without") + " long work, s",
+         Waits[WithLong ? 1 : 0]);
   }
+  // Waits below a millisecond cannot be told from none.
+  constexpr double Resolution = 0.001;
+  const double Ratio = Waits[1] / std::max(Waits[0], Resolution);
+  row(Name + "with / without", Ratio, "<= 2", Ratio <= 2);
 }
 
 void headOfLine(const workload &Load) {
