Keep the members' account in the running node

Cause: the ledger of VM time and work was not fed, so operators had no account of what sharing costs and saves. Change: the node derives the account from the folded records: use of VMs, moves, budgets, and work from work_summary records, which each home appends at most once a minute. Operators read it at /v1/account and with `galenalink account` as text, JSON or CSV. Conclusion: the figures depend on the log alone.

--- a/apps/galenalink.cpp
+++ b/apps/galenalink.cpp
@@ -16,6 +16,7 @@
   std::string Node{"127.0.0.1:8081"};
   std::string TokenFile;
   std::string Output{"text"};
+  std::string Format;
   std::string Directory;
   std::string Author;
   std::string Subject;
@@ -77,6 +78,8 @@
   if (Verb == "publish")
     return cli::publish(*Node, Arguments.Directory, Arguments.Author,
                         Arguments.Prune, Output);
+  if (Verb == "account")
+    return cli::showAccount(*Node, Arguments.Format);
   if (Verb == "explain")
     return cli::explain(*Node, Arguments.Subject, Output);
   if (Verb == "result") {
@@ -119,6 +122,10 @@
   Verb("pools", "Show pools, their VMs and budgets");
   Verb("vms", "Show VMs, where they are and what happens to them");
   Verb("queues", "Show the queues of the shards at home on the node");
+  Verb("account", "Show what sharing cost and saved each member, by day")
+      ->add_option("--format", Arguments.Format,
+                   "Form of the result; as --output by default")
+      ->check(CLI::IsMember({"text", "json", "csv"}));
   Verb("explain", "Show the decisions about a request or a VM")
       ->add_option("subject", Arguments.Subject, "Request key or VM")
       ->required();
@@ -160,6 +167,8 @@
   arguments Arguments;
   declare(App, Arguments);
   CLI11_PARSE(App, Argc, Argv);
+  if (Arguments.Format.empty())
+    Arguments.Format = Arguments.Output;
   const std::string Verb = App.get_subcommands().front()->get_name();
   if (Verb == "version") {
     std::cout << "galenalink " GALENALINK_VERSION "\n";
--- a/src/galenalink/cli/views.cpp
+++ b/src/galenalink/cli/views.cpp
@@ -183,6 +183,13 @@
   return print(Reply, formatterOf(View), Output);
 }
 
+result<exit_code> showAccount(connection &Node, const std::string &Format) {
+  BOOST_LEAF_AUTO(Reply, Node.get("/v1/account?format=" + Format));
+  // The node formats the rows.
+  return print(
+      Reply, [](const std::string &Text) { return Text; }, output::Text);
+}
+
 result<exit_code> explain(connection &Node, const std::string &Subject,
                           const output Output) {
   BOOST_LEAF_AUTO(Reply, Node.get("/v1/explain/" + Subject));
--- a/src/galenalink/cli/views.hpp
+++ b/src/galenalink/cli/views.hpp
@@ -17,11 +17,15 @@
 
 /**
  * @brief Prints one of the node's views.
- * @param View `status`, `pools`, `vms`, `queues` or `account`.
+ * @param View `status`, `pools`, `vms` or `queues`.
  */
 [[nodiscard]] result<exit_code> show(connection &Node, const std::string &View,
                                      output Output);
 
+/** @brief Prints the members' account as `text`, `json` or `csv`. */
+[[nodiscard]] result<exit_code> showAccount(connection &Node,
+                                            const std::string &Format);
+
 /** @brief Prints why a request or a VM is where it is. */
 [[nodiscard]] result<exit_code>
 explain(connection &Node, const std::string &Subject, output Output);
--- a/src/galenalink/node/incarnation.cpp
+++ b/src/galenalink/node/incarnation.cpp
@@ -46,15 +46,16 @@
 incarnation::incarnation(const environment &Environment,
                          node_description SelfIn, const send_hook &Send)
     : Environment{Environment}, Self{std::move(SelfIn)},
-      State{config::parseServiceFile}, Authority{Self.Id,
-                                                 leaseSettings(
-                                                     Environment.Settings)},
+      State{config::parseServiceFile}, Accounts{State},
+      Authority{Self.Id, leaseSettings(Environment.Settings)},
       Barrier{Self.Id, leaseSettings(Environment.Settings)},
       Shards{Environment.Settings.DurabilityReplicas}, View{Self.Id, State,
                                                             Shards, Authority,
                                                             Barrier},
       Log{Environment.Loop, Environment.Adapter, State, followerHooks()},
-      Host{View, Catalog, hostSettings(Environment.Settings), hostHooks(Send)},
+      Work{State, Log, Self.Id}, Host{View, Catalog,
+                                      hostSettings(Environment.Settings),
+                                      hostHooks(Send)},
       Router{View,
              Catalog,
              Host,
@@ -68,7 +69,7 @@
                                       Host.leaving(Vm, true);
                                     }},
       Duties{View, Environment.Adapter, Log, dutyHooks()},
-      Snapshots{View, Log, [] { return std::string{}; }},
+      Snapshots{View, Log, [this] { return Accounts.serialize(); }},
       Recovery{Environment.Adapter, config::parseServiceFile, recoveryHooks()},
       Send{Send}, StartedAt{boot_clock::now()} {}
 
@@ -76,8 +77,11 @@
 
 follower_hooks incarnation::followerHooks() {
   follower_hooks Hooks;
-  Hooks.Folded = [this](const wire::record & /*Record*/,
-                        const fleet::applied & /*Applied*/) { folded(); };
+  Hooks.Folded = [this](const wire::record &Record,
+                        const fleet::applied &Applied) {
+    Accounts.folded(Record, Applied);
+    folded();
+  };
   Hooks.Evidence = [this](const time_point SentAt) {
     Authority.logRead(State, SentAt, State.Offset + 1);
   };
@@ -109,6 +113,10 @@
                "Time from admission to dispatch.", {{"queue", Queue}})
         .observe(std::chrono::duration<double>(Wait).count());
   };
+  Hooks.Worked = [this](const std::string &Member, const std::string &Pool,
+                        const account::work_counts &Counts) {
+    Work.add(Member, Pool, Counts);
+  };
   Hooks.Adopted = [this](const shard_id &Id) {
     if (const auto Shard = Host.find(Id))
       Dispatcher.poll(Shard);
@@ -168,6 +176,10 @@
 
 void incarnation::restored(fleet::restored Restored) {
   State = std::move(Restored.State);
+  tryOr([&] { return Accounts.restored(Restored.Account); },
+        [](const error &Error) {
+          Logger.error("The account starts anew.", {{"cause", Error.Message}});
+        });
   FromPeer = true;
   folded();
   Log.hurry();
@@ -181,7 +193,7 @@
 }
 
 void incarnation::sendState(const node_id To) {
-  const auto Bytes = fleet::serialize(State);
+  const auto Bytes = fleet::serialize(State, Accounts.serialize());
   const auto Chunks = fleet::makeChunks(Bytes, 1, State.Offset);
   for (const auto &Chunk : Chunks) {
     wire::peer_message Message;
@@ -223,6 +235,7 @@
   if (!Stopping) {
     Duties.tick(boot_clock::now());
     Snapshots.tick(boot_clock::now());
+    Work.tick(boot_clock::now());
   }
   observe();
 }
@@ -268,6 +281,7 @@
   const bool Alone = State.Roster.nodes().size() <= 1;
   Router.stop(Alone);
   Host.retireAll(Now);
+  Work.flush(Now);
   Authority.resign();
   Logger.info("Leaving the roster.");
   Members.leave(Deadline, [] { Logger.info("Left the roster."); });
--- a/src/galenalink/node/incarnation.hpp
+++ b/src/galenalink/node/incarnation.hpp
@@ -3,6 +3,7 @@
 
 #include "galenalink/config/settings.hpp"
 #include "galenalink/fleet/rights.hpp"
+#include "galenalink/node/account_keeper.hpp"
 #include "galenalink/node/backend.hpp"
 #include "galenalink/node/catalog.hpp"
 #include "galenalink/node/decision_log.hpp"
@@ -15,6 +16,7 @@
 #include "galenalink/node/state_recovery.hpp"
 #include "galenalink/node/vm_duties.hpp"
 #include "galenalink/node/vm_watch.hpp"
+#include "galenalink/node/work_report.hpp"
 #include "galenalink/telemetry/metrics.hpp"
 #include <memory>
 #include <set>
@@ -93,6 +95,9 @@
   [[nodiscard]] node::router &router() noexcept { return Router; }
   [[nodiscard]] shard_host &host() noexcept { return Host; }
   [[nodiscard]] log_follower &log() noexcept { return Log; }
+  [[nodiscard]] const account_keeper &accounts() const noexcept {
+    return Accounts;
+  }
 
 private:
   [[nodiscard]] follower_hooks followerHooks();
@@ -112,12 +117,14 @@
   environment Environment;
   node_description Self;
   fleet::state State;
+  account_keeper Accounts;
   fleet::authority Authority;
   fleet::barrier Barrier;
   fleet::shard_map Shards;
   fleet::node_view View;
   node::catalog Catalog;
   log_follower Log;
+  work_report Work;
   shard_host Host;
   node::router Router;
   dispatcher Dispatcher;
--- a/src/galenalink/node/operator_api.cpp
+++ b/src/galenalink/node/operator_api.cpp
@@ -1,4 +1,5 @@
 #include "galenalink/node/operator_api.hpp"
+#include "galenalink/account/render.hpp"
 #include "galenalink/core/random.hpp"
 #include "galenalink/fleet/apply.hpp"
 #include "galenalink/node/operator_views.hpp"
@@ -132,6 +133,8 @@
     Reply(queuesView(Node));
   else if (Name == "config")
     Reply(documentsView(Node));
+  else if (Name == "account")
+    account(Exchange);
   else if (Name == "explain" && Path.size() == 3)
     Reply(explanationView(Environment.Decisions.about(Path[2])));
   else if (Name == "appends" && Path.size() == 3)
@@ -140,6 +143,21 @@
     fault(Exchange, 404, "no such resource");
 }
 
+void operator_api::account(http::exchange &Exchange) const {
+  const auto Format = Exchange.query("format").value_or("json");
+  const auto Rows = Current().accounts().rows();
+  if (Format == "json")
+    Exchange.reply(200, JsonHeaders, galenalink::account::toJson(Rows));
+  else if (Format == "csv")
+    Exchange.reply(200, {{"Content-Type", "text/csv"}},
+                   galenalink::account::toCsv(Rows));
+  else if (Format == "text")
+    Exchange.reply(200, {{"Content-Type", "text/plain"}},
+                   galenalink::account::toTable(Rows));
+  else
+    fault(Exchange, 400, "the format is text, json or csv");
+}
+
 void operator_api::ask(http::exchange &Exchange,
                        const std::string_view Text) const {
   const auto Id = parseNumber(Text);
--- a/src/galenalink/node/operator_api.hpp
+++ b/src/galenalink/node/operator_api.hpp
@@ -27,6 +27,7 @@
 
   [[nodiscard]] bool authorised(const http::exchange &Exchange) const;
   void get(http::exchange &Exchange, const parts &Path) const;
+  void account(http::exchange &Exchange) const;
   void ask(http::exchange &Exchange, std::string_view Text) const;
   void post(http::exchange Exchange, const parts &Path) const;
   void publish(http::exchange Exchange) const;
--- a/src/galenalink/node/shard_host.cpp
+++ b/src/galenalink/node/shard_host.cpp
@@ -226,7 +226,10 @@
   shard_hooks Out;
   Out.Answer = [this](const request::answer &Answer) { answer(Answer); };
   Out.Dispatch = [this, Id](const request::dispatch &Dispatch) {
-    Hooks.Dispatch(Homes.at(Id), Dispatch);
+    const auto &Shard = Homes.at(Id);
+    if (const auto Work = Shard->ledger().find(Dispatch.Entry))
+      Hooks.Worked(Work->Key->Member, Id.Pool, {1, 0, 0});
+    Hooks.Dispatch(Shard, Dispatch);
   };
   Out.Stop = [this, Id](const request::stop_attempt &Stop) {
     if (const auto Shard = find(Id))
@@ -299,6 +302,21 @@
       {Answer.Outcome, Answer.Refusal, Answer.RetryAfter, Answer.Body, {}});
 }
 
+void shard_host::countEnd(const shard_id &Shard, const std::string &Member,
+                          const time_point Deadline, const reply &Reply) {
+  if (Reply.Outcome == outcome::NotRun) {
+    // The caller withdrew the request, or the router tries another home.
+    const bool Refused = Reply.Refusal != refusal::Cancelled &&
+                         Reply.Refusal != refusal::NotHome &&
+                         Reply.Refusal != refusal::NoAuthority &&
+                         Reply.Refusal != refusal::Stopping;
+    if (Refused)
+      Hooks.Worked(Member, Shard.Pool, {0, 1, 0});
+  } else if (Deadline < boot_clock::now()) {
+    Hooks.Worked(Member, Shard.Pool, {0, 0, 1});
+  }
+}
+
 void shard_host::submit(const shard_id &Shard, const call &Call,
                         const config::queue &Queue, reply_hook Done) {
   const auto Home = find(Shard);
@@ -319,7 +337,12 @@
   Submission.Idempotent = Queue.Idempotent;
   Submission.LongWork = Queue.Kind == config::work_kind::Long;
   Submission.Deadline = Call.Deadline;
-  Submission.Waiter = await(std::move(Done));
+  Submission.Waiter =
+      await([this, Shard, Member = Call.Member, Deadline = Call.Deadline,
+             Done = std::move(Done)](reply Reply) {
+        countEnd(Shard, Member, Deadline, Reply);
+        Done(std::move(Reply));
+      });
   Home->submit(std::move(Submission), instant());
 }
 
--- a/src/galenalink/node/shard_host.hpp
+++ b/src/galenalink/node/shard_host.hpp
@@ -1,6 +1,7 @@
 #ifndef GALENALINK_NODE_SHARD_HOST_HPP
 #define GALENALINK_NODE_SHARD_HOST_HPP
 
+#include "galenalink/account/totals.hpp"
 #include "galenalink/fleet/rights.hpp"
 #include "galenalink/node/call.hpp"
 #include "galenalink/node/catalog.hpp"
@@ -40,6 +41,10 @@
       Stop;
   std::function<void(std::string_view Subject, std::string Text)> Decided;
   std::function<void(const std::string &Queue, duration Wait)> Waited;
+  /** Work of a member in a pool was placed, refused or late. */
+  std::function<void(const std::string &Member, const std::string &Pool,
+                     const account::work_counts &)>
+      Worked;
   /** A shard got a home here; its VMs' status is to be asked for. */
   std::function<void(const shard_id &)> Adopted;
 };
@@ -125,6 +130,8 @@
   [[nodiscard]] request::replica &replicaOf(const shard_id &Id);
   [[nodiscard]] request::instant instant() const;
   [[nodiscard]] request::waiter await(reply_hook Done);
+  void countEnd(const shard_id &Shard, const std::string &Member,
+                time_point Deadline, const reply &Reply);
   void answer(const request::answer &Answer);
 
   const fleet::node_view &View;
