Send again what a replica refused

A replica refuses records of a roster version that it has not folded yet, and one that did not know the shard's pool did not answer at all. The home ignored both, and only sent again when a connection was established. After a change of the roster a home that folded it before its replicas therefore never became ready and dispatched nothing more.

The home now sends refused records again every 50 ms, and a node that does not know the shard refuses instead of staying silent.

--- a/src/galenalink/node/shard_host.cpp
+++ b/src/galenalink/node/shard_host.cpp
@@ -21,6 +21,8 @@
  * does not end the mark of a VM that still leaves. */
 constexpr duration LeavingMark = std::chrono::seconds{10};
 constexpr duration AskAgainPeriod = std::chrono::milliseconds{250};
+/** A replica refuses records until it has folded the home's roster version. */
+constexpr duration ResendPeriod = std::chrono::milliseconds{50};
 /** Told to callers while a shard has no home yet. */
 constexpr duration HomeRetry = std::chrono::milliseconds{500};
 
@@ -132,12 +134,23 @@
   }
   for (const auto &[Unused, Shard] : Homes)
     Shard->tick(Now);
+  resendRefused(Now);
   for (auto &[Unused, Replica] : Replicas)
     Replica.tick(Now);
   std::erase_if(Retired,
                 [](const auto &Shard) { return Shard->running() == 0; });
 }
 
+void shard_host::resendRefused(const time_point Now) {
+  if (Refused.empty() || Now < NextResend)
+    return;
+  NextResend = Now + ResendPeriod;
+  for (const auto &[Id, Node] : std::exchange(Refused, {})) {
+    if (const auto Shard = find(Id))
+      Shard->resend(Node);
+  }
+}
+
 void shard_host::advance(const shard_id &Id, pending_takeover &Pending,
                          const time_point Now) {
   if (!Pending.Takeover) {
@@ -389,12 +402,16 @@
 void shard_host::receive(const node_id From, const wire::replicate &Message) {
   const shard_id Id{Message.pool(), Message.shard()};
   auto Decoded = decode(Message);
-  const auto Known = Replicas.find(Id);
-  if (!Decoded || Known == Replicas.end())
+  if (!Decoded)
     return;
   Decoded->To = View.Self;
+  const auto Known = Replicas.find(Id);
+  // The shard may be unknown here because its pool was not folded yet.
   const auto Reply =
-      Known->second.store(std::move(*Decoded), boot_clock::now());
+      Known == Replicas.end()
+          ? request::replicate_reply{View.Self, Decoded->Call, Decoded->Version,
+                                     false}
+          : Known->second.store(std::move(*Decoded), boot_clock::now());
   wire::peer_message Answer;
   encode(Reply, Id, *Answer.mutable_replicate_reply());
   static_cast<void>(Hooks.Send(From, Answer));
@@ -402,8 +419,14 @@
 
 void shard_host::receive(const node_id From,
                          const wire::replicate_reply &Message) {
-  if (const auto Shard = find({Message.pool(), Message.shard()}))
-    Shard->acknowledged(decode(From, Message));
+  const shard_id Id{Message.pool(), Message.shard()};
+  const auto Shard = find(Id);
+  if (!Shard)
+    return;
+  const auto Reply = decode(From, Message);
+  if (!Reply.Accepted)
+    Refused.emplace(Id, From);
+  Shard->acknowledged(Reply);
 }
 
 void shard_host::receive(const node_id From, const wire::collect &Message) {
--- a/src/galenalink/node/shard_host.hpp
+++ b/src/galenalink/node/shard_host.hpp
@@ -10,7 +10,9 @@
 #include "galenalink/wire/fwd.hpp"
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace galenalink::wire {
@@ -115,6 +117,8 @@
                    request::roster_step Step, bool RosterChanged,
                    time_point Now);
   void retire(const shard_id &Id, time_point Now);
+  /** @brief Sends again what replicas refused. */
+  void resendRefused(time_point Now);
   void advance(const shard_id &Id, pending_takeover &Pending, time_point Now);
   void collect(const shard_id &Id, pending_takeover &Pending, time_point Now);
   void becomeHome(const shard_id &Id, pending_takeover &Pending,
@@ -136,6 +140,9 @@
   log_offset CatalogVersion{0};
   log_offset RefreshedAt{0};
   time_point NextRefresh{NoDeadline};
+  /** Replicas that refused a record of a shard at home here. */
+  std::set<std::pair<shard_id, node_id>> Refused;
+  time_point NextResend{NoDeadline};
   std::uint64_t LastAttempt{0};
   request::waiter LastWaiter{0};
   std::map<request::waiter, reply_hook> Waiters;
