--- a/src/galenalink/node/shard_host.cpp
+++ b/src/galenalink/node/shard_host.cpp
@@ -4,6 +4,7 @@
 #include "peer.pb.h"
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace galenalink::node {
 
@@ -145,8 +146,11 @@
   if (Refused.empty() || Now < NextResend)
     return;
   NextResend = Now + ResendPeriod;
-  for (const auto &[Id, Node] : std::exchange(Refused, {})) {
-    if (const auto Shard = find(Id))
+  for (const auto &[Id, Nodes] : std::exchange(Refused, {})) {
+    const auto Shard = find(Id);
+    if (!Shard)
+      continue;
+    for (const node_id Node : Nodes)
       Shard->resend(Node);
   }
 }
@@ -425,7 +429,7 @@
     return;
   const auto Reply = decode(From, Message);
   if (!Reply.Accepted)
-    Refused.emplace(Id, From);
+    Refused[Id].insert(From);
   Shard->acknowledged(Reply);
 }
 
--- a/src/galenalink/node/shard_host.hpp
+++ b/src/galenalink/node/shard_host.hpp
@@ -12,7 +12,6 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace galenalink::wire {
@@ -141,7 +140,7 @@
   log_offset RefreshedAt{0};
   time_point NextRefresh{NoDeadline};
   /** Replicas that refused a record of a shard at home here. */
-  std::set<std::pair<shard_id, node_id>> Refused;
+  std::map<shard_id, std::set<node_id>> Refused;
   time_point NextResend{NoDeadline};
   std::uint64_t LastAttempt{0};
   request::waiter LastWaiter{0};
