--- /dev/null
+++ b/bench/child_process.hpp
@@ -0,0 +1,111 @@
+#ifndef GALENALINK_BENCH_CHILD_PROCESS_HPP
+#define GALENALINK_BENCH_CHILD_PROCESS_HPP
+
+#include "galenalink/core/assert.hpp"
+#include <csignal>
+#include <cstdio>
+#include <fcntl.h>
+#include <fstream>
+#include <functional>
+#include <sched.h>
+#include <string>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <vector>
+
+namespace galenalink::bench {
+
+/** @brief Pins the calling process to one of the cores it may use. */
+inline void pinToCore(const int Number) {
+  cpu_set_t Allowed;
+  CPU_ZERO(&Allowed);
+  sched_getaffinity(0, sizeof(Allowed), &Allowed);
+  std::vector<int> Cores;
+  for (int Core = 0; Core < CPU_SETSIZE; ++Core)
+    if (CPU_ISSET(static_cast<std::size_t>(Core), &Allowed))
+      Cores.push_back(Core);
+  const auto Chosen = static_cast<std::size_t>(Number) % Cores.size();
+  cpu_set_t One;
+  CPU_ZERO(&One);
+  CPU_SET(static_cast<std::size_t>(Cores[Chosen]), &One);
+  sched_setaffinity(0, sizeof(One), &One);
+}
+
+/** @brief A child process on one core; it is ended with its parent. */
+class child_process {
+public:
+  /** @brief Runs the function in a child. */
+  child_process(const int Core, const std::function<void()> &Function) {
+    int Ends[2];
+    const int Made = pipe(Ends);
+    GALENALINK_ASSERT(Made == 0, "no pipe");
+    Id = fork();
+    GALENALINK_ASSERT(Id >= 0, "no child process");
+    if (Id == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
+      dup2(Ends[1], STDOUT_FILENO);
+      close(Ends[0]);
+      close(Ends[1]);
+      pinToCore(Core);
+      Function();
+      _exit(0);
+    }
+    close(Ends[1]);
+    Output = fdopen(Ends[0], "r");
+  }
+  /** @brief Runs a program; its error output is dropped. */
+  child_process(const int Core, const std::vector<std::string> &Command)
+      : child_process{Core, [&Command] {
+                        const int Null = open("/dev/null", O_WRONLY);
+                        dup2(Null, STDERR_FILENO);
+                        std::vector<char *> Arguments;
+                        Arguments.reserve(Command.size() + 1);
+                        for (const std::string &Each : Command)
+                          Arguments.push_back(const_cast<char *>(Each.c_str()));
+                        Arguments.push_back(nullptr);
+                        execv(Arguments[0], Arguments.data());
+                        _exit(127);
+                      }} {}
+  ~child_process() {
+    kill(Id, SIGTERM);
+    waitpid(Id, nullptr, 0);
+    std::fclose(Output);
+  }
+  child_process(const child_process &) = delete;
+  child_process &operator=(const child_process &) = delete;
+
+  /** @return The number at the end of the next line; 0 at the end. */
+  [[nodiscard]] std::uint16_t readPort() {
+    char Name[64];
+    unsigned Port = 0;
+    if (std::fscanf(Output, "%63s %u", Name, &Port) != 2)
+      return 0;
+    return static_cast<std::uint16_t>(Port);
+  }
+
+  /** @return Processor time used so far, in seconds. */
+  [[nodiscard]] double processorTime() const {
+    std::ifstream File{"/proc/" + std::to_string(Id) + "/stat"};
+    std::string Text;
+    std::getline(File, Text);
+    unsigned long User = 0;
+    unsigned long System = 0;
+    // The name in parentheses may contain spaces; user and system time are
+    // the 12th and 13th field after it.
+    const auto From = Text.rfind(')');
+    std::sscanf(Text.c_str() + (From == std::string::npos ? 0 : From + 1),
+                " %*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &User,
+                &System);
+    return static_cast<double>(User + System) /
+           static_cast<double>(sysconf(_SC_CLK_TCK));
+  }
+
+private:
+  pid_t Id{-1};
+  std::FILE *Output{nullptr};
+};
+
+} // namespace galenalink::bench
+
+#endif
