Leave the roster before the process ends, and never call a forgotten key not run

Cause: a stopping node ended as soon as no caller waited, before the log had taken its leave, so peers evicted it like a crashed one. A query of a key past its retention answered not-run although the work had run. Change: the node is idle only once it has left; a key that is not held is answered 404 with outcome unknown. Attempt ids are drawn only when work waits. Conclusion: a planned stop is no longer a failure to its peers.

--- a/src/galenalink/node/caller_api.cpp
+++ b/src/galenalink/node/caller_api.cpp
@@ -98,7 +98,7 @@
   case outcome::Failed:
     return 502;
   case outcome::Unknown:
-    return 504;
+    return Reply.Refusal == refusal::NoSuchQueue ? 404 : 504;
   case outcome::NotRun:
     break;
   }
--- a/src/galenalink/node/incarnation.cpp
+++ b/src/galenalink/node/incarnation.cpp
@@ -301,7 +301,7 @@
 }
 
 bool incarnation::idle() const noexcept {
-  return Router.pending() == 0 && Host.waiting() == 0;
+  return Left && Router.pending() == 0 && Host.waiting() == 0;
 }
 
 void incarnation::stop(const time_point Deadline) {
@@ -313,7 +313,10 @@
   Work.flush(Now);
   Authority.resign();
   Logger.info("Leaving the roster.");
-  Members.leave(Deadline, [] { Logger.info("Left the roster."); });
+  Members.leave(Deadline, [this] {
+    Left = true;
+    Logger.info("Left the roster.");
+  });
 }
 
 void incarnation::connected(const node_id Node) {
--- a/src/galenalink/node/incarnation.hpp
+++ b/src/galenalink/node/incarnation.hpp
@@ -149,6 +149,8 @@
   http::timer Ticker;
   http::timer Poller;
   bool Stopping{false};
+  /** The log took the record of the leave, or it was given up. */
+  bool Left{false};
 };
 
 } // namespace galenalink::node
--- a/src/galenalink/node/shard.cpp
+++ b/src/galenalink/node/shard.cpp
@@ -324,7 +324,10 @@
 
 bool shard::place(const time_point Now) {
   const auto At = Hooks.Instant();
-  if (!At.authorized() || !Ledger.ready())
+  const auto &Waiting = Scheduler.queues();
+  const bool Idle = Waiting.waiting(schedule::work_class::Short) == 0 &&
+                    Waiting.waiting(schedule::work_class::Long) == 0;
+  if (Idle || !At.authorized() || !Ledger.ready())
     return false;
   const auto Attempt = Hooks.NextAttempt();
   const auto Next = Scheduler.next(Attempt, Now);
--- a/src/galenalink/node/shard_host.cpp
+++ b/src/galenalink/node/shard_host.cpp
@@ -27,6 +27,15 @@
 /** Told to callers while a shard has no home yet. */
 constexpr duration HomeRetry = std::chrono::milliseconds{500};
 
+/** @brief Answer about a key that is not held; it may have run in the past. */
+[[nodiscard]] reply notHeld() {
+  return {outcome::Unknown,
+          refusal::NoSuchQueue,
+          {},
+          "no request with this key is held\n",
+          {}};
+}
+
 [[nodiscard]] request::request_key keyOf(const call &Call) {
   return {Call.Member, Call.Service, Call.Key};
 }
@@ -373,8 +382,10 @@
   const auto Key = keyOf(Call);
   const auto Waiter = await(std::move(Done));
   const auto Result = Home->cancel(Key, Waiter, instant());
-  if (Result == request::cancel_result::NotFound)
-    answer({Waiter, outcome::NotRun, refusal::NoSuchQueue, {}, {}});
+  if (Result == request::cancel_result::NotFound) {
+    if (auto Waiting = Waiters.extract(Waiter))
+      Waiting.mapped()(notHeld());
+  }
 }
 
 void shard_host::query(const shard_id &Shard, const call &Call,
@@ -386,7 +397,7 @@
   }
   const auto Found = Home->ledger().query(keyOf(Call), instant());
   if (!Found) {
-    Done(refuse(refusal::NoSuchQueue, {}, "no request with this key\n"));
+    Done(notHeld());
     return;
   }
   Done({Found->Outcome,
