Answer unknown when a lost forward is not known to have ended

A forward whose connection broke may run. The retry at another node was answered not-home, which cleared the mark, and after the deadline the caller was told that the request was not run. With one of four nodes killed under load, 10 or more of 469 requests were refused as not run although the backend server had run them once. The mark now stays until a home gives a final answer; a refusal for want of a home then ends as unknown. The same test no longer shows a wrong refusal.

--- a/src/galenalink/node/router.cpp
+++ b/src/galenalink/node/router.cpp
@@ -81,8 +81,9 @@
     return;
   }
   const auto Id = ++LastId;
-  Pending[Id] = {std::move(Call), std::move(Done), std::nullopt,
-                 NoDeadline,      false,           refusal::NoAuthority};
+  Pending[Id] = {std::move(Call),     std::move(Done), std::nullopt,
+                 NoDeadline,          false,           false,
+                 refusal::NoAuthority};
   attempt(Id);
 }
 
@@ -141,15 +142,19 @@
     return;
   auto &Entry = Known->second;
   const auto Now = boot_clock::now();
+  const bool Transient = isTransient(Reply);
   const bool Retry =
-      isTransient(Reply) && !Alone && Now + RetryPeriod < Entry.Call.Deadline;
+      Transient && !Alone && Now + RetryPeriod < Entry.Call.Deadline;
   if (Retry) {
     Entry.Target.reset();
     Entry.LastRefusal = Reply.Refusal;
     Entry.RetryAt = Now + RetryPeriod;
     return;
   }
-  finish(Id, std::move(Reply));
+  if (Transient && Entry.Lost)
+    giveUp(Id);
+  else
+    finish(Id, std::move(Reply));
 }
 
 void router::finish(const std::uint64_t Id, reply Reply) {
@@ -193,7 +198,7 @@
   auto Reply = decode(Message);
   if (!Reply)
     return;
-  Known->second.MayHaveRun = false;
+  Known->second.MayHaveRun = Known->second.Lost;
   replied(Message.call(), std::move(*Reply));
 }
 
@@ -201,6 +206,7 @@
   for (auto &[Unused, Entry] : Pending) {
     if (Entry.Target != Node)
       continue;
+    Entry.Lost = Entry.Lost || Entry.MayHaveRun;
     Entry.Target.reset();
     Entry.RetryAt = boot_clock::now() + RetryPeriod;
   }
--- a/src/galenalink/node/router.hpp
+++ b/src/galenalink/node/router.hpp
@@ -65,6 +65,9 @@
     time_point RetryAt{NoDeadline};
     /** A forward was sent and not answered. */
     bool MayHaveRun{false};
+    /** The connection broke before a forward was answered. Another node's
+     * refusal for want of a home then says nothing about that forward. */
+    bool Lost{false};
     refusal LastRefusal{refusal::NoAuthority};
   };
 
