Give a repeated append the result of the first

An append with an id that the log already holds is folded as a duplicate, and its caller waited 4 s for an unknown outcome. The duplicate now ends with the result of the first record. The test that publishes the same id twice gets the same answer both times.

--- a/src/galenalink/node/log_follower.cpp
+++ b/src/galenalink/node/log_follower.cpp
@@ -106,9 +106,11 @@
          {"reason", std::string{nameOf(fleet::RejectionNames, Applied.Reason)}},
          {"detail", Applied.Detail}});
   Hooks.Folded(Message, Applied);
-  // A second copy of an append must not replace the result of the first.
+  // A second copy of an append has the result of the first.
   if (Applied.Reason != fleet::rejection::Duplicate)
     finish(Message.id(), {append_end::Folded, Applied});
+  else if (const auto First = fleet::findAppend(State, Message.id()))
+    finish(Message.id(), {append_end::Folded, *First});
 }
 
 std::uint64_t log_follower::append(wire::record Record,
