Say not run only by the home of the key

Cause: after a node was killed, a caller's second try reached a node that knew no home for its key until the deadline; it answered not-run, although the first try had run through the killed node. Ruled out: the ledger, which was never asked. Change: a node that did not reach the home answers unknown with status 503, a reason and a retry time. Conclusion: not-run is the word of the home alone.

--- a/src/galenalink/node/caller_api.cpp
+++ b/src/galenalink/node/caller_api.cpp
@@ -98,7 +98,9 @@
   case outcome::Failed:
     return 502;
   case outcome::Unknown:
-    return Reply.Refusal == refusal::NoSuchQueue ? 404 : 504;
+    if (Reply.Refusal == refusal::None)
+      return 504;
+    return Reply.Refusal == refusal::NoSuchQueue ? 404 : 503;
   case outcome::NotRun:
     break;
   }
@@ -126,7 +128,12 @@
 
 void caller_api::start(http::exchange Exchange, call Call) const {
   if (!Hooks.Ready()) {
-    send(Exchange, Call, refuse(refusal::NoAuthority, StartRetry));
+    send(Exchange, Call,
+         {outcome::Unknown,
+          refusal::NoAuthority,
+          StartRetry,
+          "this node has just started; try again\n",
+          {}});
     return;
   }
   const auto Default = Hooks.DefaultTimeout(Call);
--- a/src/galenalink/node/router.cpp
+++ b/src/galenalink/node/router.cpp
@@ -19,6 +19,15 @@
 /** Calls that wait for an answer; more are refused as not run. */
 constexpr std::size_t MaxPending = 16384;
 
+/** @brief Answer of a node that did not ask the home of the key. */
+[[nodiscard]] reply notStarted(const refusal Reason) {
+  return {outcome::Unknown,
+          Reason,
+          HomeRetry,
+          "not started here; an earlier try with this key may have run\n",
+          {}};
+}
+
 /** @brief Whether another try may reach the right home. */
 [[nodiscard]] bool isTransient(const reply &Reply) noexcept {
   return Reply.Outcome == outcome::NotRun &&
@@ -73,11 +82,11 @@
     return;
   }
   if (Stopping) {
-    Done(refuse(refusal::Stopping, HomeRetry));
+    Done(notStarted(refusal::Stopping));
     return;
   }
   if (Pending.size() >= MaxPending) {
-    Done(refuse(refusal::TableFull, HomeRetry));
+    Done(notStarted(refusal::TableFull));
     return;
   }
   const auto Id = ++LastId;
@@ -161,7 +170,13 @@
   auto Entry = Pending.extract(Id);
   if (!Entry)
     return;
-  if (Reply.Outcome == outcome::NotRun && Reply.RetryAfter <= duration{})
+  // Only the home knows what became of earlier tries with the same key, which
+  // may have come through another node.
+  const bool WithoutHome =
+      isTransient(Reply) && Entry.mapped().Call.Operation == operation::Submit;
+  if (WithoutHome)
+    Reply.Outcome = outcome::Unknown;
+  if (Reply.Outcome != outcome::Complete && Reply.RetryAfter <= duration{})
     Reply.RetryAfter = HomeRetry;
   const auto &Call = Entry.mapped().Call;
   Log.info("Answered a request.",
--- a/src/galenalink/node/shard.cpp
+++ b/src/galenalink/node/shard.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/** A replica refuses records until it has folded the home's roster version,
- * which takes it one read of the log. */
-constexpr duration ResendPeriod = std::chrono::milliseconds{100};
 constexpr duration NoVmRetry = std::chrono::seconds{1};
 
 [[nodiscard]] schedule::item_id
@@ -178,8 +175,6 @@
 
 void shard::acknowledged(const request::replicate_reply &Reply) {
   const auto At = Hooks.Instant();
-  if (!Reply.Accepted)
-    ResendAt.try_emplace(Reply.From, At.Now + ResendPeriod);
   request::effects Effects;
   Ledger.acknowledged(Reply, At, Effects);
   process(std::move(Effects), At.Now);
@@ -201,15 +196,6 @@
 }
 
 void shard::tick(const time_point Now) {
-  for (auto It = ResendAt.begin(); It != ResendAt.end();) {
-    const auto [Node, Due] = *It;
-    if (Due > Now) {
-      ++It;
-      continue;
-    }
-    It = ResendAt.erase(It);
-    resend(Node);
-  }
   request::effects Effects;
   Ledger.tick(Hooks.Instant(), Effects);
   process(std::move(Effects), Now);
--- a/src/galenalink/node/shard.hpp
+++ b/src/galenalink/node/shard.hpp
@@ -138,8 +138,6 @@
   schedule::shard_scheduler Scheduler;
   /** Effects that followed from effects in progress. */
   request::effects Following;
-  /** Replicas that refused records, and when they are sent again. */
-  std::map<node_id, time_point> ResendAt;
   bool Processing{false};
   /** By `member/service/queue`. */
   std::map<std::string, schedule::queue_index> Queues;
