--- a/src/galenalink/node/shard.cpp
+++ b/src/galenalink/node/shard.cpp
@@ -36,7 +36,8 @@
     const std::vector<std::pair<std::string, config::team>> &NewTeams) {
   auto Removed = Queues;
   for (const auto &[Member, Service, Queue] : NewQueues) {
-    const std::string Owner = Member + '/' + Service;
+    std::string Owner = Member;
+    Owner.append("/").append(Service);
     std::string Name = Owner;
     Name.append("/").append(Queue.Name);
     Queues[Name] =
