Remove logic that stood twice in the HTTP edges

Cause: path splitting stood in two files, and the constant-time comparison of secrets beside the one of the peer module. Change: path.hpp holds the splitting; the operators' interface uses peer::equalSecrets; todo() of a wave is named waiting(). Measured: test_node and test_plan pass; behaviour is unchanged. Conclusion: one place for each.

--- a/src/galenalink/node/caller_api.cpp
+++ b/src/galenalink/node/caller_api.cpp
@@ -1,4 +1,5 @@
 #include "galenalink/node/caller_api.hpp"
+#include "galenalink/node/path.hpp"
 #include <algorithm>
 #include <charconv>
 #include <memory>
@@ -13,17 +14,6 @@
 constexpr duration StartRetry = std::chrono::seconds{1};
 constexpr duration LongestTimeout = std::chrono::hours{24};
 
-[[nodiscard]] std::vector<std::string_view> split(const std::string_view Path) {
-  std::vector<std::string_view> Parts;
-  std::size_t At = Path.starts_with('/') ? 1 : 0;
-  while (At <= Path.size()) {
-    const auto End = std::min(Path.find('/', At), Path.size());
-    Parts.push_back(Path.substr(At, End - At));
-    At = End + 1;
-  }
-  return Parts;
-}
-
 /** @brief Keys stand in URLs, so they are restricted to unreserved
  * characters (RFC 3986, section 2.3). */
 [[nodiscard]] bool isKey(const std::string_view Key) noexcept {
@@ -159,7 +149,7 @@
 }
 
 void caller_api::handle(http::exchange Exchange) const {
-  const auto Parts = split(Exchange.path());
+  const auto Parts = splitPath(Exchange.path());
   if (Exchange.method() == http::method::Get && Exchange.path() == "/health") {
     health(Exchange);
     return;
--- a/src/galenalink/node/operator_api.cpp
+++ b/src/galenalink/node/operator_api.cpp
@@ -3,6 +3,8 @@
 #include "galenalink/core/random.hpp"
 #include "galenalink/fleet/apply.hpp"
 #include "galenalink/node/operator_views.hpp"
+#include "galenalink/node/path.hpp"
+#include "galenalink/peer/transport.hpp"
 #include "records.pb.h"
 #include <charconv>
 #include <memory>
@@ -17,28 +19,6 @@
 
 const http::headers JsonHeaders{{"Content-Type", "application/json"}};
 
-[[nodiscard]] std::vector<std::string_view> split(const std::string_view Path) {
-  std::vector<std::string_view> Parts;
-  std::size_t At = Path.starts_with('/') ? 1 : 0;
-  while (At <= Path.size()) {
-    const auto End = std::min(Path.find('/', At), Path.size());
-    Parts.push_back(Path.substr(At, End - At));
-    At = End + 1;
-  }
-  return Parts;
-}
-
-/** @brief Compares in a time that does not depend on the content. */
-[[nodiscard]] bool equalSecret(const std::string_view Left,
-                               const std::string_view Right) noexcept {
-  if (Left.size() != Right.size())
-    return false;
-  unsigned Difference = 0;
-  for (std::size_t At = 0; At < Left.size(); ++At)
-    Difference |= static_cast<unsigned char>(Left[At] ^ Right[At]);
-  return Difference == 0;
-}
-
 [[nodiscard]] std::string textAt(const nlohmann::json &Object,
                                  const std::string_view Key) {
   const auto Found = Object.find(Key);
@@ -94,7 +74,7 @@
 
 bool operator_api::authorised(const http::exchange &Exchange) const {
   const auto Given = Exchange.header("Authorization").value_or("");
-  return Token.empty() || equalSecret(Given, "Bearer " + Token);
+  return Token.empty() || peer::equalSecrets(Given, "Bearer " + Token);
 }
 
 void operator_api::handle(http::exchange Exchange) const {
@@ -102,7 +82,7 @@
     fault(Exchange, 401, "a bearer token is needed");
     return;
   }
-  const auto Path = split(Exchange.path());
+  const auto Path = splitPath(Exchange.path());
   if (Exchange.method() == http::method::Get)
     get(Exchange, Path);
   else if (Exchange.method() == http::method::Post)
--- a/src/galenalink/plan/maintenance.cpp
+++ b/src/galenalink/plan/maintenance.cpp
@@ -114,7 +114,7 @@
   bool BorrowedOut{false};
 
   /** @brief VMs that wait for maintenance or are in it. */
-  [[nodiscard]] std::uint32_t todo() const noexcept {
+  [[nodiscard]] std::uint32_t waiting() const noexcept {
     return static_cast<std::uint32_t>(Due.size() + Out.size());
   }
   std::vector<vm_index> Out;
@@ -133,7 +133,7 @@
     const auto Room = roomAtHomeSize(Pools[I], Full);
     auto &Slowest = Rounds[Pools[I].Member];
     if (Room > 0 && Pools[I].MinUp > 0)
-      Slowest = std::max(Slowest, (Members[I].todo() + Room - 1) / Room);
+      Slowest = std::max(Slowest, (Members[I].waiting() + Room - 1) / Room);
   }
   return Rounds;
 }
@@ -153,7 +153,7 @@
   });
   if (Late || Rounds == 0)
     return std::numeric_limits<std::uint32_t>::max();
-  return (Members.todo() + Rounds - 1) / Rounds;
+  return (Members.waiting() + Rounds - 1) / Rounds;
 }
 
 void planPool(const std::span<const vm_view> Vms, const pool_view &Pool,
