--- a/apps/galenalinkd.cpp
+++ b/apps/galenalinkd.cpp
@@ -1,5 +1,8 @@
+#ifdef GALENALINK_EMBEDDED
 #include "galenalink/node/application.hpp"
+#endif
 #include "galenalink/telemetry/log.hpp"
+#include "serve.hpp"
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <fstream>
@@ -14,8 +17,8 @@
 constexpr int ExitUnavailable = 3;
 
 /** @brief Reads and checks the settings; prints every error found. */
-[[nodiscard]] bool loadSettings(const std::string &File,
-                                config::settings &Settings) {
+template <typename Settings>
+[[nodiscard]] bool loadSettings(const std::string &File, Settings &Out) {
   std::ifstream Input{File};
   if (!Input) {
     std::cerr << File << ": can't be read\n";
@@ -23,12 +26,13 @@
   }
   std::stringstream Text;
   Text << Input.rdbuf();
-  const auto Diagnostics = config::parseSettings(File, Text.str(), Settings);
+  const auto Diagnostics = parseSettings(File, Text.str(), Out);
   for (const auto &Diagnostic : Diagnostics)
     std::cerr << toString(Diagnostic) << '\n';
   return Diagnostics.empty();
 }
 
+#ifdef GALENALINK_EMBEDDED
 [[nodiscard]] result<int> serve(const config::settings &Settings) {
   BOOST_LEAF_AUTO(Secrets, node::readSecrets(Settings));
   http::loop Loop;
@@ -40,6 +44,42 @@
   Loop.run();
   return 0;
 }
+#else
+[[nodiscard]] result<int> serve(const config::settings & /*Settings*/) {
+  return fail(errc::BadInput, "built without the embedded platform");
+}
+#endif
+
+struct command_line {
+  std::string File;
+  bool CheckOnly{false};
+};
+
+/** @brief Loads the settings, sets up the log and serves. */
+template <typename Settings>
+[[nodiscard]] int run(const command_line &Line,
+                      result<int> (*Serve)(const Settings &)) {
+  Settings Loaded;
+  if (!loadSettings(Line.File, Loaded))
+    return ExitBadInput;
+  if (Line.CheckOnly) {
+    std::cout << Line.File << ": valid\n";
+    return 0;
+  }
+  telemetry::openLog(static_cast<telemetry::severity>(Loaded.Level),
+                     Loaded.Format == config::log_format::Json);
+  return tryOr([&] { return Serve(Loaded); },
+               [](const error &Error) {
+                 std::cerr << "galenalinkd: " << Error.Message << '\n';
+                 return Error.Code == errc::BadInput ? ExitBadInput
+                                                     : ExitUnavailable;
+               });
+}
+
+[[nodiscard]] result<int> serveOnPlatform(const job_node::settings &Settings) {
+  BOOST_LEAF_CHECK(users_platform::serve(Settings));
+  return 0;
+}
 
 } // namespace
 
@@ -49,27 +89,25 @@
   App.footer("Example:\n  galenalinkd --settings node.json\n"
              "Exit status: 0 stopped, 2 bad settings, 3 a listener can't be "
              "opened.");
-  std::string File;
-  bool CheckOnly = false;
-  App.add_option("--settings", File, "Settings, JSON with comments")
-      ->required();
-  App.add_flag("--check-config", CheckOnly,
+  command_line Line;
+  const auto AddOptions = [&](CLI::App &To) {
+    return To.add_option("--settings", Line.File,
+                         "Settings, JSON with comments");
+  };
+  const auto *Settings = AddOptions(App);
+  App.add_flag("--check-config", Line.CheckOnly,
                "Check the settings and exit without starting");
+  CLI::App *OnPlatform = App.add_subcommand(
+      "on-platform", "Run on the users' platform, where the store keeps all "
+                     "state; deploy/settings.json shows the settings");
+  AddOptions(*OnPlatform)->envname("GALENALINK_SETTINGS")->required();
   CLI11_PARSE(App, Argc, Argv);
 
-  config::settings Settings;
-  if (!loadSettings(File, Settings))
+  if (OnPlatform->parsed())
+    return run<job_node::settings>(Line, serveOnPlatform);
+  if (Settings->count() == 0) {
+    std::cerr << "galenalinkd: --settings is required\n";
     return ExitBadInput;
-  if (CheckOnly) {
-    std::cout << File << ": valid\n";
-    return 0;
   }
-  telemetry::openLog(static_cast<telemetry::severity>(Settings.Level),
-                     Settings.Format == config::log_format::Json);
-  return tryOr([&] { return serve(Settings); },
-               [](const error &Error) {
-                 std::cerr << "galenalinkd: " << Error.Message << '\n';
-                 return Error.Code == errc::BadInput ? ExitBadInput
-                                                     : ExitUnavailable;
-               });
+  return run<config::settings>(Line, serve);
 }
--- a/src/galenalink/config/detail/reader.cpp
+++ b/src/galenalink/config/detail/reader.cpp
@@ -113,6 +113,27 @@
   return std::nullopt;
 }
 
+reader &reader::decimal(const std::string_view Key, double &Out,
+                        const range Range) {
+  const auto *Value = find(Key);
+  if (Value == nullptr)
+    return *this;
+  if (Value->is_number()) {
+    const auto Number = Value->get<double>();
+    if (Number >= static_cast<double>(Range.Low) &&
+        Number <= static_cast<double>(Range.High)) {
+      Out = Number;
+      return *this;
+    }
+  }
+  std::string Message = "must be a number from " + std::to_string(Range.Low) +
+                        " to " + std::to_string(Range.High);
+  if (!Range.Unit.empty())
+    Message += ' ' + std::string{Range.Unit};
+  fail(Key, std::move(Message));
+  return *this;
+}
+
 reader &reader::object(const std::string_view Key,
                        const std::function<void(reader &)> &Read) {
   if (const auto *Value = find(Key)) {
--- a/src/galenalink/config/detail/reader.hpp
+++ b/src/galenalink/config/detail/reader.hpp
@@ -53,6 +53,9 @@
     return *this;
   }
 
+  /** @brief Reads a number that may have a fraction. */
+  reader &decimal(std::string_view Key, double &Out, range Range);
+
   template <typename Enum, std::size_t N>
   reader &choice(const std::string_view Key, Enum &Out,
                  const enum_names<Enum, N> &Names) {
--- /dev/null
+++ b/src/galenalink/job/admission.hpp
@@ -0,0 +1,79 @@
+#ifndef GALENALINK_JOB_ADMISSION_HPP
+#define GALENALINK_JOB_ADMISSION_HPP
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+
+namespace galenalink::job {
+
+/** @brief What a pool can do and what it has accepted, in thousandths of a core
+ * and in those times ms. */
+struct pool_load {
+  double Capacity{0};
+  /** Work left of jobs that are expected to meet their objective. */
+  double InTimeWork{0};
+  /** Work left of jobs that run in what the others leave. */
+  double DeferredWork{0};
+};
+
+/** @brief A job that asks to be admitted. */
+struct admission_request {
+  double ChainMs{0};
+  /** All its work, thousandths of a core times ms. */
+  double Work{0};
+  double ObjectiveMs{0};
+};
+
+enum class admission_verdict : std::uint8_t { InTime, Deferred, Refused };
+
+struct admission {
+  admission_verdict Verdict{admission_verdict::Refused};
+  /** Expected time to the end, ms. */
+  double FinishMs{0};
+  /** With a refusal: when the job would fit, ms. */
+  std::uint32_t RetryAfterMs{0};
+};
+
+/**
+ * @brief Answers to a turn of demand above what the pool holds: a job that can
+ * meet its objective behind those that were accepted before is admitted. One
+ * that can only end late runs in the room that is left after the turn, if that
+ * is early enough to be of use. Any other is refused at once.
+ */
+[[nodiscard]] inline admission admit(const pool_load &Load,
+                                     const admission_request &Request) {
+  /** Share of the room that packing leaves unused. */
+  constexpr double Packing = 0.85;
+  /** Ending after this many times the objective is of no use; a tenth is kept
+   * for estimates that are off. */
+  constexpr double UselessFactor = 2.7;
+  /** A caller that is told to come back is not told to do so sooner. */
+  constexpr double ShortestRetryMs = 1000;
+
+  admission Result;
+  if (Load.Capacity <= 0) {
+    Result.RetryAfterMs = static_cast<std::uint32_t>(ShortestRetryMs);
+    return Result;
+  }
+  const double Rate = Load.Capacity * Packing;
+  const double OwnMs = std::max(Request.ChainMs, Request.Work / Rate);
+  Result.FinishMs = Load.InTimeWork / Rate + OwnMs;
+  if (Result.FinishMs <= Request.ObjectiveMs) {
+    Result.Verdict = admission_verdict::InTime;
+    return Result;
+  }
+  Result.FinishMs += Load.DeferredWork / Rate;
+  const double UselessMs = Request.ObjectiveMs * UselessFactor;
+  if (Result.FinishMs <= UselessMs) {
+    Result.Verdict = admission_verdict::Deferred;
+    return Result;
+  }
+  Result.RetryAfterMs = static_cast<std::uint32_t>(
+      std::max(Result.FinishMs - Request.ObjectiveMs, ShortestRetryMs));
+  return Result;
+}
+
+} // namespace galenalink::job
+
+#endif
--- /dev/null
+++ b/src/galenalink/job/controller.cpp
@@ -0,0 +1,84 @@
+#include "galenalink/job/controller.hpp"
+#include "galenalink/job/callers.hpp"
+#include "galenalink/job/dispatch.hpp"
+#include "galenalink/job/recovery.hpp"
+#include "galenalink/job/server_watch.hpp"
+
+namespace galenalink::job {
+
+namespace {
+
+/** Interval of duties that need no quick reaction. */
+constexpr duration SlowDutyInterval = std::chrono::milliseconds{200};
+
+} // namespace
+
+controller::controller(std::unique_ptr<leader> State,
+                       const newest_result &Recovered, fleet_rules Rules)
+    : Leader{std::move(State)} {
+  Leader->Rules = std::move(Rules);
+  recover(*Leader, Recovered);
+}
+
+void controller::setRules(const fleet_rules &Rules) {
+  Leader->Rules = Rules;
+  Leader->Dirty = true;
+  // A queue may have got another pool; runs that exist go on where they are.
+  for (auto &[Id, Entry] : Leader->Open) {
+    if (const queue_rule *Rule = Rules.queue(Entry->Job.queue()))
+      Entry->Job.assignPool(Rule->Pool);
+  }
+}
+
+void controller::setRegistrations(
+    const std::vector<registration> &Registrations) {
+  updateRegistrations(*Leader, Registrations);
+}
+
+void controller::setVms(const std::vector<vm> &Vms) { updateVms(*Leader, Vms); }
+
+void controller::submit(const std::string &Queue, const std::string &Id,
+                        job_spec Spec, reply_function Reply) {
+  submitJob(*Leader, Queue, Id, std::move(Spec), std::move(Reply));
+}
+
+caller_reply controller::query(const std::string &Id) const {
+  return queryJob(*Leader, Id);
+}
+
+void controller::cancel(const std::string &Id, reply_function Reply) {
+  cancelJob(*Leader, Id, std::move(Reply));
+}
+
+caller_reply controller::pending(const std::string &Queue) const {
+  return pendingJobs(*Leader, Queue);
+}
+
+void controller::openOccurrences() {
+  for (auto &[Id, Entry] : Leader->Open) {
+    if (Entry->Job.spec().Times > 0)
+      openDue(*Leader, *Entry);
+  }
+}
+
+void controller::tick() {
+  openOccurrences();
+  watchServers(*Leader);
+  const time_point Now = Leader->Now();
+  if (Now >= NextSlowDuty) {
+    NextSlowDuty = Now + SlowDutyInterval;
+    // Back-offs and objectives pass without an event.
+    Leader->Dirty = true;
+    mendStragglers(*Leader);
+    forgetEnded(*Leader);
+  }
+  settle();
+}
+
+void controller::settle() {
+  if (Leader->Dirty)
+    dispatch(*Leader);
+  Leader->Journal.flush();
+}
+
+} // namespace galenalink::job
--- /dev/null
+++ b/src/galenalink/job/dispatch.cpp
@@ -0,0 +1,296 @@
+#include "galenalink/job/dispatch.hpp"
+#include "galenalink/job/placement.hpp"
+#include "galenalink/job/runs.hpp"
+#include "galenalink/job/server_watch.hpp"
+#include "galenalink/telemetry/log.hpp"
+#include <algorithm>
+#include <tuple>
+
+namespace galenalink::job {
+
+namespace {
+
+constexpr telemetry::logger Log{"dispatch"};
+
+/** A run without progress for this long stands still. Progress is seen with
+ * each hold, of which there are several in this time. */
+constexpr duration StandstillAfter = std::chrono::milliseconds{2500};
+/** A run that takes this many times the expected duration is a straggler. */
+constexpr int StragglerFactor = 3;
+constexpr duration StragglerSlack = std::chrono::milliseconds{300};
+/** Share of a pool's room up to which worthless work may fill it. */
+constexpr double WorthlessLoad = 0.5;
+
+/** Order in which work is placed. */
+enum class urgency : std::uint8_t { Lasting, InTime, Late, Worthless };
+
+struct candidate {
+  job_entry *Entry{nullptr};
+  occurrence *Occurrence{nullptr};
+  std::uint32_t Step{0};
+  urgency Urgency{urgency::InTime};
+  std::uint32_t Priority{0};
+  time_point Deadline;
+
+  [[nodiscard]] auto rank() const {
+    return std::tuple{Urgency, Priority, Deadline};
+  }
+};
+
+urgency urgencyOf(const occurrence &Occurrence, const step_spec &Step,
+                  const bool Deferred, const time_point Now) {
+  if (Step.Lasts)
+    return urgency::Lasting;
+  if (Now < Occurrence.Objective && !Deferred)
+    return urgency::InTime;
+  return Now < Occurrence.Worthless ? urgency::Late : urgency::Worthless;
+}
+
+bool waiting(const task &Task, const time_point Now) {
+  return !Task.Done && Task.Runs == 0 && Task.NotBefore <= Now;
+}
+
+void addCandidates(leader &Leader, job_entry &Entry,
+                   std::vector<candidate> &Out) {
+  const time_point Now = Leader.Now();
+  const queue_rule *Rule = Leader.Rules.queue(Entry.Job.queue());
+  for (auto &Occurrence : Entry.Job.open()) {
+    for (std::uint32_t I = 0; I < Occurrence.Steps.size(); ++I) {
+      const step &Step = Occurrence.Steps[I];
+      const bool Waits = !Step.done() && Entry.Job.ready(Occurrence, I) &&
+                         std::ranges::any_of(Step.Tasks, [&](const task &Each) {
+                           return waiting(Each, Now);
+                         });
+      if (!Waits)
+        continue;
+      Out.push_back({&Entry, &Occurrence, I,
+                     urgencyOf(Occurrence, Entry.Job.spec().Steps[I],
+                               Entry.Deferred, Now),
+                     Rule == nullptr ? 0 : Rule->Priority,
+                     Occurrence.Objective});
+    }
+  }
+}
+
+std::vector<candidate> candidatesOf(leader &Leader,
+                                    const std::string_view Pool) {
+  std::vector<candidate> Candidates;
+  const bool Unknown = runsUnknown(Leader, Pool);
+  for (auto &[Id, Entry] : Leader.Open) {
+    const bool Held = !Entry->Stored || (Entry->Recovered && Unknown);
+    if (Entry->Job.pool() == Pool && !Held)
+      addCandidates(Leader, *Entry, Candidates);
+  }
+  std::ranges::sort(Candidates, {}, &candidate::rank);
+  return Candidates;
+}
+
+/** @return Share of the processors that are taken. */
+double loadOf(const std::vector<server *> &Servers) {
+  std::int64_t Used = 0;
+  std::int64_t Capacity = 0;
+  for (const server *Each : Servers) {
+    Used += Each->Used.Cpu;
+    Capacity += Each->Entry.Capacity.Cpu;
+  }
+  return Capacity == 0
+             ? 1
+             : static_cast<double>(Used) / static_cast<double>(Capacity);
+}
+
+void logStart(const task_id &Task, const server &Server,
+              const candidate &Candidate, const std::uint64_t Number) {
+  Log.info("start",
+           {{"job", Task.Job},
+            {"occurrence", Task.Occurrence},
+            {"step", Task.Step},
+            {"index", Task.Index},
+            {"number", Number},
+            {"server", Server.Entry.Id},
+            {"free_cpu", std::to_string(Server.free().Cpu)},
+            {"urgency", static_cast<std::uint64_t>(Candidate.Urgency)}});
+}
+
+/** @return Whether all waiting tasks of the step were started. */
+bool startTasks(leader &Leader, const candidate &Candidate,
+                const std::vector<server *> &Servers) {
+  job_entry &Entry = *Candidate.Entry;
+  const step_spec &Spec = Entry.Job.spec().Steps[Candidate.Step];
+  auto &Tasks = Candidate.Occurrence->Steps[Candidate.Step].Tasks;
+  for (std::uint32_t I = 0; I < Tasks.size(); ++I) {
+    if (!waiting(Tasks[I], Leader.Now()))
+      continue;
+    placement_request Request;
+    Request.Step = &Spec;
+    Request.Task = {Entry.Job.id(), Candidate.Occurrence->Number,
+                    Candidate.Step, I};
+    server *Server = choose(Servers, Request);
+    if (Server == nullptr)
+      return false;
+    const auto Number = nextRun(Leader, Tasks[I]);
+    logStart(Request.Task, *Server, Candidate, Number);
+    startRun(Leader, *Server, Entry, Request.Task, Number);
+  }
+  return true;
+}
+
+/** @brief Room that a gang would take, tried out on copies of the servers. */
+std::vector<server *> planGang(const std::vector<server *> &Servers,
+                               const placement_request &Base,
+                               const std::size_t Count) {
+  std::vector<server *> Plan;
+  for (std::size_t I = 0; I < Count; ++I) {
+    placement_request Request = Base;
+    Request.Task.Index = static_cast<std::uint32_t>(I);
+    server *Server = choose(Servers, Request);
+    if (Server == nullptr)
+      break;
+    run Run;
+    Run.Size = Request.Step->Size;
+    Run.Fills = Request.Step->Fills;
+    Server->addRun({Request.Task, 0}, Run);
+    Plan.push_back(Server);
+  }
+  for (std::size_t I = 0; I < Plan.size(); ++I) {
+    task_id Task = Base.Task;
+    Task.Index = static_cast<std::uint32_t>(I);
+    Plan[I]->eraseRun({Task, 0});
+  }
+  if (Plan.size() < Count)
+    Plan.clear();
+  return Plan;
+}
+
+/** @brief Starts all tasks of a gang at once, or none. */
+void startGang(leader &Leader, const candidate &Candidate,
+               const std::vector<server *> &Servers) {
+  job_entry &Entry = *Candidate.Entry;
+  const step_spec &Spec = Entry.Job.spec().Steps[Candidate.Step];
+  auto &Tasks = Candidate.Occurrence->Steps[Candidate.Step].Tasks;
+  const bool AllWait = std::ranges::all_of(
+      Tasks, [&](const task &Each) { return waiting(Each, Leader.Now()); });
+  if (!AllWait)
+    return;
+  placement_request Request;
+  Request.Step = &Spec;
+  Request.Task = {Entry.Job.id(), Candidate.Occurrence->Number, Candidate.Step,
+                  0};
+  std::vector<server *> Plan;
+  if (Spec.SameRack) {
+    for (const server *Each : Servers) {
+      Request.BoundRack = Each->rack();
+      Plan = planGang(Servers, Request, Tasks.size());
+      if (!Plan.empty())
+        break;
+    }
+    Request.BoundRack = {};
+  }
+  if (Plan.empty())
+    Plan = planGang(Servers, Request, Tasks.size());
+  std::uint64_t Number = 0;
+  std::string Saved;
+  for (const task &Each : Tasks) {
+    Number = std::max(Number, nextRun(Leader, Each));
+    Saved = std::max(Saved, Each.Saved);
+  }
+  for (std::size_t I = 0; I < Plan.size(); ++I) {
+    Tasks[I].Saved = Saved;
+    Request.Task.Index = static_cast<std::uint32_t>(I);
+    logStart(Request.Task, *Plan[I], Candidate, Number);
+    startRun(Leader, *Plan[I], Entry, Request.Task, Number);
+  }
+}
+
+void dispatchPool(leader &Leader, const std::string &Pool) {
+  auto Servers = workersOf(Leader, Pool);
+  if (Servers.empty())
+    return;
+  for (const candidate &Each : candidatesOf(Leader, Pool)) {
+    const bool Full =
+        Each.Urgency == urgency::Worthless && loadOf(Servers) > WorthlessLoad;
+    if (Full)
+      break;
+    if (Each.Entry->Job.spec().Steps[Each.Step].Gang)
+      startGang(Leader, Each, Servers);
+    else
+      startTasks(Leader, Each, Servers);
+  }
+}
+
+bool standsStill(const run &Run, const time_point Now) {
+  return !Run.Lasts && Run.State == run_state::Running &&
+         Run.ProgressAt != time_point{} &&
+         Now >= Run.ProgressAt + StandstillAfter && Now >= Run.ExpectedEnd;
+}
+
+bool straggles(const run &Run, const time_point Now) {
+  const duration Expected = Run.ExpectedEnd - Run.SentAt;
+  return !Run.Lasts && Run.State == run_state::Running &&
+         Now >= Run.SentAt + StragglerFactor * Expected + StragglerSlack;
+}
+
+void startCopy(leader &Leader, server &Slow, const task_id &Id) {
+  job_entry *Entry = Leader.findJob(Id.Job);
+  task *Task = Entry == nullptr ? nullptr : Entry->Job.find(Id);
+  const step_spec *Step = Entry == nullptr ? nullptr : Entry->Job.specOf(Id);
+  if (Task == nullptr || Task->Done || Task->Runs != 1 || !Step->Copies)
+    return;
+  placement_request Request;
+  Request.Step = Step;
+  Request.Task = Id;
+  Request.Excluded.push_back(&Slow);
+  server *Server = choose(workersOf(Leader, Entry->Job.pool()), Request);
+  if (Server == nullptr)
+    return;
+  const auto Number = nextRun(Leader, *Task);
+  Log.info("copy", {{"job", Id.Job},
+                    {"step", Id.Step},
+                    {"index", Id.Index},
+                    {"number", Number},
+                    {"slow", Slow.Entry.Id},
+                    {"server", Server->Entry.Id}});
+  startRun(Leader, *Server, *Entry, Id, Number);
+}
+
+} // namespace
+
+std::vector<server *> workersOf(leader &Leader, const std::string_view Pool) {
+  std::vector<server *> Servers;
+  for (auto &[Id, Server] : Leader.Servers) {
+    if (Server->Entry.Pool == Pool && acceptsWork(*Server, Leader.Now()))
+      Servers.push_back(Server.get());
+  }
+  return Servers;
+}
+
+void dispatch(leader &Leader) {
+  Leader.Dirty = false;
+  for (const pool_rule &Pool : Leader.Rules.Pools)
+    dispatchPool(Leader, Pool.Name);
+}
+
+void mendStragglers(leader &Leader) {
+  const time_point Now = Leader.Now();
+  std::vector<std::pair<server *, run_id>> Still;
+  std::vector<std::pair<server *, task_id>> Slow;
+  for (auto &[Id, Server] : Leader.Servers) {
+    for (const auto &[Run, State] : Server->Runs) {
+      if (Server->HoldFailures == 0 && standsStill(State, Now))
+        Still.emplace_back(Server.get(), Run);
+      else if (straggles(State, Now))
+        Slow.emplace_back(Server.get(), Run.Task);
+    }
+  }
+  for (const auto &[Server, Run] : Still) {
+    Log.warning("run stands still", {{"job", Run.Task.Job},
+                                     {"step", Run.Task.Step},
+                                     {"index", Run.Task.Index},
+                                     {"server", Server->Entry.Id}});
+    Server->Health.refused(Now);
+    stopRun(Leader, *Server, Run);
+  }
+  for (const auto &[Server, Task] : Slow)
+    startCopy(Leader, *Server, Task);
+}
+
+} // namespace galenalink::job
--- /dev/null
+++ b/src/galenalink/job/election.cpp
@@ -0,0 +1,80 @@
+#include "galenalink/job/election.hpp"
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace galenalink::job {
+
+std::string toText(const leader_record &Record) {
+  return nlohmann::json::array({static_cast<std::uint32_t>(Record.Kind),
+                                Record.Node, Record.Address, Record.Epoch})
+      .dump();
+}
+
+std::optional<leader_record> parseLeader(const std::string_view Text) {
+  try {
+    const auto From = nlohmann::json::parse(Text);
+    leader_record Record;
+    Record.Kind =
+        static_cast<leader_record::kind>(From.at(0).get<std::uint32_t>());
+    Record.Node = From.at(1);
+    Record.Address = From.at(2);
+    Record.Epoch = From.at(3);
+    return Record;
+  } catch (const nlohmann::json::exception &) {
+    return std::nullopt;
+  }
+}
+
+void election::seen(const std::uint64_t Offset, const leader_record &Record,
+                    const time_point Now) {
+  End = std::max(End, Offset + 1);
+  LastSign = Now;
+  switch (Record.Kind) {
+  case leader_record::kind::Claim:
+    Current = {Offset + 1, Record.Node, Record.Address, false};
+    // A claim whose answer was lost is found in the log.
+    if (Record.Node == Settings.Node)
+      OwnEpoch = Offset + 1;
+    break;
+  case leader_record::kind::Alive:
+    if (Record.Epoch >= Current.Epoch)
+      Current = {Record.Epoch, Record.Node, Record.Address, false};
+    break;
+  case leader_record::kind::Release:
+    if (Record.Epoch >= Current.Epoch)
+      Current = {Record.Epoch, Record.Node, Record.Address, true};
+    break;
+  }
+}
+
+void election::readTo(const std::uint64_t NewEnd,
+                      const time_point Now) noexcept {
+  End = std::max(End, NewEnd);
+  if (!Reading)
+    ReadingSince = Now;
+  Reading = true;
+}
+
+void election::claimed(const std::uint64_t Offset, const time_point Now) {
+  seen(Offset, {leader_record::kind::Claim, Settings.Node, Settings.Address, 0},
+       Now);
+  LastAlive = Now;
+}
+
+election_action election::next(const time_point Now) const {
+  if (leads())
+    return Now >= LastAlive + Settings.AliveInterval ? election_action::Alive
+                                                     : election_action::None;
+  if (!Reading)
+    return election_action::None;
+  if (Current.Released)
+    return Now >= std::max(ReadingSince, LastSign) + Settings.Stagger
+               ? election_action::Claim
+               : election_action::None;
+  const time_point Since = std::max(ReadingSince, LastSign);
+  return Now >= Since + Settings.Silence + Settings.Stagger
+             ? election_action::Claim
+             : election_action::None;
+}
+
+} // namespace galenalink::job
--- /dev/null
+++ b/src/galenalink/job/election.hpp
@@ -0,0 +1,103 @@
+#ifndef GALENALINK_JOB_ELECTION_HPP
+#define GALENALINK_JOB_ELECTION_HPP
+
+#include "galenalink/core/time.hpp"
+#include "galenalink/job/ports.hpp"
+
+namespace galenalink::job {
+
+/** @brief A record of the leader's log. */
+struct leader_record {
+  enum class kind : std::uint8_t {
+    /** Starts an epoch: the offset of the record plus one. */
+    Claim,
+    /** The leader of the epoch is alive. */
+    Alive,
+    /** The leader of the epoch has stopped. */
+    Release,
+  };
+  kind Kind{kind::Claim};
+  std::string Node;
+  /** Where the leader serves the other nodes, `host:port`. */
+  std::string Address;
+  /** Epoch of an `Alive` or `Release`. */
+  std::uint64_t Epoch{0};
+};
+
+[[nodiscard]] std::string toText(const leader_record &Record);
+[[nodiscard]] std::optional<leader_record> parseLeader(std::string_view Text);
+
+/** @brief Who leads, by the records seen so far. */
+struct leadership {
+  std::uint64_t Epoch{0};
+  std::string Node;
+  std::string Address;
+  bool Released{true};
+};
+
+struct election_settings {
+  /** Unique for each start of a process. */
+  std::string Node;
+  std::string Address;
+  duration AliveInterval{std::chrono::milliseconds{600}};
+  /** A leader without a sign of life for this long is replaced. */
+  duration Silence{std::chrono::milliseconds{1800}};
+  /** Added to the silence; differs by node, so that one claims first. */
+  duration Stagger{0};
+};
+
+enum class election_action : std::uint8_t {
+  None,
+  Claim,
+  Alive,
+};
+
+/**
+ * @brief Decides when a node claims to lead. Silence counts only while the
+ * node reads the log: a node without the store learns nothing, and with the
+ * store down for all nobody can claim.
+ */
+class election {
+public:
+  explicit election(election_settings Settings)
+      : Settings{std::move(Settings)} {}
+
+  /** @brief Takes note of a record; records come in the order of the log. */
+  void seen(std::uint64_t Offset, const leader_record &Record, time_point Now);
+  /** @brief A read of the log succeeded, up to the given end. */
+  void readTo(std::uint64_t End, time_point Now) noexcept;
+  /** @brief A read failed, so that silence says nothing. */
+  void readFailed() noexcept { Reading = false; }
+  /** @brief An append was made, so that the next one is due later. */
+  void aliveSent(time_point Now) noexcept { LastAlive = Now; }
+
+  [[nodiscard]] election_action next(time_point Now) const;
+  [[nodiscard]] const leadership &current() const noexcept { return Current; }
+  [[nodiscard]] std::uint64_t end() const noexcept { return End; }
+  [[nodiscard]] bool leads() const noexcept {
+    return !Current.Released && Current.Node == Settings.Node &&
+           Current.Epoch != 0 && OwnEpoch == Current.Epoch;
+  }
+  /** @brief The node's own claim was appended at the offset. */
+  void claimed(std::uint64_t Offset, time_point Now);
+  /** @brief The node no longer leads its epoch, whatever the log says. */
+  void resign() noexcept { OwnEpoch = 0; }
+  [[nodiscard]] const election_settings &settings() const noexcept {
+    return Settings;
+  }
+
+private:
+  election_settings Settings;
+  leadership Current;
+  /** Epoch that this process claimed; 0 if it does not lead. */
+  std::uint64_t OwnEpoch{0};
+  std::uint64_t End{0};
+  bool Reading{false};
+  time_point ReadingSince;
+  time_point LastSign;
+  time_point LastAlive;
+};
+
+} // namespace galenalink::job
+
+#endif
--- /dev/null
+++ b/src/galenalink/job/job_record.cpp
@@ -0,0 +1,141 @@
+#include "galenalink/job/job.hpp"
+#include <nlohmann/json.hpp>
+
+namespace galenalink::job {
+
+namespace {
+
+using nlohmann::json;
+
+/** Records are short CBOR arrays: their bytes in the store are paid for. */
+json toJson(const step_spec &Step) {
+  const std::uint32_t Flags =
+      (Step.SavesProgress ? 1U : 0U) | (Step.Gang ? 2U : 0U) |
+      (Step.SameRack ? 4U : 0U) | (Step.Copies ? 8U : 0U) |
+      (Step.Lasts ? 16U : 0U) | (Step.Fills ? 32U : 0U);
+  return json::array({Step.Count, Step.Size.Cpu, Step.Size.Memory,
+                      Step.Size.Gpu, Step.EstimateMs, Step.DependsOn, Flags,
+                      Step.Label, Step.Rack, Step.Spread, Step.Image,
+                      Step.TargetMs, Step.MayMiss});
+}
+
+step_spec parseStep(const json &From) {
+  step_spec Step;
+  Step.Count = From.at(0);
+  Step.Size = {From.at(1), From.at(2), From.at(3)};
+  Step.EstimateMs = From.at(4);
+  Step.DependsOn = From.at(5).get<std::vector<std::uint32_t>>();
+  const std::uint32_t Flags = From.at(6);
+  Step.SavesProgress = (Flags & 1U) != 0;
+  Step.Gang = (Flags & 2U) != 0;
+  Step.SameRack = (Flags & 4U) != 0;
+  Step.Copies = (Flags & 8U) != 0;
+  Step.Lasts = (Flags & 16U) != 0;
+  Step.Fills = (Flags & 32U) != 0;
+  Step.Label = From.at(7);
+  Step.Rack = From.at(8);
+  Step.Spread = From.at(9);
+  Step.Image = From.at(10);
+  Step.TargetMs = From.at(11);
+  Step.MayMiss = From.at(12);
+  return Step;
+}
+
+std::string toText(const json &From) {
+  const auto Bytes = json::to_cbor(From);
+  return {Bytes.begin(), Bytes.end()};
+}
+
+/** @brief Tasks done as a bit each, tasks with failures, saved progress. */
+json stepProgress(const step &Step) {
+  std::vector<std::uint8_t> Done((Step.Tasks.size() + 7) / 8);
+  json Failures = json::array();
+  json Saved = json::array();
+  for (std::size_t I = 0; I < Step.Tasks.size(); ++I) {
+    const task &Task = Step.Tasks[I];
+    if (Task.Done)
+      Done[I / 8] |= static_cast<std::uint8_t>(1U << (I % 8));
+    if (Task.Failures > 0)
+      Failures.push_back({I, Task.Failures});
+    if (!Task.Saved.empty())
+      Saved.push_back({I, Task.Saved});
+  }
+  return json::array({json::binary(std::move(Done)), Failures, Saved});
+}
+
+void restoreStep(step &Step, const json &From) {
+  const auto &Done = From.at(0).get_binary();
+  for (std::size_t I = 0; I < Step.Tasks.size(); ++I) {
+    Step.Tasks[I].Done = (Done.at(I / 8) >> (I % 8) & 1U) != 0;
+    Step.Done += Step.Tasks[I].Done ? 1 : 0;
+  }
+  for (const auto &Each : From.at(1))
+    Step.Tasks.at(Each.at(0)).Failures = Each.at(1);
+  for (const auto &Each : From.at(2))
+    Step.Tasks.at(Each.at(0)).Saved = Each.at(1);
+}
+
+} // namespace
+
+std::string toRecord(const job &Job) {
+  const job_spec &Spec = Job.spec();
+  json Steps = json::array();
+  for (const auto &Each : Spec.Steps)
+    Steps.push_back(toJson(Each));
+  return toText(
+      json::array({Job.queue(), Job.pool(), Job.acceptedMs(), Spec.Spec, Steps,
+                   Spec.Times, Spec.StartAtMs, Spec.IntervalMs}));
+}
+
+std::optional<job> parseJob(const std::string &Id,
+                            const std::string_view Record) {
+  try {
+    const json From = json::from_cbor(Record);
+    job_spec Spec;
+    Spec.Spec = From.at(3);
+    for (const auto &Each : From.at(4))
+      Spec.Steps.push_back(parseStep(Each));
+    Spec.Times = From.at(5);
+    Spec.StartAtMs = From.at(6);
+    Spec.IntervalMs = From.at(7);
+    return job{Id, From.at(0), From.at(1), std::move(Spec), From.at(2)};
+  } catch (const json::exception &) {
+    return std::nullopt;
+  }
+}
+
+std::string job::progress() const {
+  json Occurrences = json::array();
+  for (const auto &Each : Open) {
+    json Steps = json::array();
+    for (const auto &Step : Each.Steps)
+      Steps.push_back(stepProgress(Step));
+    Occurrences.push_back({Each.Number, Steps});
+  }
+  return toText(
+      json::array({static_cast<std::uint32_t>(State), Opened, Occurrences}));
+}
+
+bool job::restore(const std::string_view Progress) {
+  try {
+    const json From = json::from_cbor(Progress);
+    State = static_cast<job_state>(From.at(0).get<std::uint32_t>());
+    const std::uint32_t Known = From.at(1);
+    while (Opened < Known && Opened < Spec.occurrences())
+      openNext();
+    std::vector<occurrence> Kept;
+    for (const auto &Each : From.at(2)) {
+      const std::uint32_t Number = Each.at(0);
+      occurrence &Occurrence = Open.at(Number);
+      for (std::size_t I = 0; I < Occurrence.Steps.size(); ++I)
+        restoreStep(Occurrence.Steps[I], Each.at(1).at(I));
+      Kept.push_back(Occurrence);
+    }
+    Open = std::move(Kept);
+    return true;
+  } catch (const std::exception &) {
+    return false;
+  }
+}
+
+} // namespace galenalink::job
--- /dev/null
+++ b/src/galenalink/job/journal.cpp
@@ -0,0 +1,90 @@
+#include "galenalink/job/journal.hpp"
+#include <algorithm>
+#include <utility>
+
+namespace galenalink::job {
+
+namespace {
+
+/** Bytes of one append beyond which the rest waits for the next one. */
+constexpr std::size_t MaxBatchBytes = std::size_t{512} << 10U;
+
+/** Pause before a failed append is sent again, doubled up to the limit. */
+constexpr duration FirstRetry = std::chrono::milliseconds{50};
+constexpr duration LongestRetry = std::chrono::milliseconds{400};
+
+} // namespace
+
+journal::journal(hooks Hooks, const std::uint64_t Epoch)
+    : Hooks{std::move(Hooks)}, Epoch{Epoch} {}
+
+void journal::put(const std::string &Key, render Render) {
+  Puts.insert_or_assign(Key, std::move(Render));
+}
+
+void journal::whenStored(function Function) {
+  Waiting.push_back(std::move(Function));
+}
+
+void journal::flush() {
+  if (InFlight) {
+    if (!Sent && Hooks.Now() >= RetryAt)
+      send();
+    return;
+  }
+  if (!Puts.empty() || !Waiting.empty())
+    collect();
+}
+
+void journal::collect() {
+  std::size_t Bytes = 0;
+  while (!Puts.empty() && Bytes < MaxBatchBytes) {
+    const auto First = Puts.begin();
+    auto &Record = Batch.emplace_back(First->first, First->second());
+    Bytes += Record.Key.size() + (Record.Value ? Record.Value->size() : 0);
+    Puts.erase(First);
+  }
+  if (Puts.empty())
+    BatchWaiting = std::exchange(Waiting, {});
+  InFlight = true;
+  if (Batch.empty()) {
+    answered({call_outcome::Done, {}});
+    return;
+  }
+  send();
+}
+
+void journal::send() {
+  Sent = true;
+  ++Appends;
+  Hooks.Append(
+      Epoch, Sequence, Batch,
+      [this, Weak = std::weak_ptr{Alive}](const append_result &Result) {
+        if (Weak.lock())
+          answered(Result);
+      });
+}
+
+void journal::answered(const append_result &Result) {
+  Sent = false;
+  if (Result.Outcome == call_outcome::Fenced) {
+    Hooks.OnFenced();
+    return;
+  }
+  if (Result.Outcome != call_outcome::Done) {
+    const auto Pause = FirstRetry * (1U << std::min(Failures, 3U));
+    ++Failures;
+    RetryAt = Hooks.Now() + std::min<duration>(Pause, LongestRetry);
+    return;
+  }
+  Failures = 0;
+  InFlight = false;
+  if (!Batch.empty())
+    ++Sequence;
+  Batch.clear();
+  for (const auto &Function : std::exchange(BatchWaiting, {}))
+    Function();
+  flush();
+}
+
+} // namespace galenalink::job
--- /dev/null
+++ b/src/galenalink/job/journal.hpp
@@ -0,0 +1,70 @@
+#ifndef GALENALINK_JOB_JOURNAL_HPP
+#define GALENALINK_JOB_JOURNAL_HPP
+
+#include "galenalink/core/time.hpp"
+#include "galenalink/job/ports.hpp"
+#include <map>
+#include <memory>
+
+namespace galenalink::job {
+
+/**
+ * @brief Writes the leader's records to the store, one append at a time. What
+ * comes while an append is on its way goes into the next one, where only the
+ * newest value of a key is written.
+ */
+class journal {
+public:
+  using render = std::function<std::optional<std::string>()>;
+  using function = std::function<void()>;
+
+  struct hooks {
+    decltype(ports::Append) Append;
+    std::function<time_point()> Now;
+    /** A leader with a higher epoch exists. */
+    function OnFenced;
+  };
+
+  journal(hooks Hooks, std::uint64_t Epoch);
+
+  /** @brief Has the value written that the function returns when the append is
+   * made; nothing removes the key. */
+  void put(const std::string &Key, render Render);
+  /** @brief Calls the function once all that was put so far is stored. */
+  void whenStored(function Function);
+  /** @brief Starts an append if there is something to write and none is under
+   * way, or repeats one that had no answer. To be called after each event. */
+  void flush();
+
+  /** @return Whether the store took the newest append without a failure, or
+   * none is under way. */
+  [[nodiscard]] bool healthy() const noexcept { return Failures == 0; }
+  [[nodiscard]] bool idle() const noexcept {
+    return !InFlight && Puts.empty() && Waiting.empty();
+  }
+  [[nodiscard]] std::uint64_t appends() const noexcept { return Appends; }
+
+private:
+  void collect();
+  void send();
+  void answered(const append_result &Result);
+
+  hooks Hooks;
+  std::uint64_t Epoch;
+  std::uint64_t Sequence{0};
+  std::map<std::string, render> Puts;
+  std::vector<function> Waiting;
+  /** The append under way, kept for a repeat. */
+  std::vector<keyed_record> Batch;
+  std::vector<function> BatchWaiting;
+  bool InFlight{false};
+  bool Sent{false};
+  std::uint32_t Failures{0};
+  time_point RetryAt;
+  std::uint64_t Appends{0};
+  std::shared_ptr<bool> Alive{std::make_shared<bool>(true)};
+};
+
+} // namespace galenalink::job
+
+#endif
--- /dev/null
+++ b/src/galenalink/job/leader.cpp
@@ -0,0 +1,112 @@
+#include "galenalink/job/leader.hpp"
+#include "galenalink/job/runs.hpp"
+#include <algorithm>
+
+namespace galenalink::job {
+
+namespace {
+
+/** An occurrence that takes this many times its objective is worth nothing. */
+constexpr double WorthlessFactor = 3;
+
+duration fromMs(const double Ms) {
+  return duration{static_cast<std::int64_t>(Ms * 1000)};
+}
+
+void setObjective(leader &Leader, const job_entry &Entry,
+                  occurrence &Occurrence) {
+  const queue_rule *Rule = Leader.Rules.queue(Entry.Job.queue());
+  const double Stretch = Rule == nullptr ? 1 : Rule->Stretch;
+  const double SlackMs = Rule == nullptr ? 0 : Rule->SlackMs;
+  const double ObjectiveMs =
+      Stretch * chainMs(Leader, Entry.Job.queue(), Entry.Job.spec()) + SlackMs;
+  const time_point From =
+      Leader.Now() - fromMs(static_cast<double>(std::max<wall_ms>(
+                         Leader.Wall() - Occurrence.DueMs, 0)));
+  Occurrence.Objective = From + fromMs(ObjectiveMs);
+  Occurrence.Worthless = From + fromMs(ObjectiveMs * WorthlessFactor);
+}
+
+} // namespace
+
+leader::leader(const ports &Ports, leader_settings Settings,
+               const std::uint64_t Epoch, std::function<time_point()> Now,
+               std::function<wall_ms()> Wall, std::function<void()> OnFenced)
+    : Ports{Ports}, Settings{std::move(Settings)}, Epoch{Epoch},
+      Now{std::move(Now)}, Wall{std::move(Wall)}, OnFenced{OnFenced},
+      Journal{{Ports.Append, this->Now, OnFenced}, Epoch} {}
+
+job_entry &addJob(leader &Leader, job Job) {
+  const std::string Id = Job.id();
+  auto &Slot = Leader.Jobs[Id];
+  Slot = std::make_unique<job_entry>(std::move(Job));
+  Leader.Open[Id] = Slot.get();
+  return *Slot;
+}
+
+void recordProgress(leader &Leader, job_entry &Entry) {
+  const std::string Id = Entry.Job.id();
+  Leader.Journal.put("p" + Id, [&Leader, Id]() -> std::optional<std::string> {
+    const job_entry *Found = Leader.findJob(Id);
+    return Found == nullptr ? std::nullopt
+                            : std::optional{Found->Job.progress()};
+  });
+  // The state is shown only as it is stored: a later change has its own call.
+  Leader.Journal.whenStored([&Leader, Id, State = Entry.Job.state()] {
+    if (job_entry *Found = Leader.findJob(Id))
+      Found->Shown = std::max(Found->Shown, State);
+  });
+}
+
+void endJob(leader &Leader, job_entry &Entry) {
+  Entry.EndedAt = Leader.Now();
+  Leader.Open.erase(Entry.Job.id());
+  Leader.Dirty = true;
+  stopRunsOf(Leader, Entry.Job.id());
+}
+
+void setObjectives(leader &Leader, job_entry &Entry) {
+  for (auto &Each : Entry.Job.open())
+    setObjective(Leader, Entry, Each);
+}
+
+void openDue(leader &Leader, job_entry &Entry) {
+  while (true) {
+    const auto Due = Entry.Job.nextDue();
+    if (!Due || *Due > Leader.Wall())
+      return;
+    setObjective(Leader, Entry, Entry.Job.openNext());
+    Leader.Dirty = true;
+  }
+}
+
+double chainMs(const leader &Leader, const std::string &Queue,
+               const job_spec &Spec) {
+  std::vector<double> Ends;
+  double Longest = 0;
+  for (const auto &Step : Spec.Steps) {
+    double Begin = 0;
+    for (const auto Earlier : Step.DependsOn) {
+      if (Earlier < Ends.size())
+        Begin = std::max(Begin, Ends[Earlier]);
+    }
+    Ends.push_back(Begin + Leader.Times.predictMs(Queue, Step.EstimateMs));
+    Longest = std::max(Longest, Ends.back());
+  }
+  return Longest;
+}
+
+void forgetEnded(leader &Leader) {
+  const time_point Oldest = Leader.Now() - Leader.Settings.KeepEnded;
+  std::erase_if(Leader.Jobs, [&](const auto &Each) {
+    const job_entry &Entry = *Each.second;
+    if (!Entry.Job.ended() || Entry.EndedAt > Oldest)
+      return false;
+    const auto Remove = [] { return std::optional<std::string>{}; };
+    Leader.Journal.put("j" + Each.first, Remove);
+    Leader.Journal.put("p" + Each.first, Remove);
+    return true;
+  });
+}
+
+} // namespace galenalink::job
--- /dev/null
+++ b/src/galenalink/job/leader.hpp
@@ -0,0 +1,151 @@
+#ifndef GALENALINK_JOB_LEADER_HPP
+#define GALENALINK_JOB_LEADER_HPP
+
+#include "galenalink/job/job.hpp"
+#include "galenalink/job/journal.hpp"
+#include "galenalink/job/run_times.hpp"
+#include "galenalink/job/server.hpp"
+#include <memory>
+#include <unordered_map>
+
+namespace galenalink::job {
+
+/** @brief What a caller is told. */
+struct caller_reply {
+  enum class verdict : std::uint8_t {
+    /** Accepted and stored, or cancelled, or the state asked for. */
+    Ok,
+    /** Not accepted; the job does not run. */
+    Refused,
+    NoQueue,
+    NoJob,
+    /** Nothing is promised: it may or may not have been accepted. */
+    Unknown,
+  };
+  verdict Verdict{verdict::Unknown};
+  job_state State{job_state::Queued};
+  /** Answer to a question about a queue: its jobs without a started task. */
+  std::uint64_t Pending{0};
+  /** With a refusal: when the job would fit, ms from now. */
+  std::uint32_t RetryAfterMs{0};
+  /** Why, for the log. */
+  std::string Reason;
+};
+
+inline constexpr enum_names<caller_reply::verdict, 5> VerdictNames{{
+    {caller_reply::verdict::Ok, "ok"},
+    {caller_reply::verdict::Refused, "refused"},
+    {caller_reply::verdict::NoQueue, "no-queue"},
+    {caller_reply::verdict::NoJob, "no-job"},
+    {caller_reply::verdict::Unknown, "unknown"},
+}};
+
+using reply_function = std::function<void(const caller_reply &)>;
+
+/** @brief Limits of the platform and of the leader. */
+struct leader_settings {
+  /** Name of the node, as holder of orders for VMs. */
+  std::string Node;
+  /** Length of the leases of runs. */
+  duration Lease{std::chrono::milliseconds{4500}};
+  /** How long a missing registration may still come back. */
+  duration RegistrationGrace{std::chrono::milliseconds{3000}};
+  /** Ended jobs can be asked for at least this long. */
+  duration KeepEnded{std::chrono::seconds{150}};
+  /** How much longer a task takes away from its data. */
+  double RemoteFactor{3};
+  /** A task that is away this long counts as missing from its budget. */
+  duration AwayAfter{std::chrono::milliseconds{4500}};
+  /** How long VMs take to change their pool. */
+  duration MoveTime{std::chrono::milliseconds{1500}};
+  duration MaintenanceTime{std::chrono::milliseconds{2000}};
+};
+
+/** @brief A job with what the leader knows of it beside its progress. */
+struct job_entry {
+  explicit job_entry(job Job) : Job{std::move(Job)} {}
+
+  job Job;
+  /** The store has the job, so that its tasks may start. */
+  bool Stored{false};
+  /** Newest state that the store has; what callers are shown. */
+  job_state Shown{job_state::Queued};
+  /** Accepted under an earlier leader, whose runs may exist anywhere in the
+   * pool until its backend servers have answered. */
+  bool Recovered{false};
+  time_point EndedAt;
+  /** Admitted to run in room that work in time leaves. */
+  bool Deferred{false};
+  std::vector<reply_function> OnStored;
+};
+
+/**
+ * @brief State of the node that places work, for one epoch. It has one owner;
+ * the modules beside it are functions on it.
+ */
+struct leader {
+  leader(const ports &Ports, leader_settings Settings, std::uint64_t Epoch,
+         std::function<time_point()> Now, std::function<wall_ms()> Wall,
+         std::function<void()> OnFenced);
+
+  const ports &Ports;
+  leader_settings Settings;
+  std::uint64_t Epoch;
+  std::function<time_point()> Now;
+  std::function<wall_ms()> Wall;
+  std::function<void()> OnFenced;
+  journal Journal;
+
+  fleet_rules Rules;
+  std::map<std::string, std::unique_ptr<job_entry>> Jobs;
+  /** Jobs that have not ended. */
+  std::map<std::string, job_entry *> Open;
+  /** By id of the incarnation. */
+  std::map<std::string, std::unique_ptr<server>> Servers;
+  run_times Times;
+  /** Placement may find something to do. */
+  bool Dirty{true};
+  /** Callbacks of hooks check it, since the leader may have stepped down. */
+  std::shared_ptr<bool> Alive{std::make_shared<bool>(true)};
+
+  [[nodiscard]] job_entry *findJob(const std::string &Id) const {
+    const auto Found = Jobs.find(Id);
+    return Found == Jobs.end() ? nullptr : Found->second.get();
+  }
+  /** Called after each answer of a hook, which may have made work. */
+  std::function<void()> AfterEvent;
+
+  /** @brief Wraps a callback so that it does nothing after the leader is
+   * gone. */
+  template <typename Function> [[nodiscard]] auto guarded(Function Call) {
+    return [this, Weak = std::weak_ptr{Alive},
+            Call = std::move(Call)](const auto &Result) {
+      if (!Weak.lock())
+        return;
+      Call(Result);
+      if (Weak.lock() && AfterEvent)
+        AfterEvent();
+    };
+  }
+};
+
+/** @brief Adds a job to the tables. */
+job_entry &addJob(leader &Leader, job Job);
+/** @brief Has the job's progress written, and then shows its new state. */
+void recordProgress(leader &Leader, job_entry &Entry);
+/** @brief Ends the job: stops its runs and records the state. */
+void endJob(leader &Leader, job_entry &Entry);
+/** @brief Sets the objectives of all open occurrences by the current rules. */
+void setObjectives(leader &Leader, job_entry &Entry);
+/** @brief Opens occurrences that are due and sets their objectives. */
+void openDue(leader &Leader, job_entry &Entry);
+/** @brief Longest chain of work of a job by the declared and learnt
+ * durations, ms. */
+[[nodiscard]] double chainMs(const leader &Leader, const std::string &Queue,
+                             const job_spec &Spec);
+/** @brief Removes jobs that ended long ago, also from the store. */
+void forgetEnded(leader &Leader);
+
+} // namespace galenalink::job
+
+#endif
--- /dev/null
+++ b/src/galenalink/job/recovery.cpp
@@ -0,0 +1,65 @@
+#include "galenalink/job/recovery.hpp"
+#include "galenalink/job/server_watch.hpp"
+#include "galenalink/telemetry/log.hpp"
+
+namespace galenalink::job {
+
+namespace {
+
+constexpr telemetry::logger Log{"recovery"};
+
+/** First byte of a key: what the record is about. */
+constexpr char JobKey = 'j';
+constexpr char ProgressKey = 'p';
+constexpr char ServerKey = 's';
+
+void recoverJob(leader &Leader, const std::string &Id,
+                const std::string &Record) {
+  auto Job = parseJob(Id, Record);
+  if (!Job) {
+    Log.error("record of a job can't be read", {{"job", Id}});
+    return;
+  }
+  job_entry &Entry = addJob(Leader, std::move(*Job));
+  Entry.Stored = true;
+  Entry.Recovered = true;
+}
+
+void recoverProgress(leader &Leader, const std::string &Id,
+                     const std::string &Record) {
+  job_entry *Entry = Leader.findJob(Id);
+  if (Entry == nullptr || !Entry->Job.restore(Record)) {
+    Log.error("progress of a job can't be read", {{"job", Id}});
+    return;
+  }
+  Entry->Shown = Entry->Job.state();
+  if (Entry->Job.ended()) {
+    Entry->EndedAt = Leader.Now();
+    Leader.Open.erase(Id);
+  }
+}
+
+} // namespace
+
+void recover(leader &Leader, const newest_result &Records) {
+  const auto EachOf = [&](const char Kind, const auto &Apply) {
+    for (const auto &Record : Records.Records) {
+      if (Record.Value && !Record.Key.empty() && Record.Key.front() == Kind)
+        Apply(Leader, Record.Key.substr(1), *Record.Value);
+    }
+  };
+  EachOf(JobKey, recoverJob);
+  EachOf(ProgressKey, recoverProgress);
+  EachOf(ServerKey, recoverServer);
+  for (auto &[Id, Entry] : Leader.Open) {
+    setObjectives(Leader, *Entry);
+    openDue(Leader, *Entry);
+  }
+  Log.info("recovered", {{"epoch", Leader.Epoch},
+                         {"records", Records.Records.size()},
+                         {"jobs", Leader.Jobs.size()},
+                         {"open", Leader.Open.size()},
+                         {"servers", Leader.Servers.size()}});
+}
+
+} // namespace galenalink::job
--- /dev/null
+++ b/src/galenalink/job/run_times.hpp
@@ -0,0 +1,56 @@
+#ifndef GALENALINK_JOB_RUN_TIMES_HPP
+#define GALENALINK_JOB_RUN_TIMES_HPP
+
+#include "galenalink/job/types.hpp"
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace galenalink::job {
+
+/**
+ * @brief Learns from ended runs how far the declared durations of a queue are
+ * off, and predicts durations.
+ */
+class run_times {
+public:
+  void ended(const std::string &Queue, const std::uint32_t EstimateMs,
+             const double RealMs) noexcept {
+    if (RealMs <= 0)
+      return;
+    auto &Entry = Queues[Queue];
+    const double Weight = std::max(0.05, 1.0 / ++Entry.Count);
+    Entry.MeanMs += Weight * (RealMs - Entry.MeanMs);
+    if (EstimateMs == 0)
+      return;
+    const double LogRatio = std::log(RealMs / EstimateMs);
+    Entry.LogRatio += Weight * (LogRatio - Entry.LogRatio);
+  }
+
+  /** @return Expected duration, ms. A single estimate may be far off, so it is
+   * averaged geometrically with the queue's mean. */
+  [[nodiscard]] double predictMs(const std::string &Queue,
+                                 const std::uint32_t EstimateMs) const {
+    const auto Found = Queues.find(Queue);
+    const double Declared = EstimateMs == 0 ? UnknownMs : EstimateMs;
+    if (Found == Queues.end())
+      return Declared;
+    const double Scaled = Declared * std::exp(Found->second.LogRatio);
+    return std::sqrt(Scaled * std::max(Found->second.MeanMs, 1.0));
+  }
+
+private:
+  /** Assumed for a task without an estimate in a queue without history. */
+  static constexpr double UnknownMs = 1000;
+
+  struct entry {
+    double Count{0};
+    double MeanMs{0};
+    double LogRatio{0};
+  };
+  std::map<std::string, entry> Queues;
+};
+
+} // namespace galenalink::job
+
+#endif
--- /dev/null
+++ b/src/galenalink/job_node/leader_seat.cpp
@@ -0,0 +1,170 @@
+#include "galenalink/job_node/leader_seat.hpp"
+#include "galenalink/telemetry/log.hpp"
+
+namespace galenalink::job_node {
+
+namespace {
+
+using job::election_action;
+using job::leader_record;
+
+constexpr telemetry::logger Log{"election"};
+
+/** How long a read of the log waits for the next sign of life, ms. */
+constexpr std::uint32_t ReadWaitMs = 1000;
+/** Pause between looks at the clock. */
+constexpr duration StepPause = std::chrono::milliseconds{50};
+/** Pause after a call that failed. */
+constexpr duration FailurePause = std::chrono::milliseconds{150};
+
+} // namespace
+
+leader_seat::leader_seat(http::loop &Loop, const job::ports &Ports,
+                         job::election_settings Settings, hooks Hooks)
+    : Loop{Loop}, Ports{Ports}, Election{std::move(Settings)}, Hooks{std::move(
+                                                                   Hooks)} {}
+
+void leader_seat::start() { step(); }
+
+void leader_seat::later(const duration Pause) {
+  Timer = Loop.at(boot_clock::now() + Pause, [this] { step(); });
+}
+
+void leader_seat::step() {
+  if (Stopped)
+    return;
+  if (MustRead) {
+    read(0);
+    return;
+  }
+  switch (Election.next(boot_clock::now())) {
+  case election_action::Claim:
+    append(leader_record::kind::Claim);
+    return;
+  case election_action::Alive:
+    append(leader_record::kind::Alive);
+    return;
+  case election_action::None:
+    break;
+  }
+  if (Election.leads()) {
+    later(StepPause);
+    return;
+  }
+  // A released lead is claimed soon, so the read does not wait then.
+  if (Election.current().Released)
+    later(StepPause);
+  else
+    read(ReadWaitMs);
+}
+
+void leader_seat::read(const std::uint32_t WaitMs) {
+  Ports.Read(
+      job::topic::Leader, Election.end(), WaitMs,
+      [this, Weak = std::weak_ptr{Alive}](const job::read_result &Result) {
+        if (Weak.lock())
+          take(Result);
+      });
+}
+
+void leader_seat::take(const job::read_result &Result) {
+  const time_point Now = boot_clock::now();
+  if (Result.Outcome != job::call_outcome::Done && !Result.Expired) {
+    Election.readFailed();
+    later(FailurePause);
+    return;
+  }
+  AnsweredAt = Now;
+  MustRead = Result.Expired || Result.Next < Result.End;
+  std::uint64_t Offset = Result.Next - Result.Records.size();
+  for (const auto &Record : Result.Records) {
+    const auto Parsed = job::parseLeader(Record.Value.value_or(""));
+    if (Parsed)
+      Election.seen(Offset, *Parsed, Now);
+    else
+      Log.error("record of the leader's log can't be read",
+                {{"offset", Offset}});
+    ++Offset;
+  }
+  Election.readTo(Result.Next, Now);
+  checkDeposed();
+  if (Election.leads() && !WasLeading) {
+    WasLeading = true;
+    Hooks.OnElected(Election.current().Epoch);
+  }
+  step();
+}
+
+void leader_seat::append(const leader_record::kind Kind) {
+  leader_record Record;
+  Record.Kind = Kind;
+  Record.Node = Election.settings().Node;
+  Record.Address = Election.settings().Address;
+  Record.Epoch =
+      Kind == leader_record::kind::Claim ? 0 : Election.current().Epoch;
+  const std::uint64_t At = Election.end();
+  Ports.Claim(At, toText(Record),
+              [this, Kind, At,
+               Weak = std::weak_ptr{Alive}](const job::claim_result &Result) {
+                if (Weak.lock())
+                  appended(Kind, At, Result);
+              });
+}
+
+void leader_seat::appended(const leader_record::kind Kind,
+                           const std::uint64_t At,
+                           const job::claim_result &Result) {
+  if (Stopped)
+    return;
+  const time_point Now = boot_clock::now();
+  if (Result.Outcome != job::call_outcome::Done) {
+    MustRead = true;
+    later(Result.Outcome == job::call_outcome::Fenced ? duration{0}
+                                                      : FailurePause);
+    return;
+  }
+  AnsweredAt = Now;
+  if (Kind == leader_record::kind::Claim) {
+    Election.claimed(At, Now);
+    WasLeading = true;
+    Log.info("elected", {{"epoch", At + 1}});
+    Hooks.OnElected(At + 1);
+  } else {
+    Election.readTo(At + 1, Now);
+    Election.aliveSent(Now);
+  }
+  step();
+}
+
+void leader_seat::checkDeposed() {
+  if (!WasLeading || Election.leads())
+    return;
+  WasLeading = false;
+  Log.warning("deposed", {{"epoch", Election.current().Epoch},
+                          {"by", Election.current().Node}});
+  Hooks.OnDeposed();
+}
+
+void leader_seat::fenced() {
+  Election.resign();
+  MustRead = true;
+  checkDeposed();
+}
+
+void leader_seat::release(std::function<void()> OnReleased) {
+  const bool Leads = Election.leads();
+  Stopped = true;
+  Timer.cancel();
+  if (!Leads) {
+    Loop.post(std::move(OnReleased));
+    return;
+  }
+  leader_record Record{leader_record::kind::Release, Election.settings().Node,
+                       Election.settings().Address, Election.current().Epoch};
+  Log.info("lead released", {{"epoch", Record.Epoch}});
+  Ports.Claim(
+      Election.end(), toText(Record),
+      [Done = std::move(OnReleased)](const job::claim_result &) { Done(); });
+}
+
+} // namespace galenalink::job_node
--- /dev/null
+++ b/src/galenalink/job_node/leader_seat.hpp
@@ -0,0 +1,63 @@
+#ifndef GALENALINK_JOB_NODE_LEADER_SEAT_HPP
+#define GALENALINK_JOB_NODE_LEADER_SEAT_HPP
+
+#include "galenalink/http/loop.hpp"
+#include "galenalink/job/election.hpp"
+
+namespace galenalink::job_node {
+
+/**
+ * @brief Takes part in the election of the leader: follows the leader's log,
+ * claims, shows signs of life and releases the lead at a stop.
+ */
+class leader_seat {
+public:
+  struct hooks {
+    /** This node has claimed the epoch. */
+    std::function<void(std::uint64_t Epoch)> OnElected;
+    /** This node no longer leads. */
+    std::function<void()> OnDeposed;
+  };
+
+  leader_seat(http::loop &Loop, const job::ports &Ports,
+              job::election_settings Settings, hooks Hooks);
+
+  void start();
+  /** @brief The epoch was superseded, as another system has told. */
+  void fenced();
+  /** @brief Gives up the lead and takes part no longer. */
+  void release(std::function<void()> OnReleased);
+
+  [[nodiscard]] const job::leadership &current() const noexcept {
+    return Election.current();
+  }
+  [[nodiscard]] bool leads() const noexcept { return Election.leads(); }
+  /** @return When the store last answered. */
+  [[nodiscard]] time_point answeredAt() const noexcept { return AnsweredAt; }
+
+private:
+  void step();
+  void later(duration Pause);
+  void read(std::uint32_t WaitMs);
+  void append(job::leader_record::kind Kind);
+  void appended(job::leader_record::kind Kind, std::uint64_t At,
+                const job::claim_result &Result);
+  void take(const job::read_result &Result);
+  void checkDeposed();
+
+  http::loop &Loop;
+  const job::ports &Ports;
+  job::election Election;
+  hooks Hooks;
+  bool Stopped{false};
+  bool WasLeading{false};
+  /** An append did not succeed, so that the log must be read first. */
+  bool MustRead{true};
+  time_point AnsweredAt{NoDeadline};
+  http::timer Timer;
+  std::shared_ptr<bool> Alive{std::make_shared<bool>(true)};
+};
+
+} // namespace galenalink::job_node
+
+#endif
--- /dev/null
+++ b/src/galenalink/job_node/node.cpp
@@ -0,0 +1,370 @@
+#include "galenalink/job_node/node.hpp"
+#include "galenalink/core/hash.hpp"
+#include "galenalink/job_node/peer_api.hpp"
+#include "galenalink/telemetry/log.hpp"
+
+namespace galenalink::job_node {
+
+namespace {
+
+using verdict = job::caller_reply::verdict;
+
+constexpr telemetry::logger Log{"node"};
+
+/** Longest delay of a duty that depends on the time. */
+constexpr duration TickInterval = std::chrono::milliseconds{20};
+/** Interval at which the leader reads the list of VMs. */
+constexpr duration VmListInterval = std::chrono::milliseconds{1000};
+/** Pause before recovery is tried again after a failure. */
+constexpr duration RecoverPause = std::chrono::milliseconds{100};
+/** Leases must end well before a successor of a successor starts work, and
+ * outlast the election of a new leader. */
+constexpr std::uint32_t LeaseMs = 4500;
+/** A refused caller comes back when a new leader should be there, ms. */
+constexpr std::uint32_t NoLeaderRetryMs = 1000;
+/** A node is not ready for this long after the leader could not be reached. */
+constexpr duration UnreachablePause = std::chrono::milliseconds{1500};
+/** Nodes claim after delays that differ by up to this. */
+constexpr std::uint64_t StaggerMs = 250;
+/** The answer leaves this long before the caller stops to wait, or in three
+ * quarters of a shorter time. */
+constexpr duration ReplyMargin = std::chrono::milliseconds{150};
+/** Longest time that a call waits for the store before its outcome is called
+ * unknown. */
+constexpr duration LongestCall = std::chrono::milliseconds{2000};
+
+constexpr tail_settings OperatorTailSettings{job::topic::Operator, 700,
+                                             duration{0}};
+constexpr tail_settings RegistrationTailSettings{
+    job::topic::Registrations, 700, std::chrono::milliseconds{150}};
+
+job::election_settings electionSettings(const settings &Settings) {
+  job::election_settings Election;
+  Election.Node = Settings.Name + "@" + std::to_string(wallNow());
+  Election.Address =
+      Settings.Peers.Host + ":" + std::to_string(Settings.Peers.Port);
+  Election.Stagger =
+      std::chrono::milliseconds{hash64(Election.Node) % StaggerMs};
+  return Election;
+}
+
+duration fromSeconds(const double Seconds) {
+  return duration{static_cast<std::int64_t>(Seconds * 1e6)};
+}
+
+job::leader_settings leaderSettings(const settings &Settings) {
+  job::leader_settings Leader;
+  Leader.Node = Settings.Name;
+  Leader.Lease =
+      std::chrono::milliseconds{std::min(LeaseMs, Settings.MaxLeaseMs)};
+  Leader.RemoteFactor = Settings.RemoteFactor;
+  Leader.AwayAfter = std::chrono::milliseconds{Settings.AwayMs};
+  Leader.MoveTime = fromSeconds(Settings.MoveS);
+  Leader.MaintenanceTime = fromSeconds(Settings.MaintenanceS);
+  return Leader;
+}
+
+http::client_options peerOptions() {
+  http::client_options Options;
+  Options.MaxConnections = 8;
+  Options.IdleTimeout = std::chrono::seconds{30};
+  return Options;
+}
+
+job::caller_reply refusal(std::string Reason) {
+  job::caller_reply Reply;
+  Reply.Verdict = verdict::Refused;
+  Reply.RetryAfterMs = NoLeaderRetryMs;
+  Reply.Reason = std::move(Reason);
+  return Reply;
+}
+
+job::caller_reply unknown(std::string Reason) {
+  job::caller_reply Reply;
+  Reply.Verdict = verdict::Unknown;
+  Reply.Reason = std::move(Reason);
+  return Reply;
+}
+
+/** @return When an answer must leave at the latest. */
+time_point replyBy(const time_point Deadline) {
+  const time_point Now = boot_clock::now();
+  const duration Left = std::max(Deadline - Now, duration{0});
+  return Now +
+         std::min(std::max(Left - ReplyMargin, Left * 3 / 4), LongestCall);
+}
+
+/** @brief Passes on the first reply, or `unknown` at the deadline. */
+job::reply_function withDeadline(http::loop &Loop, const time_point Deadline,
+                                 job::reply_function Reply) {
+  struct state {
+    job::reply_function Reply;
+    http::timer Timer;
+  };
+  auto State = std::make_shared<state>();
+  State->Reply = std::move(Reply);
+  State->Timer = Loop.at(Deadline, [State] {
+    if (const auto Call = std::exchange(State->Reply, {}))
+      Call(unknown("no outcome in time"));
+  });
+  return [State](const job::caller_reply &Result) {
+    State->Timer.cancel();
+    if (const auto Call = std::exchange(State->Reply, {}))
+      Call(Result);
+  };
+}
+
+} // namespace
+
+node::node(http::loop &Loop, const job::ports &Ports, settings Settings)
+    : Loop{Loop}, Ports{Ports}, Settings{std::move(Settings)}, View{Ports},
+      OperatorTail{Loop,
+                   Ports,
+                   OperatorTailSettings,
+                   {[this](const auto &Records) {
+                      if (View.takeOperator(Records) && Controller)
+                        Controller->setRules(View.rules());
+                    },
+                    [this](const auto &Records) {
+                      if (View.takeOperator(Records) && Controller)
+                        Controller->setRules(View.rules());
+                    }}},
+      RegistrationTail{Loop,
+                       Ports,
+                       RegistrationTailSettings,
+                       {[this](const auto &Records) {
+                          View.takeRegistrations(Records, true);
+                          if (Controller)
+                            Controller->setRegistrations(View.registrations());
+                        },
+                        [this](const auto &Records) {
+                          View.takeRegistrations(Records, false);
+                          if (Controller)
+                            Controller->setRegistrations(View.registrations());
+                        }}},
+      Seat{Loop,
+           Ports,
+           electionSettings(this->Settings),
+           {[this](const std::uint64_t Epoch) { elected(Epoch); },
+            [this] { deposed(); }}},
+      PeerServer{
+          Loop,
+          {},
+          [this](http::exchange Exchange) { fromPeer(std::move(Exchange)); }},
+      PeerClient{Loop, peerOptions()} {}
+
+node::~node() = default;
+
+result<void> node::start() {
+  BOOST_LEAF_CHECK(PeerServer.listen(Settings.Peers.Host, Settings.Peers.Port));
+  OperatorTail.start();
+  Seat.start();
+  return {};
+}
+
+void node::stop(std::function<void()> OnReleased) {
+  Stopping = true;
+  Recovering = 0;
+  if (Controller)
+    deposed();
+  Seat.release(std::move(OnReleased));
+}
+
+bool node::ready() const {
+  if (Stopping || View.rules().Version == 0)
+    return false;
+  if (Controller)
+    return Controller->state().Journal.healthy();
+  const auto &Current = Seat.current();
+  const bool Reachable =
+      ForwardFailedAt == NoDeadline ||
+      boot_clock::now() >= ForwardFailedAt + UnreachablePause;
+  return Current.Epoch != 0 && !Current.Released && Recovering == 0 &&
+         Reachable;
+}
+
+void node::elected(const std::uint64_t Epoch) {
+  if (Stopping)
+    return;
+  Recovering = Epoch;
+  recover(Epoch);
+}
+
+void node::recover(const std::uint64_t Epoch) {
+  if (Recovering != Epoch)
+    return;
+  const auto Again = [this, Epoch] {
+    Tick = Loop.at(boot_clock::now() + RecoverPause,
+                   [this, Epoch] { recover(Epoch); });
+  };
+  if (!Tailing) {
+    Tailing = true;
+    RegistrationTail.start();
+  }
+  Ports.Fence(Epoch, [this, Epoch, Again](const job::append_result &Fenced) {
+    if (Recovering != Epoch)
+      return;
+    if (Fenced.Outcome == job::call_outcome::Fenced) {
+      Recovering = 0;
+      Seat.fenced();
+      return;
+    }
+    if (Fenced.Outcome != job::call_outcome::Done) {
+      Log.warning("the epoch can't be fenced",
+                  {{"epoch", Epoch}, {"why", Fenced.Reason}});
+      Again();
+      return;
+    }
+    Ports.Newest(job::topic::Jobs,
+                 [this, Epoch, Again](const job::newest_result &Records) {
+                   if (Recovering != Epoch)
+                     return;
+                   if (Records.Outcome == job::call_outcome::Done)
+                     lead(Epoch, Records);
+                   else
+                     Again();
+                 });
+  });
+}
+
+void node::lead(const std::uint64_t Epoch, const job::newest_result &Records) {
+  Recovering = 0;
+  auto State = std::make_unique<job::leader>(
+      Ports, leaderSettings(Settings), Epoch, [] { return boot_clock::now(); },
+      [] { return wallNow(); },
+      [this] { Loop.post([this] { Seat.fenced(); }); });
+  State->AfterEvent = [this] { scheduleSettle(); };
+  Controller = std::make_unique<job::controller>(std::move(State), Records,
+                                                 View.rules());
+  Controller->setRegistrations(View.registrations());
+  NextVmList = boot_clock::now();
+  Tick = Loop.every(TickInterval, [this] { tick(); });
+}
+
+void node::deposed() {
+  Recovering = 0;
+  Tick.cancel();
+  // A callback of the controller may be on the stack.
+  Loop.post([Ended = std::shared_ptr{std::move(Controller)}] {});
+  Controller = nullptr;
+}
+
+void node::scheduleSettle() {
+  if (SettlePosted)
+    return;
+  SettlePosted = true;
+  Loop.post([this] {
+    SettlePosted = false;
+    if (Controller)
+      Controller->settle();
+  });
+}
+
+void node::tick() {
+  if (!Controller)
+    return;
+  Controller->tick();
+  if (boot_clock::now() >= NextVmList && !ListingVms)
+    listVms();
+}
+
+void node::listVms() {
+  ListingVms = true;
+  NextVmList = boot_clock::now() + VmListInterval;
+  Ports.ListVms([this](const job::vms_result &Result) {
+    ListingVms = false;
+    if (!Controller)
+      return;
+    if (Result.Outcome == job::call_outcome::Done)
+      Controller->setVms(Result.Vms);
+    else
+      Log.warning("the list of VMs can't be read",
+                  {{"outcome", std::string{nameOf(job::CallOutcomeNames,
+                                                  Result.Outcome)}}});
+  });
+}
+
+void node::call(caller_call Call, job::reply_function Reply) {
+  auto Once = withDeadline(Loop, replyBy(Call.Deadline), std::move(Reply));
+  if (Controller)
+    serveHere(Call, std::move(Once));
+  else
+    forward(Call, std::move(Once));
+}
+
+void node::serveHere(const caller_call &Call, job::reply_function Reply) {
+  switch (Call.Kind) {
+  case call_kind::Submit:
+    Controller->submit(Call.Queue, Call.Job, Call.Spec, std::move(Reply));
+    break;
+  case call_kind::Query:
+    Reply(Controller->query(Call.Job));
+    break;
+  case call_kind::Cancel:
+    Controller->cancel(Call.Job, std::move(Reply));
+    break;
+  case call_kind::Pending:
+    Reply(Controller->pending(Call.Queue));
+    break;
+  }
+  scheduleSettle();
+}
+
+void node::forward(const caller_call &Call, job::reply_function Reply) {
+  const auto &Leader = Seat.current();
+  const bool Own = Leader.Address == Settings.Peers.Host + ":" +
+                                         std::to_string(Settings.Peers.Port);
+  if (Leader.Epoch == 0 || Leader.Released || Own) {
+    Reply(refusal("no leader"));
+    return;
+  }
+  const auto Address = tryOr(
+      [&]() -> result<http::address> {
+        return http::parseAddress(Leader.Address);
+      },
+      [](const error &) { return http::address{}; });
+  PeerClient.send(
+      Address, toRequest(Call), replyBy(Call.Deadline),
+      [this, Kind = Call.Kind, Id = Call.Job, Node = Leader.Node,
+       Reply = std::move(Reply)](const http::answer &Answer) {
+        if (const auto *Response = std::get_if<http::response>(&Answer)) {
+          if (const auto Parsed = parseReply(Response->Body)) {
+            ForwardFailedAt = NoDeadline;
+            Reply(*Parsed);
+            return;
+          }
+        }
+        ForwardFailedAt = boot_clock::now();
+        const auto *Failure = std::get_if<http::failure>(&Answer);
+        const bool NotSent =
+            Failure != nullptr && Failure->Delivery == http::delivery::NotSent;
+        Log.warning("leader not reached",
+                    {{"job", Id},
+                     {"call", std::string{nameOf(CallKindNames, Kind)}},
+                     {"leader", Node},
+                     {"why", Failure == nullptr ? "unreadable answer"
+                                                : Failure->Error.Message}});
+        Reply(NotSent || Kind == call_kind::Query || Kind == call_kind::Pending
+                  ? refusal("the leader can't be reached")
+                  : unknown("no answer of the leader"));
+      });
+}
+
+void node::fromPeer(http::exchange Exchange) {
+  const auto Call = parseCall(Exchange);
+  if (!Call) {
+    Exchange.reply(400, {}, {});
+    return;
+  }
+  auto Shared = std::make_shared<http::exchange>(std::move(Exchange));
+  const auto Answer = [Shared](const job::caller_reply &Reply) {
+    Shared->reply(200, {}, toBody(Reply));
+  };
+  if (!Controller) {
+    Answer(refusal("this node does not lead"));
+    return;
+  }
+  serveHere(*Call, withDeadline(Loop, Call->Deadline, Answer));
+}
+
+} // namespace galenalink::job_node
--- /dev/null
+++ b/src/galenalink/job_node/settings.hpp
@@ -0,0 +1,56 @@
+#ifndef GALENALINK_JOB_NODE_SETTINGS_HPP
+#define GALENALINK_JOB_NODE_SETTINGS_HPP
+
+#include "galenalink/config/diagnostic.hpp"
+#include "galenalink/config/settings.hpp"
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace galenalink::job_node {
+
+/** @brief Settings of a node on the users' platform. */
+struct settings {
+  std::string Name;
+  std::string DataCentre;
+  /** Where callers connect, `host:port`. */
+  std::string Callers;
+  /** Where the load balancer asks for readiness and metrics are served. */
+  std::string Readiness;
+  /** Where other nodes connect. */
+  config::listener Peers;
+  /** Addresses of the platform's services. */
+  std::string Store;
+  std::string VmList;
+  std::string Advice;
+  /** Longest lease that a backend server grants, ms. */
+  std::uint32_t MaxLeaseMs{6000};
+  /** Time from SIGTERM to SIGKILL, s. */
+  double StopDeadlineS{6};
+  /** How long a backend server that drains still serves, ms. */
+  std::uint32_t DrainMs{2000};
+  /** Time of a task away from its data against the time near it. */
+  double RemoteFactor{3};
+  /** How long a task must be away to count as missing, ms. */
+  std::uint32_t AwayMs{4500};
+  /** How long a VM takes to change its pool, and for maintenance, s. */
+  double MoveS{1.5};
+  double MaintenanceS{2};
+  config::log_level Level{config::log_level::Info};
+  config::log_format Format{config::log_format::Json};
+};
+
+/**
+ * @brief Parses and checks the settings.
+ * @param Name Name of the file, used in diagnostics.
+ * @param Text JSON with comments.
+ * @param Out Receives the settings; complete only if nothing was found.
+ * @return Every error found, empty if the settings are valid.
+ */
+[[nodiscard]] std::vector<config::diagnostic>
+parseSettings(std::string_view Name, std::string_view Text, settings &Out);
+
+} // namespace galenalink::job_node
+
+#endif
