Serve waves of maintenance within their window, cap and budgets

Change: src/galenalink/job/maintenance drains VMs, idle ones first, as many at once as the rest of the window needs, and orders their maintenance while the cap and the budgets of steps that last allow it. A simulated platform in virtual time tests leader duties without the bench.

--- a/src/galenalink/job/controller.cpp
+++ b/src/galenalink/job/controller.cpp
@@ -1,8 +1,10 @@
 #include "galenalink/job/controller.hpp"
 #include "galenalink/job/callers.hpp"
 #include "galenalink/job/dispatch.hpp"
+#include "galenalink/job/maintenance.hpp"
 #include "galenalink/job/recovery.hpp"
 #include "galenalink/job/server_watch.hpp"
+#include "galenalink/job/vm_orders.hpp"
 
 namespace galenalink::job {
 
@@ -35,7 +37,18 @@
   updateRegistrations(*Leader, Registrations);
 }
 
-void controller::setVms(const std::vector<vm> &Vms) { updateVms(*Leader, Vms); }
+void controller::setWaves(const std::map<std::uint64_t, wave> &Waves) {
+  updateWaves(*Leader, Waves);
+}
+
+void controller::setVms(const std::vector<vm> &Vms, const time_point AskedAt) {
+  updateVms(*Leader, Vms);
+  updateMotions(*Leader, Vms, AskedAt);
+}
+
+bool controller::vmsInMotion() const noexcept {
+  return !Leader->Motions.empty();
+}
 
 void controller::submit(const std::string &Queue, const std::string &Id,
                         job_spec Spec, reply_function Reply) {
@@ -70,6 +83,7 @@
     // Back-offs and objectives pass without an event.
     Leader->Dirty = true;
     mendStragglers(*Leader);
+    maintain(*Leader);
     forgetEnded(*Leader);
   }
   settle();
--- a/src/galenalink/job/controller.hpp
+++ b/src/galenalink/job/controller.hpp
@@ -15,7 +15,11 @@
 
   void setRules(const fleet_rules &Rules);
   void setRegistrations(const std::vector<registration> &Registrations);
-  void setVms(const std::vector<vm> &Vms);
+  void setWaves(const std::map<std::uint64_t, wave> &Waves);
+  /** @param AskedAt When the list was asked for. */
+  void setVms(const std::vector<vm> &Vms, time_point AskedAt);
+  /** @return Whether VMs are on their way, so that the list changes soon. */
+  [[nodiscard]] bool vmsInMotion() const noexcept;
 
   void submit(const std::string &Queue, const std::string &Id, job_spec Spec,
               reply_function Reply);
--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -34,7 +34,8 @@
                std::function<wall_ms()> Wall, std::function<void()> OnFenced)
     : Ports{Ports}, Settings{std::move(Settings)}, Epoch{Epoch},
       Now{std::move(Now)}, Wall{std::move(Wall)}, OnFenced{OnFenced},
-      Journal{{Ports.Append, this->Now, OnFenced}, Epoch} {}
+      Journal{{Ports.Append, this->Now, OnFenced}, Epoch}, LedSince{
+                                                               this->Now()} {}
 
 job_entry &addJob(leader &Leader, job Job) {
   const std::string Id = Job.id();
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -6,6 +6,7 @@
 #include "galenalink/job/run_times.hpp"
 #include "galenalink/job/server.hpp"
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 namespace galenalink::job {
@@ -59,6 +60,33 @@
   /** How long VMs take to change their pool. */
   duration MoveTime{std::chrono::milliseconds{1500}};
   duration MaintenanceTime{std::chrono::milliseconds{2000}};
+  /** Two holders' orders for a VM are at least this far apart. */
+  duration HolderPause{std::chrono::milliseconds{3000}};
+};
+
+/** @brief An order for a VM that is not known to be complete. */
+struct vm_motion {
+  /** Pool to move to; empty for maintenance. */
+  std::string Pool;
+  std::uint64_t Wave{0};
+  /** Backend server that ended with the order. */
+  std::string Server;
+  time_point OrderedAt;
+  /** The order is on its way. */
+  bool Sent{false};
+  bool Accepted{false};
+};
+
+/** @brief Progress of a wave of maintenance. */
+struct wave_progress {
+  wave Wave;
+  time_point Deadline;
+  std::set<std::string> Done;
+  /** VMs that get no new work before their maintenance, and since when. */
+  std::map<std::string, time_point> Draining;
+  bool RunningPublished{false};
+  bool CompletedPublished{false};
+  bool Publishing{false};
 };
 
 /** @brief A job with what the leader knows of it beside its progress. */
@@ -103,6 +131,15 @@
   /** By id of the incarnation. */
   std::map<std::string, std::unique_ptr<server>> Servers;
   run_times Times;
+  /** Newest list of VMs, and when it was asked for; empty before the first. */
+  std::map<std::string, vm> Vms;
+  time_point VmsAskedAt{NoDeadline};
+  std::map<std::string, vm_motion> Motions;
+  std::map<std::uint64_t, wave_progress> Waves;
+  time_point LedSince;
+  /** Whether the lead was confirmed so lately that no successor can order VMs
+   * yet. */
+  std::function<bool()> Confirmed;
   /** Placement may find something to do. */
   bool Dirty{true};
   /** Callbacks of hooks check it, since the leader may have stepped down. */
--- /dev/null
+++ b/src/galenalink/job/vm_orders.cpp
@@ -0,0 +1,178 @@
+#include "galenalink/job/vm_orders.hpp"
+#include "galenalink/job/runs.hpp"
+#include "galenalink/telemetry/log.hpp"
+#include <algorithm>
+
+namespace galenalink::job {
+
+namespace {
+
+constexpr telemetry::logger Log{"vms"};
+
+/** Pause before an order without an answer is sent again. */
+constexpr duration RepeatPause = std::chrono::milliseconds{400};
+/** Share of the expected time after which a VM that is up has been away. */
+constexpr double ShortestMotion = 0.8;
+
+bool atWork(const leader &Leader, const task_id &Id) {
+  return std::ranges::any_of(Leader.Servers, [&](const auto &Each) {
+    const server &Server = *Each.second;
+    // What runs on a VM that was ordered away has ended or ends any moment.
+    if (Leader.Motions.contains(Server.Vm))
+      return false;
+    const auto &Runs = Server.Runs;
+    const auto Found = Runs.lower_bound(run_id{Id, 0});
+    return Found != Runs.end() && Found->first.Task == Id &&
+           Found->second.State == run_state::Running &&
+           Found->second.Percent >= 100;
+  });
+}
+
+std::uint32_t othersAway(const leader &Leader, const job &Job,
+                         const task_id &Id) {
+  const std::uint32_t Count = Job.spec().Steps[Id.Step].Count;
+  std::uint32_t Away = 0;
+  for (std::uint32_t I = 0; I < Count; ++I) {
+    task_id Other = Id;
+    Other.Index = I;
+    if (I != Id.Index && !atWork(Leader, Other))
+      ++Away;
+  }
+  return Away;
+}
+
+void send(leader &Leader, const std::string &Vm);
+
+void answered(leader &Leader, const std::string &Vm, const vm_result &Result) {
+  const auto Found = Leader.Motions.find(Vm);
+  if (Found == Leader.Motions.end())
+    return;
+  vm_motion &Motion = Found->second;
+  Motion.Sent = false;
+  Log.info("VM order answered",
+           {{"vm", Vm},
+            {"pool", Motion.Pool},
+            {"wave", Motion.Wave},
+            {"outcome", std::string{nameOf(CallOutcomeNames, Result.Outcome)}},
+            {"busy", Result.Busy ? "yes" : "no"}});
+  if (Result.Outcome == call_outcome::Fenced) {
+    Leader.OnFenced();
+    return;
+  }
+  if (Result.Outcome == call_outcome::Refused) {
+    Leader.Motions.erase(Found);
+    return;
+  }
+  if (Result.Outcome != call_outcome::Done)
+    return;
+  Motion.Accepted = true;
+  const auto Server = Leader.Servers.find(Motion.Server);
+  if (Server != Leader.Servers.end())
+    loseServer(Leader, *Server->second, "its VM was ordered away");
+}
+
+void send(leader &Leader, const std::string &Vm) {
+  vm_motion &Motion = Leader.Motions.at(Vm);
+  Motion.Sent = true;
+  Motion.OrderedAt = Leader.Now();
+  Leader.Ports.OrderVm({Vm, Leader.Epoch, Motion.Pool, Motion.Wave},
+                       Leader.guarded([&Leader, Vm](const vm_result &Result) {
+                         answered(Leader, Vm, Result);
+                       }));
+}
+
+bool complete(const leader &Leader, const vm_motion &Motion, const vm &Vm,
+              const time_point AskedAt) {
+  const bool Arrived = Motion.Pool.empty() || Vm.Pool == Motion.Pool;
+  const duration Expected = Motion.Pool.empty()
+                                ? Leader.Settings.MaintenanceTime
+                                : Leader.Settings.MoveTime;
+  const duration Least{static_cast<std::int64_t>(
+      static_cast<double>(Expected.count()) * ShortestMotion)};
+  return Motion.Accepted && Arrived && Vm.State == vm_state::Up &&
+         AskedAt >= Motion.OrderedAt + Least;
+}
+
+} // namespace
+
+bool mayOrderVms(const leader &Leader) {
+  return Leader.Now() >= Leader.LedSince + Leader.Settings.HolderPause &&
+         Leader.VmsAskedAt != NoDeadline &&
+         (!Leader.Confirmed || Leader.Confirmed());
+}
+
+void orderVm(leader &Leader, const std::string &Vm, const std::string &Pool,
+             const std::uint64_t Wave) {
+  vm_motion Motion;
+  Motion.Pool = Pool;
+  Motion.Wave = Wave;
+  if (const server *Server = serverOf(Leader, Vm))
+    Motion.Server = Server->Entry.Id;
+  Leader.Motions.insert_or_assign(Vm, std::move(Motion));
+  send(Leader, Vm);
+}
+
+void updateMotions(leader &Leader, const std::vector<vm> &Vms,
+                   const time_point AskedAt) {
+  Leader.Vms.clear();
+  for (const auto &Vm : Vms) {
+    Leader.Vms[Vm.Name] = Vm;
+    const auto Found = Leader.Motions.find(Vm.Name);
+    if (Found == Leader.Motions.end() ||
+        !complete(Leader, Found->second, Vm, AskedAt))
+      continue;
+    const auto Wave = Leader.Waves.find(Found->second.Wave);
+    if (Found->second.Pool.empty() && Wave != Leader.Waves.end())
+      Wave->second.Done.insert(Vm.Name);
+    Log.info(
+        "VM order complete",
+        {{"vm", Vm.Name}, {"pool", Vm.Pool}, {"wave", Found->second.Wave}});
+    Leader.Motions.erase(Found);
+  }
+  // A VM that is no longer listed is gone for good.
+  std::erase_if(Leader.Motions, [&](const auto &Each) {
+    return !Leader.Vms.contains(Each.first);
+  });
+  Leader.VmsAskedAt = AskedAt;
+}
+
+void repeatOrders(leader &Leader) {
+  if (!mayOrderVms(Leader))
+    return;
+  std::vector<std::string> Unanswered;
+  for (const auto &[Vm, Motion] : Leader.Motions) {
+    if (!Motion.Sent && !Motion.Accepted &&
+        Leader.Now() >= Motion.OrderedAt + RepeatPause)
+      Unanswered.push_back(Vm);
+  }
+  for (const auto &Vm : Unanswered)
+    send(Leader, Vm);
+}
+
+server *serverOf(leader &Leader, const std::string_view Vm) {
+  for (auto &[Id, Server] : Leader.Servers) {
+    if (Server->Vm == Vm && Server->Registered)
+      return Server.get();
+  }
+  return nullptr;
+}
+
+bool budgetsAllow(const leader &Leader, const server &Server) {
+  return std::ranges::all_of(Server.Runs, [&](const auto &Each) {
+    const auto &[Id, Run] = Each;
+    const job_entry *Entry = Leader.findJob(Id.Task.Job);
+    if (!Run.Lasts || Run.Percent < 100 || Entry == nullptr ||
+        Entry->Job.ended())
+      return true;
+    const step_spec &Step = *Entry->Job.specOf(Id.Task);
+    return Step.MayMiss == 0 ||
+           othersAway(Leader, Entry->Job, Id.Task) < Step.MayMiss;
+  });
+}
+
+std::size_t shortRuns(const server &Server) {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      Server.Runs, [](const auto &Each) { return !Each.second.Lasts; }));
+}
+
+} // namespace galenalink::job
--- /dev/null
+++ b/src/galenalink/job/vm_orders.hpp
@@ -0,0 +1,33 @@
+#ifndef GALENALINK_JOB_VM_ORDERS_HPP
+#define GALENALINK_JOB_VM_ORDERS_HPP
+
+#include "galenalink/job/leader.hpp"
+
+namespace galenalink::job {
+
+/** @brief Whether this leader may order VMs: an earlier holder's orders are
+ * long enough past, and no successor can have begun. */
+[[nodiscard]] bool mayOrderVms(const leader &Leader);
+/** @brief Orders a move, or maintenance if no pool is given. What runs on the
+ * VM ends with it. */
+void orderVm(leader &Leader, const std::string &Vm, const std::string &Pool,
+             std::uint64_t Wave);
+/** @brief Takes over a list of VMs and ends the motions that it shows done.
+ * @param AskedAt When the list was asked for. */
+void updateMotions(leader &Leader, const std::vector<vm> &Vms,
+                   time_point AskedAt);
+/** @brief Sends orders again that had no answer; they take effect once. */
+void repeatOrders(leader &Leader);
+/** @brief Backend server of a VM; null if none is known. */
+[[nodiscard]] server *serverOf(leader &Leader, std::string_view Vm);
+/**
+ * @brief Whether everything on the backend server may be ended now: no step
+ * that lasts would miss more of its tasks than its budget allows.
+ */
+[[nodiscard]] bool budgetsAllow(const leader &Leader, const server &Server);
+/** @brief Runs on the backend server that end by themselves. */
+[[nodiscard]] std::size_t shortRuns(const server &Server);
+
+} // namespace galenalink::job
+
+#endif
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -13,8 +13,13 @@
 
 /** Longest delay of a duty that depends on the time. */
 constexpr duration TickInterval = std::chrono::milliseconds{20};
-/** Interval at which the leader reads the list of VMs. */
+/** Interval at which the leader reads the list of VMs, and while some are on
+ * their way. */
 constexpr duration VmListInterval = std::chrono::milliseconds{1000};
+constexpr duration MotionListInterval = std::chrono::milliseconds{300};
+/** A lead that was confirmed this lately has no successor: others claim after
+ * a longer silence. */
+constexpr duration ConfirmedFor = std::chrono::milliseconds{1500};
 /** Pause before recovery is tried again after a failure. */
 constexpr duration RecoverPause = std::chrono::milliseconds{100};
 /** Leases must end well before a successor of a successor starts work, and
@@ -59,6 +64,7 @@
       std::chrono::milliseconds{std::min(LeaseMs, Settings.MaxLeaseMs)};
   Leader.RemoteFactor = Settings.RemoteFactor;
   Leader.AwayAfter = std::chrono::milliseconds{Settings.AwayMs};
+  Leader.HolderPause = std::chrono::milliseconds{Settings.HolderPauseMs};
   Leader.MoveTime = fromSeconds(Settings.MoveS);
   Leader.MaintenanceTime = fromSeconds(Settings.MaintenanceS);
   return Leader;
@@ -121,14 +127,8 @@
       OperatorTail{Loop,
                    Ports,
                    OperatorTailSettings,
-                   {[this](const auto &Records) {
-                      if (View.takeOperator(Records) && Controller)
-                        Controller->setRules(View.rules());
-                    },
-                    [this](const auto &Records) {
-                      if (View.takeOperator(Records) && Controller)
-                        Controller->setRules(View.rules());
-                    }}},
+                   {[this](const auto &Records) { takeOperator(Records); },
+                    [this](const auto &Records) { takeOperator(Records); }}},
       RegistrationTail{Loop,
                        Ports,
                        RegistrationTailSettings,
@@ -183,6 +183,13 @@
          Reachable;
 }
 
+void node::takeOperator(const std::vector<job::keyed_record> &Records) {
+  if (!View.takeOperator(Records) || !Controller)
+    return;
+  Controller->setRules(View.rules());
+  Controller->setWaves(View.waves());
+}
+
 void node::elected(const std::uint64_t Epoch) {
   if (Stopping)
     return;
@@ -233,10 +240,14 @@
       Ports, leaderSettings(Settings), Epoch, [] { return boot_clock::now(); },
       [] { return wallNow(); },
       [this] { Loop.post([this] { Seat.fenced(); }); });
+  State->Confirmed = [this] {
+    return boot_clock::now() < Seat.answeredAt() + ConfirmedFor;
+  };
   State->AfterEvent = [this] { scheduleSettle(); };
   Controller = std::make_unique<job::controller>(std::move(State), Records,
                                                  View.rules());
   Controller->setRegistrations(View.registrations());
+  Controller->setWaves(View.waves());
   NextVmList = boot_clock::now();
   Tick = Loop.every(TickInterval, [this] { tick(); });
 }
@@ -270,13 +281,15 @@
 
 void node::listVms() {
   ListingVms = true;
-  NextVmList = boot_clock::now() + VmListInterval;
-  Ports.ListVms([this](const job::vms_result &Result) {
+  const time_point AskedAt = boot_clock::now();
+  NextVmList = AskedAt + (Controller->vmsInMotion() ? MotionListInterval
+                                                    : VmListInterval);
+  Ports.ListVms([this, AskedAt](const job::vms_result &Result) {
     ListingVms = false;
     if (!Controller)
       return;
     if (Result.Outcome == job::call_outcome::Done)
-      Controller->setVms(Result.Vms);
+      Controller->setVms(Result.Vms, AskedAt);
     else
       Log.warning("the list of VMs can't be read",
                   {{"outcome", std::string{nameOf(job::CallOutcomeNames,
--- a/src/galenalink/job_node/node.hpp
+++ b/src/galenalink/job_node/node.hpp
@@ -41,6 +41,7 @@
   [[nodiscard]] const leader_seat &seat() const noexcept { return Seat; }
 
 private:
+  void takeOperator(const std::vector<job::keyed_record> &Records);
   void elected(std::uint64_t Epoch);
   void recover(std::uint64_t Epoch);
   void lead(std::uint64_t Epoch, const job::newest_result &Records);
--- a/src/galenalink/job_node/settings.cpp
+++ b/src/galenalink/job_node/settings.cpp
@@ -59,6 +59,7 @@
       .number("away_ms", Out.AwayMs, TimeRange)
       .decimal("move_s", Out.MoveS, SecondsRange)
       .decimal("maintenance_s", Out.MaintenanceS, SecondsRange)
+      .number("holder_pause_ms", Out.HolderPauseMs, TimeRange)
       .object("log", [&](reader &Nested) {
         Nested.choice("level", Out.Level, config::LogLevelNames)
             .choice("format", Out.Format, config::LogFormatNames);
--- a/src/galenalink/job_node/settings.hpp
+++ b/src/galenalink/job_node/settings.hpp
@@ -37,6 +37,8 @@
   /** How long a VM takes to change its pool, and for maintenance, s. */
   double MoveS{1.5};
   double MaintenanceS{2};
+  /** Two nodes' orders for one VM are at least this far apart, ms. */
+  std::uint32_t HolderPauseMs{3000};
   config::log_level Level{config::log_level::Info};
   config::log_format Format{config::log_format::Json};
 };
--- /dev/null
+++ b/test/galenalink/job/leader_test.cpp
@@ -0,0 +1,218 @@
+#include "simulated_platform.hpp"
+#include <boost/test/unit_test.hpp>
+
+using namespace galenalink;
+using namespace galenalink::job;
+using namespace galenalink::test;
+
+namespace {
+
+constexpr duration Second = std::chrono::seconds{1};
+
+job_spec jobOf(const std::vector<step_spec> &Steps) {
+  job_spec Spec;
+  Spec.Spec = "text";
+  Spec.Steps = Steps;
+  return Spec;
+}
+
+step_spec lasting(const std::uint32_t Count, const std::uint32_t MayMiss) {
+  step_spec Step = makeStep(Count, 2000, 0);
+  Step.Lasts = true;
+  Step.Spread = 1;
+  Step.MayMiss = MayMiss;
+  return Step;
+}
+
+struct one_pool : simulated_platform {
+  explicit one_pool(const int Count = 4) {
+    for (int I = 0; I < Count; ++I)
+      addServer("s" + std::to_string(I), "press");
+    elect();
+    advance(Second);
+  }
+};
+
+void checkNothingBroken(const simulated_platform &Platform) {
+  for (const auto &Each : Platform.Broken)
+    BOOST_ERROR(Each);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(leader_duties)
+
+// A step must not start before the steps that it depends on are done.
+BOOST_AUTO_TEST_CASE(runs_steps_in_order) {
+  one_pool Platform;
+  auto Second2 = makeStep(3, 1000, 200);
+  Second2.DependsOn = {0};
+  const auto Reply =
+      Platform.submit("press", "a", jobOf({makeStep(5, 1000, 300), Second2}));
+  BOOST_REQUIRE(Reply);
+  BOOST_TEST(static_cast<int>(Reply->Verdict) ==
+             static_cast<int>(caller_reply::verdict::Ok));
+  Platform.advance(std::chrono::milliseconds{200});
+  BOOST_TEST(Platform.running({"a", 0, 0, 0}) == 1U);
+  BOOST_TEST(Platform.running({"a", 0, 1, 0}) == 0U);
+  Platform.advance(Second);
+  BOOST_CHECK(Platform.stateOf("a") == job_state::Completed);
+  checkNothingBroken(Platform);
+}
+
+// A job is answered as accepted only once the store has it.
+BOOST_AUTO_TEST_CASE(accepts_only_what_is_stored) {
+  one_pool Platform;
+  Platform.StoreDown = true;
+  const auto Reply =
+      Platform.submit("press", "a", jobOf({makeStep(1, 1000, 300)}));
+  BOOST_CHECK(!Reply);
+  Platform.advance(Second);
+  BOOST_TEST(Platform.Starts == 0U);
+  const auto Later =
+      Platform.submit("press", "b", jobOf({makeStep(1, 1000, 300)}));
+  BOOST_REQUIRE(Later);
+  BOOST_CHECK(Later->Verdict == caller_reply::verdict::Refused);
+}
+
+// A start without an answer that is carried out seconds later must not make
+// the task run twice.
+BOOST_AUTO_TEST_CASE(late_start_does_not_run_twice) {
+  one_pool Platform{3};
+  for (auto &[Id, Server] : Platform.Servers)
+    Server.LateBy = std::chrono::milliseconds{2500};
+  Platform.submit("press", "a", jobOf({makeStep(3, 1000, 900)}));
+  Platform.advance(Second);
+  for (auto &[Id, Server] : Platform.Servers)
+    Server.LateBy = duration{0};
+  Platform.advance(10 * Second);
+  BOOST_CHECK(Platform.stateOf("a") == job_state::Completed);
+  checkNothingBroken(Platform);
+}
+
+// Tasks of a backend server that falls silent start elsewhere only after its
+// lease has passed, since they may still run there.
+BOOST_AUTO_TEST_CASE(silent_server_keeps_its_tasks_for_its_lease) {
+  one_pool Platform{3};
+  Platform.submit("press", "a", jobOf({makeStep(6, 8000, 3000)}));
+  Platform.advance(Second / 2);
+  Platform.Servers.at("s0").Silent = true;
+  Platform.advance(12 * Second);
+  BOOST_CHECK(Platform.stateOf("a") == job_state::Completed);
+  checkNothingBroken(Platform);
+}
+
+// A new leader must take over what runs, and not start it again.
+BOOST_AUTO_TEST_CASE(successor_adopts_runs) {
+  one_pool Platform;
+  Platform.submit("press", "a", jobOf({makeStep(6, 2000, 2000)}));
+  Platform.advance(Second / 2);
+  Platform.elect();
+  Platform.advance(4 * Second);
+  BOOST_CHECK(Platform.stateOf("a") == job_state::Completed);
+  BOOST_TEST(Platform.Starts == 6U);
+  checkNothingBroken(Platform);
+}
+
+// A backend server that is lost together with the leader may still run tasks
+// of the leader before, so its pool's tasks wait for the longest lease.
+BOOST_AUTO_TEST_CASE(successor_waits_for_a_server_that_does_not_answer) {
+  one_pool Platform{3};
+  Platform.submit("press", "a", jobOf({makeStep(6, 2000, 8000)}));
+  Platform.advance(Second / 2);
+  Platform.Servers.at("s1").Silent = true;
+  Platform.elect();
+  Platform.advance(25 * Second);
+  BOOST_CHECK(Platform.stateOf("a") == job_state::Completed);
+  checkNothingBroken(Platform);
+}
+
+// A job fails after as many failed runs of a task as its queue allows, and not
+// one run more is started.
+BOOST_AUTO_TEST_CASE(job_that_can_never_be_done_stops_at_its_limit) {
+  one_pool Platform;
+  for (auto &[Id, Server] : Platform.Servers)
+    Server.FailsAll = true;
+  Platform.submit("press", "a", jobOf({makeStep(1, 1000, 100)}));
+  Platform.advance(8 * Second);
+  BOOST_CHECK(Platform.stateOf("a") == job_state::Failed);
+  BOOST_TEST(Platform.Starts == 3U);
+}
+
+// Cancelled tasks must be stopped, and nothing of the job may start again.
+BOOST_AUTO_TEST_CASE(cancel_stops_what_runs) {
+  one_pool Platform;
+  Platform.submit("press", "a", jobOf({lasting(4, 1)}));
+  Platform.advance(Second);
+  Platform.Leader->cancel("a", [](const caller_reply &) {});
+  Platform.advance(Second);
+  const auto Started = Platform.Starts;
+  Platform.advance(3 * Second);
+  for (const auto &[Id, Server] : Platform.Servers)
+    BOOST_TEST(Server.Running.empty());
+  BOOST_TEST(Platform.Starts == Started);
+}
+
+// A task that lasts is restarted on another backend server when its own
+// crashes.
+BOOST_AUTO_TEST_CASE(lasting_task_is_restarted_after_a_crash) {
+  one_pool Platform{5};
+  Platform.submit("press", "a", jobOf({lasting(4, 1)}));
+  Platform.advance(Second);
+  std::string Victim;
+  for (const auto &[Id, Server] : Platform.Servers) {
+    if (!Server.Running.empty())
+      Victim = Id;
+  }
+  Platform.crash(Victim);
+  Platform.advance(8 * Second);
+  for (std::uint32_t I = 0; I < 4; ++I)
+    BOOST_TEST(Platform.running({"a", 0, 0, I}) == 1U);
+  checkNothingBroken(Platform);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(waves)
+
+// Two maintenances in one look ended two tasks of a step that may miss one,
+// because the first one's end was not counted until its answer came.
+BOOST_AUTO_TEST_CASE(one_look_ends_no_more_tasks_than_the_budget) {
+  one_pool Platform{4};
+  Platform.submit("press", "a", jobOf({lasting(4, 1)}));
+  Platform.advance(5 * Second);
+  wave Wave{1, {}, 8, 4};
+  for (const auto &Each : Platform.Vms)
+    Wave.Vms.push_back(Each.Name);
+  std::size_t Least = 4;
+  Platform.Leader->setWaves({{1, Wave}});
+  for (int I = 0; I < 600; ++I) {
+    Platform.advance(std::chrono::milliseconds{20});
+    std::size_t Running = 0;
+    for (std::uint32_t Index = 0; Index < 4; ++Index)
+      Running += Platform.running({"a", 0, 0, Index});
+    Least = std::min(Least, Running);
+  }
+  BOOST_TEST(Least >= 3U);
+  BOOST_TEST(Platform.VmOrders.size() == 4U);
+}
+
+// Maintenance begins on no more VMs than the wave's cap at once.
+BOOST_AUTO_TEST_CASE(cap_holds_and_the_wave_ends_in_time) {
+  one_pool Platform{8};
+  Platform.advance(4 * Second);
+  wave Wave{1, {}, 20, 2};
+  for (const auto &Each : Platform.Vms)
+    Wave.Vms.push_back(Each.Name);
+  Platform.Leader->setWaves({{1, Wave}});
+  std::ptrdiff_t Most = 0;
+  for (int I = 0; I < 1000; ++I) {
+    Platform.advance(std::chrono::milliseconds{20});
+    Most = std::max(Most, std::ranges::count(
+                              Platform.Vms, vm_state::Maintenance, &vm::State));
+  }
+  BOOST_TEST(Most <= 2);
+  BOOST_TEST(Platform.VmOrders.size() == 8U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -0,0 +1,379 @@
+#include "simulated_platform.hpp"
+#include <algorithm>
+
+namespace galenalink::test {
+
+namespace {
+
+using namespace job;
+
+/** One way through the simulated network. */
+constexpr duration Latency = std::chrono::milliseconds{1};
+constexpr duration AppendTime = std::chrono::milliseconds{8};
+constexpr duration CallTimeout = std::chrono::milliseconds{700};
+constexpr duration TickInterval = std::chrono::milliseconds{20};
+constexpr wall_ms WallStart = 1'700'000'000'000;
+
+std::int64_t toMs(const time_point Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             Time.time_since_epoch())
+      .count();
+}
+
+} // namespace
+
+step_spec makeStep(const std::uint32_t Count, const std::int64_t Cpu,
+                   const std::uint32_t EstimateMs) {
+  step_spec Step;
+  Step.Count = Count;
+  Step.Size = {Cpu, 100, 0};
+  Step.EstimateMs = EstimateMs;
+  return Step;
+}
+
+fleet_rules onePool() {
+  fleet_rules Rules;
+  Rules.Version = 1;
+  queue_rule Queue;
+  Queue.Name = "press";
+  Queue.Pool = "press";
+  Queue.MaxAttempts = 3;
+  Queue.Stretch = 1.6;
+  Queue.SlackMs = 600;
+  Rules.Queues.push_back(Queue);
+  Rules.Pools.push_back({"press", false, false});
+  return Rules;
+}
+
+simulated_platform::simulated_platform() : Rules{onePool()} {
+  Duration = [](const task_id &, const std::uint32_t EstimateMs) {
+    return static_cast<double>(EstimateMs);
+  };
+  connectStore();
+  connectServers();
+  connectVms();
+}
+
+void simulated_platform::after(const duration Delay,
+                               std::function<void()> Function) {
+  Events.emplace(Now + Delay, std::move(Function));
+}
+
+void simulated_platform::connectStore() {
+  Ports.Append = [this](const std::uint64_t AppendEpoch, std::uint64_t,
+                        const std::vector<keyed_record> &Records,
+                        const auto &Callback) {
+    if (StoreDown) {
+      after(CallTimeout, [Callback] { Callback({call_outcome::Unknown, ""}); });
+      return;
+    }
+    after(AppendTime, [this, AppendEpoch, Records, Callback] {
+      if (AppendEpoch < StoreEpoch) {
+        ++FencedAppends;
+        Callback({call_outcome::Fenced, ""});
+        return;
+      }
+      for (const auto &Each : Records) {
+        if (Each.Value)
+          Stored[Each.Key] = *Each.Value;
+        else
+          Stored.erase(Each.Key);
+      }
+      Callback({call_outcome::Done, ""});
+    });
+  };
+  Ports.PublishWave = [this](std::uint64_t, bool, const auto &Callback) {
+    after(AppendTime, [Callback] { Callback({call_outcome::Done, ""}); });
+  };
+}
+
+void simulated_platform::connectServers() {
+  Ports.Hold = [this](const hold_order &Order, const auto &Callback) {
+    const auto Found = Servers.find(Order.Server.Id);
+    if (Found == Servers.end() || Found->second.Silent) {
+      after(CallTimeout, [Callback] { Callback(hold_result{}); });
+      return;
+    }
+    const bool Waits = Order.WaitMs > 0 && Found->second.Listed.empty();
+    after(Waits ? std::chrono::milliseconds{50} : Latency,
+          [this, Order, Callback] { Callback(hold(Order)); });
+  };
+  Ports.Start = [this](const start_order &Order, const auto &Callback) {
+    const auto Found = Servers.find(Order.Server.Id);
+    const bool Lost = Found == Servers.end() || Found->second.Silent;
+    const bool Late = !Lost && Found->second.LateBy.count() > 0;
+    if (!Lost)
+      after(Late ? Found->second.LateBy : Latency, [this, Order, Callback,
+                                                    Late] {
+        const auto Result = start(Order);
+        const auto Server = Servers.find(Order.Server.Id);
+        if (!Late && Server != Servers.end() && !Server->second.LosesAnswers)
+          Callback(Result);
+      });
+    if (Lost || Late || Found->second.LosesAnswers)
+      after(CallTimeout, [Callback] { Callback(order_result{}); });
+  };
+  Ports.Stop = [this](const stop_order &Order, const auto &Callback) {
+    const auto Found = Servers.find(Order.Server.Id);
+    if (Found == Servers.end() || Found->second.Silent) {
+      after(CallTimeout, [Callback] { Callback(order_result{}); });
+      return;
+    }
+    after(Latency, [this, Order, Callback] { Callback(stop(Order)); });
+  };
+  Ports.Pace = [this](const pace_order &, const auto &Callback) {
+    after(Latency, [Callback] {
+      Callback(order_result{call_outcome::Done, start_refusal::None, 0});
+    });
+  };
+}
+
+void simulated_platform::connectVms() {
+  Ports.ListVms = [this](const auto &Callback) {
+    after(Latency, [this, Callback] {
+      Callback(vms_result{call_outcome::Done, Vms});
+    });
+  };
+  Ports.OrderVm = [this](const vm_order &Order, const auto &Callback) {
+    after(Latency, [this, Order, Callback] { Callback(orderVm(Order)); });
+  };
+}
+
+vm_result simulated_platform::orderVm(const vm_order &Order) {
+  const auto Found = std::ranges::find(Vms, Order.Vm, &vm::Name);
+  if (Found == Vms.end() || Found->State != vm_state::Up)
+    return {call_outcome::Refused, true};
+  VmOrders.push_back(Order);
+  const std::string Old = Found->Server;
+  const std::string Pool = Order.Pool.empty() ? Found->Pool : Order.Pool;
+  const std::int64_t Cpu = Found->Capacity.Cpu;
+  const auto Name = Found->Name;
+  Servers.erase(Old);
+  Found->Server.clear();
+  Found->State = Order.Pool.empty() ? vm_state::Maintenance : vm_state::Moving;
+  after(std::chrono::milliseconds{1500}, [this, Name, Pool, Cpu] {
+    const auto Back = std::ranges::find(Vms, Name, &vm::Name);
+    Back->State = vm_state::Up;
+    Back->Pool = Pool;
+    const auto *Rule = Rules.pool(Pool);
+    if (Rule != nullptr && Rule->Standby)
+      return;
+    Back->Server = Name + "-" + std::to_string(++NextVm);
+    auto &Server = Servers[Back->Server];
+    Server.Entry = {
+        Back->Server,      "10.0.0.1:1", Pool,      "north", false, 0,
+        {Cpu, 1 << 20, 0}, {"a", "r1"},  toMs(Now), 1};
+    Server.Vm = Name;
+  });
+  return {call_outcome::Done, false};
+}
+
+simulated_server &simulated_platform::addServer(const std::string &Id,
+                                                const std::string &Pool,
+                                                const std::int64_t Cpu) {
+  auto &Server = Servers[Id];
+  Server.Entry = {Id, "10.0.0.1:1",      Pool,        "north", false,
+                  0,  {Cpu, 1 << 20, 0}, {"a", "r1"}, 1,       1};
+  Server.Vm = "vm-" + Id;
+  Vms.push_back({Server.Vm, Pool, vm_state::Up, Id, Server.Entry.Capacity,
+                 Server.Entry.Labels});
+  return Server;
+}
+
+void simulated_platform::elect() {
+  ++Epoch;
+  StoreEpoch = Epoch;
+  newest_result Records;
+  Records.Outcome = call_outcome::Done;
+  for (const auto &[Key, Value] : Stored)
+    Records.Records.push_back({Key, Value});
+  leader_settings Settings;
+  Settings.Node = "node-" + std::to_string(Epoch);
+  auto State = std::make_unique<leader>(
+      Ports, Settings, Epoch, [this] { return Now; },
+      [this] { return WallStart + toMs(Now); }, [this] { Fenced = true; });
+  Leader = std::make_unique<controller>(std::move(State), Records, Rules);
+}
+
+void simulated_platform::endRun(simulated_server &Server, const run_id &Run,
+                                const run_end How) {
+  const auto Found = Server.Running.find(Run);
+  if (Found == Server.Running.end())
+    return;
+  Server.Listed.push_back({++Server.Ends, Run, How, Found->second.Saved});
+  auto &Closed = Server.Closed[Run.Task];
+  Closed = std::max(Closed, Run.Number);
+  Server.Running.erase(Found);
+}
+
+void simulated_platform::expire(simulated_server &Server) {
+  std::vector<std::pair<run_id, run_end>> Ended;
+  const bool Lapsed = Server.LeaseEndMs != 0 && toMs(Now) > Server.LeaseEndMs;
+  for (const auto &[Run, State] : Server.Running) {
+    if (Lapsed)
+      Ended.emplace_back(Run, run_end::Lapsed);
+    else if (Server.FailsAll)
+      Ended.emplace_back(Run, run_end::Failed);
+    else if (!State.StandsStill && Now >= State.EndsAt)
+      Ended.emplace_back(Run, run_end::Done);
+  }
+  for (const auto &[Run, How] : Ended)
+    endRun(Server, Run, How);
+}
+
+std::size_t simulated_platform::running(const task_id &Task) const {
+  std::size_t Count = 0;
+  for (const auto &[Id, Server] : Servers) {
+    for (const auto &[Run, State] : Server.Running)
+      Count += Run.Task == Task ? 1 : 0;
+  }
+  return Count;
+}
+
+void simulated_platform::begin(simulated_server &Server,
+                               const start_order &Order) {
+  const auto *Entry = Leader->state().findJob(Order.Run.Task.Job);
+  const step_spec *Step =
+      Entry == nullptr ? nullptr : Entry->Job.specOf(Order.Run.Task);
+  if (Step == nullptr)
+    return;
+  if (!Step->Copies && running(Order.Run.Task) > 0)
+    Broken.push_back("task runs twice: " + Order.Run.Task.Job);
+  if (DoneNoted.contains(Order.Run.Task))
+    Broken.push_back("start after a noted end: " + Order.Run.Task.Job);
+  ++Starts;
+  simulated_run Run;
+  Run.StartedAt = Now;
+  Run.EndsAt =
+      Step->Lasts
+          ? time_point::max()
+          : Now + duration{static_cast<std::int64_t>(
+                      Duration(Order.Run.Task, Step->EstimateMs) * 1000)};
+  Run.Saved = Order.Saved;
+  Server.Running[Order.Run] = Run;
+  room Used;
+  for (const auto &[Each, State] : Server.Running) {
+    const auto *Other = Leader->state().findJob(Each.Task.Job);
+    if (Other != nullptr)
+      Used += server::charged(Other->Job.specOf(Each.Task)->Size,
+                              Other->Job.specOf(Each.Task)->Fills);
+  }
+  if (!Used.fits(Server.Entry.Capacity))
+    Broken.push_back("above its room: " + Server.Entry.Id);
+}
+
+order_result simulated_platform::start(const start_order &Order) {
+  const auto Found = Servers.find(Order.Server.Id);
+  if (Found == Servers.end())
+    return {call_outcome::Replaced, start_refusal::None, 0};
+  simulated_server &Server = Found->second;
+  if (Server.RefusesStarts)
+    return {call_outcome::Refused, start_refusal::Busy, 0};
+  if (Order.Epoch < Server.Epoch)
+    return {call_outcome::Fenced, start_refusal::None, 0};
+  Server.Epoch = Order.Epoch;
+  expire(Server);
+  Server.LeaseEndMs = std::max(Server.LeaseEndMs, Order.LeaseEndMs);
+  if (toMs(Now) > Order.LeaseEndMs)
+    return {call_outcome::Refused, start_refusal::Late, 0};
+  if (Server.Running.contains(Order.Run))
+    return {call_outcome::Done, start_refusal::None, 0};
+  const auto Closed = Server.Closed.find(Order.Run.Task);
+  if (Closed != Server.Closed.end() && Order.Run.Number <= Closed->second)
+    return {call_outcome::Refused, start_refusal::Old, 0};
+  begin(Server, Order);
+  return {call_outcome::Done, start_refusal::None, 0};
+}
+
+order_result simulated_platform::stop(const stop_order &Order) {
+  const auto Found = Servers.find(Order.Server.Id);
+  if (Found == Servers.end())
+    return {call_outcome::Replaced, start_refusal::None, 0};
+  simulated_server &Server = Found->second;
+  if (Order.Epoch < Server.Epoch)
+    return {call_outcome::Fenced, start_refusal::None, 0};
+  Server.Epoch = Order.Epoch;
+  endRun(Server, Order.Run, run_end::Stopped);
+  auto &Closed = Server.Closed[Order.Run.Task];
+  Closed = std::max(Closed, Order.Run.Number);
+  return {call_outcome::Done, start_refusal::None, 0};
+}
+
+hold_result simulated_platform::hold(const hold_order &Order) {
+  hold_result Result;
+  const auto Found = Servers.find(Order.Server.Id);
+  if (Found == Servers.end()) {
+    Result.Outcome = call_outcome::Replaced;
+    return Result;
+  }
+  simulated_server &Server = Found->second;
+  if (Order.Epoch < Server.Epoch) {
+    Result.Outcome = call_outcome::Fenced;
+    return Result;
+  }
+  Server.Epoch = Order.Epoch;
+  expire(Server);
+  if (Order.LeaseEndMs != 0)
+    Server.LeaseEndMs = std::max(Server.LeaseEndMs, Order.LeaseEndMs);
+  for (const auto &Each : Server.Listed) {
+    if (Each.Number <= Order.RecordedEnds && Each.How == run_end::Done)
+      DoneNoted.insert(Each.Run.Task);
+  }
+  std::erase_if(Server.Listed, [&](const listed_end &Each) {
+    return Each.Number <= Order.RecordedEnds;
+  });
+  Result.Outcome = call_outcome::Done;
+  Result.ClockMs = toMs(Now);
+  Result.BornMs = Server.Entry.BornMs;
+  for (const auto &[Run, State] : Server.Running)
+    Result.Running.push_back({Run, State.Saved, 100, 0});
+  Result.Ends = Server.Listed;
+  return Result;
+}
+
+void simulated_platform::step() {
+  for (auto &[Id, Server] : Servers)
+    expire(Server);
+  if (!Leader || Fenced)
+    return;
+  std::vector<registration> Registered;
+  for (const auto &[Id, Server] : Servers)
+    Registered.push_back(Server.Entry);
+  Leader->setRegistrations(Registered);
+  Leader->setVms(Vms, Now);
+  Leader->tick();
+}
+
+void simulated_platform::advance(const duration Time) {
+  const time_point End = Now + Time;
+  while (Now < End) {
+    Now += TickInterval;
+    while (!Events.empty() && Events.begin()->first <= Now) {
+      const auto Call = std::move(Events.begin()->second);
+      Events.erase(Events.begin());
+      Call();
+      if (Leader && !Fenced)
+        Leader->settle();
+    }
+    step();
+  }
+}
+
+std::optional<caller_reply> simulated_platform::submit(const std::string &Queue,
+                                                       const std::string &Id,
+                                                       const job_spec &Spec) {
+  auto Reply = std::make_shared<std::optional<caller_reply>>();
+  Leader->submit(Queue, Id, Spec,
+                 [Reply](const caller_reply &Result) { *Reply = Result; });
+  Leader->settle();
+  advance(std::chrono::milliseconds{40});
+  return *Reply;
+}
+
+job_state simulated_platform::stateOf(const std::string &Id) const {
+  return Leader->query(Id).State;
+}
+
+void simulated_platform::crash(const std::string &Id) { Servers.erase(Id); }
+
+} // namespace galenalink::test
--- /dev/null
+++ b/test/galenalink/job/simulated_platform.hpp
@@ -0,0 +1,119 @@
+#ifndef GALENALINK_TEST_JOB_SIMULATED_PLATFORM_HPP
+#define GALENALINK_TEST_JOB_SIMULATED_PLATFORM_HPP
+
+#include "galenalink/job/controller.hpp"
+#include <deque>
+#include <map>
+#include <set>
+
+namespace galenalink::test {
+
+/** @brief A run on a simulated backend server. */
+struct simulated_run {
+  time_point StartedAt;
+  /** When it ends by itself; a run that lasts has none. */
+  time_point EndsAt;
+  std::string Saved;
+  bool StandsStill{false};
+};
+
+/** @brief A backend server that runs tasks under leases as the platform's
+ * pages say, on a clock of its own. */
+struct simulated_server {
+  job::registration Entry;
+  std::string Vm;
+  /** Calls get no answer and are not carried out. */
+  bool Silent{false};
+  /** Starts are carried out, but get no answer. */
+  bool LosesAnswers{false};
+  /** Starts get no answer and are carried out after this delay. */
+  duration LateBy{0};
+  /** Everything that is started fails at once. */
+  bool FailsAll{false};
+  bool RefusesStarts{false};
+  std::uint64_t Epoch{0};
+  std::int64_t LeaseEndMs{0};
+  std::uint64_t Ends{0};
+  std::map<job::run_id, simulated_run> Running;
+  std::vector<job::listed_end> Listed;
+  /** Highest run of each task that ended or was stopped. */
+  std::map<job::task_id, std::uint64_t> Closed;
+};
+
+/**
+ * @brief The platform in virtual time, without a network. It checks what must
+ * always hold: no backend server above its room, no task running twice, no
+ * start after an end was taken note of.
+ */
+class simulated_platform {
+public:
+  simulated_platform();
+
+  time_point Now{std::chrono::seconds{1000}};
+  job::ports Ports;
+  job::fleet_rules Rules;
+  std::map<std::string, simulated_server> Servers;
+  std::vector<job::vm> Vms;
+  std::map<std::string, std::string> Stored;
+  /** The store answers nothing and does nothing. */
+  bool StoreDown{false};
+  /** Real duration of a task, ms, by its queue's declared estimate. */
+  std::function<double(const job::task_id &, std::uint32_t EstimateMs)>
+      Duration;
+  /** Broken rules, for a person. */
+  std::vector<std::string> Broken;
+  std::uint64_t Starts{0};
+  std::uint64_t FencedAppends{0};
+  /** Orders for VMs that were carried out, in order. */
+  std::vector<job::vm_order> VmOrders;
+  bool Fenced{false};
+
+  simulated_server &addServer(const std::string &Id, const std::string &Pool,
+                              std::int64_t Cpu = 32000);
+  /** @brief Makes a leader of the next epoch, with what the store has. */
+  void elect();
+  /** @brief Lets time pass; the leader's duties run every 20 ms. */
+  void advance(duration Time);
+  /** @return What the caller was told; nothing if there was no answer yet. */
+  std::optional<job::caller_reply> submit(const std::string &Queue,
+                                          const std::string &Id,
+                                          const job::job_spec &Spec);
+  job::job_state stateOf(const std::string &Id) const;
+  /** @brief Runs of a task on all backend servers. */
+  std::size_t running(const job::task_id &Task) const;
+  void crash(const std::string &Id);
+
+  std::unique_ptr<job::controller> Leader;
+  std::uint64_t Epoch{0};
+
+private:
+  void after(duration Delay, std::function<void()> Function);
+  void step();
+  void endRun(simulated_server &Server, const job::run_id &Run,
+              job::run_end How);
+  void expire(simulated_server &Server);
+  void begin(simulated_server &Server, const job::start_order &Order);
+  job::order_result start(const job::start_order &Order);
+  job::hold_result hold(const job::hold_order &Order);
+  job::order_result stop(const job::stop_order &Order);
+  void connectStore();
+  void connectServers();
+  void connectVms();
+  job::vm_result orderVm(const job::vm_order &Order);
+
+  std::multimap<time_point, std::function<void()>> Events;
+  std::map<std::string, std::uint64_t> Sequences;
+  std::uint64_t StoreEpoch{0};
+  std::set<job::task_id> DoneNoted;
+  std::uint32_t NextVm{0};
+};
+
+/** @brief A step of equal tasks. */
+job::step_spec makeStep(std::uint32_t Count, std::int64_t Cpu,
+                        std::uint32_t EstimateMs);
+/** @brief One queue, `press`, with a pool of the same name. */
+job::fleet_rules onePool();
+
+} // namespace galenalink::test
+
+#endif
