Let two tasks of one step leave a VM one after the other

Cause: a backend server may run two tasks of one step that may miss one; the budget counted the others of the step one by one, so one order ended both.

Change: tasks of the step on the same backend server count together; while the budget does not allow to end them at once, they are stopped one at a time and start elsewhere.

Test waves/two_tasks_of_a_step_leave_one_after_the_other failed before.

--- a/src/galenalink/job/maintenance.cpp
+++ b/src/galenalink/job/maintenance.cpp
@@ -90,8 +90,12 @@
       saveProgress(Leader, *Server);
     const bool Drained =
         shortRuns(*Server) == 0 || Now >= DrainedSince + LongestDrain;
-    if (!Drained || !budgetsAllow(Leader, *Server))
+    if (!Drained)
       return false;
+    if (!budgetsAllow(Leader, *Server)) {
+      evacuate(Leader, *Server);
+      return false;
+    }
   }
   Log.info("maintenance ordered",
            {{"vm", Vm},
--- a/src/galenalink/job/vm_orders.cpp
+++ b/src/galenalink/job/vm_orders.cpp
@@ -28,19 +28,44 @@
   });
 }
 
-std::uint32_t othersAway(const leader &Leader, const job &Job,
-                         const task_id &Id) {
+/** @brief Tasks of the step that are not at work, without those on a backend
+ * server. */
+std::uint32_t awayElsewhere(const leader &Leader, const job &Job,
+                            const task_id &Id, const server &Server) {
   const std::uint32_t Count = Job.spec().Steps[Id.Step].Count;
   std::uint32_t Away = 0;
   for (std::uint32_t I = 0; I < Count; ++I) {
     task_id Other = Id;
     Other.Index = I;
-    if (I != Id.Index && !atWork(Leader, Other))
+    const auto Here = Server.Runs.lower_bound(run_id{Other, 0});
+    const bool RunsHere =
+        Here != Server.Runs.end() && Here->first.Task == Other;
+    if (!RunsHere && !atWork(Leader, Other))
       ++Away;
   }
   return Away;
 }
 
+/** @brief Tasks of the step that are at work on the backend server. */
+std::uint32_t atWorkHere(const server &Server, const task_id &Id) {
+  return static_cast<std::uint32_t>(
+      std::ranges::count_if(Server.Runs, [&](const auto &Each) {
+        const task_id &Task = Each.first.Task;
+        return Task.Job == Id.Job && Task.Occurrence == Id.Occurrence &&
+               Task.Step == Id.Step && Each.second.Percent >= 100;
+      }));
+}
+
+/** @brief Whether the run is at work and its step has a budget. */
+const step_spec *budgeted(const leader &Leader, const run_id &Id,
+                          const run &Run) {
+  const job_entry *Entry = Leader.findJob(Id.Task.Job);
+  const bool Counts = Run.Lasts && Run.Percent >= 100 && Entry != nullptr &&
+                      !Entry->Job.ended();
+  const step_spec *Step = Counts ? Entry->Job.specOf(Id.Task) : nullptr;
+  return Step != nullptr && Step->MayMiss > 0 ? Step : nullptr;
+}
+
 void send(leader &Leader, const std::string &Vm);
 
 void answered(leader &Leader, const std::string &Vm, const vm_result &Result) {
@@ -160,16 +185,40 @@
 bool budgetsAllow(const leader &Leader, const server &Server) {
   return std::ranges::all_of(Server.Runs, [&](const auto &Each) {
     const auto &[Id, Run] = Each;
-    const job_entry *Entry = Leader.findJob(Id.Task.Job);
-    if (!Run.Lasts || Run.Percent < 100 || Entry == nullptr ||
-        Entry->Job.ended())
+    const step_spec *Step = budgeted(Leader, Id, Run);
+    if (Step == nullptr)
       return true;
-    const step_spec &Step = *Entry->Job.specOf(Id.Task);
-    return Step.MayMiss == 0 ||
-           othersAway(Leader, Entry->Job, Id.Task) < Step.MayMiss;
+    const job &Job = Leader.findJob(Id.Task.Job)->Job;
+    return awayElsewhere(Leader, Job, Id.Task, Server) +
+               atWorkHere(Server, Id.Task) <=
+           Step->MayMiss;
   });
 }
 
+void evacuate(leader &Leader, server &Server) {
+  std::vector<run_id> Leaving;
+  for (const auto &[Id, Run] : Server.Runs) {
+    const step_spec *Step = budgeted(Leader, Id, Run);
+    if (Step == nullptr || Run.State != run_state::Running)
+      continue;
+    const job &Job = Leader.findJob(Id.Task.Job)->Job;
+    const bool Stopping =
+        std::ranges::any_of(Server.Runs, [&, Task = Id.Task](const auto &Each) {
+          return Each.first.Task.Job == Task.Job &&
+                 Each.second.State == run_state::Stopping;
+        });
+    const bool Chosen =
+        std::ranges::any_of(Leaving, [&, Task = Id.Task](const run_id &Each) {
+          return Each.Task.Job == Task.Job;
+        });
+    if (!Stopping && !Chosen &&
+        awayElsewhere(Leader, Job, Id.Task, Server) < Step->MayMiss)
+      Leaving.push_back(Id);
+  }
+  for (const auto &Id : Leaving)
+    stopRun(Leader, Server, Id);
+}
+
 std::size_t shortRuns(const server &Server) {
   return static_cast<std::size_t>(std::ranges::count_if(
       Server.Runs, [](const auto &Each) { return !Each.second.Lasts; }));
--- a/src/galenalink/job/vm_orders.hpp
+++ b/src/galenalink/job/vm_orders.hpp
@@ -25,6 +25,9 @@
  * that lasts would miss more of its tasks than its budget allows.
  */
 [[nodiscard]] bool budgetsAllow(const leader &Leader, const server &Server);
+/** @brief Stops tasks that last on a backend server that takes no new work, as
+ * far as the budgets of their steps allow, so that they start elsewhere. */
+void evacuate(leader &Leader, server &Server);
 /** @brief Runs on the backend server that end by themselves. */
 [[nodiscard]] std::size_t shortRuns(const server &Server);
 
--- a/test/galenalink/job/leader_test.cpp
+++ b/test/galenalink/job/leader_test.cpp
@@ -197,6 +197,26 @@
   BOOST_TEST(Platform.VmOrders.size() == 4U);
 }
 
+// A backend server that runs two tasks of one step ended both at once.
+BOOST_AUTO_TEST_CASE(two_tasks_of_a_step_leave_one_after_the_other) {
+  one_pool Platform{3};
+  auto Step = lasting(6, 1);
+  Step.Spread = 2;
+  Platform.submit("press", "a", jobOf({Step}));
+  Platform.advance(5 * Second);
+  wave Wave{1, {"vm-s0"}, 20, 1};
+  Platform.Leader->setWaves({{1, Wave}});
+  std::size_t Least = 6;
+  for (int I = 0; I < 300; ++I) {
+    Platform.advance(std::chrono::milliseconds{20});
+    std::size_t Running = 0;
+    for (std::uint32_t Index = 0; Index < 6; ++Index)
+      Running += Platform.running({"a", 0, 0, Index});
+    Least = std::min(Least, Running);
+  }
+  BOOST_TEST(Least >= 5U);
+}
+
 // Maintenance begins on no more VMs than the wave's cap at once.
 BOOST_AUTO_TEST_CASE(cap_holds_and_the_wave_ends_in_time) {
   one_pool Platform{8};
