End nothing by a maintenance that was done before

Cause: the platform answers 200 also for a maintenance that was done before. A VM that was ordered away also got new work until the answer came.

Change: what runs on a VM ends when the list of VMs shows it gone, not with the answer; progress of waves is stored for a successor; the VM is reserved with the order. Demand meter and pool planner are added, not yet in use.

--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -39,13 +39,16 @@
                    Leader.Times.predictMs(Queue, Step.EstimateMs);
 }
 
-admission decide(const leader &Leader, const queue_rule &Rule,
+admission decide(leader &Leader, const queue_rule &Rule, const std::string &Id,
                  const job_spec &Spec) {
   admission_request Request;
   Request.ChainMs = chainMs(Leader, Rule.Name, Spec);
   Request.ObjectiveMs = Rule.Stretch * Request.ChainMs + Rule.SlackMs;
   for (const auto &Step : Spec.Steps)
     Request.Work += stepWork(Leader, Rule.Name, Step, Step.Count);
+  // Demand is what callers ask for, whether it fits or not, but each job once.
+  if (Leader.SeenJobs.add(Id, Leader.Now()))
+    Leader.Demand[Rule.Pool].arrived(Leader.Now(), Request.Work);
   return admit(loadOf(Leader, Rule.Pool), Request);
 }
 
@@ -166,7 +169,7 @@
   admission Admission;
   Admission.Verdict = admission_verdict::InTime;
   if (!Spec.lasts() && Spec.Times == 0)
-    Admission = decide(Leader, *Rule, Spec);
+    Admission = decide(Leader, *Rule, Id, Spec);
   logDecision(Leader, *Rule, Id, Admission);
   if (Admission.Verdict == admission_verdict::Refused) {
     Reply(refused("the pool is full", Admission.RetryAfterMs));
--- a/src/galenalink/job/controller.cpp
+++ b/src/galenalink/job/controller.cpp
@@ -2,6 +2,7 @@
 #include "galenalink/job/callers.hpp"
 #include "galenalink/job/dispatch.hpp"
 #include "galenalink/job/maintenance.hpp"
+#include "galenalink/job/pool_sizes.hpp"
 #include "galenalink/job/recovery.hpp"
 #include "galenalink/job/server_watch.hpp"
 #include "galenalink/job/vm_orders.hpp"
--- a/src/galenalink/job/job_record.cpp
+++ b/src/galenalink/job/job_record.cpp
@@ -1,4 +1,4 @@
-#include "galenalink/job/job.hpp"
+#include "galenalink/job/leader.hpp"
 #include <nlohmann/json.hpp>
 
 namespace galenalink::job {
@@ -104,6 +104,36 @@
   }
 }
 
+std::string toRecord(const wave_progress &Wave) {
+  return toText(
+      json::array({Wave.DeadlineMs, Wave.Done, Wave.CompletedPublished}));
+}
+
+std::optional<wave_progress> parseWave(const std::string_view Record) {
+  try {
+    const json From = json::from_cbor(Record);
+    wave_progress Wave;
+    Wave.DeadlineMs = From.at(0);
+    Wave.Done = From.at(1).get<std::set<std::string>>();
+    Wave.CompletedPublished = From.at(2);
+    return Wave;
+  } catch (const json::exception &) {
+    return std::nullopt;
+  }
+}
+
+std::string toRecord(const std::map<std::string, std::size_t> &Sizes) {
+  return toText(json(Sizes));
+}
+
+std::map<std::string, std::size_t> parseSizes(const std::string_view Record) {
+  try {
+    return json::from_cbor(Record).get<std::map<std::string, std::size_t>>();
+  } catch (const json::exception &) {
+    return {};
+  }
+}
+
 std::string job::progress() const {
   json Occurrences = json::array();
   for (const auto &Each : Open) {
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -1,6 +1,7 @@
 #ifndef GALENALINK_JOB_LEADER_HPP
 #define GALENALINK_JOB_LEADER_HPP
 
+#include "galenalink/job/demand.hpp"
 #include "galenalink/job/job.hpp"
 #include "galenalink/job/journal.hpp"
 #include "galenalink/job/run_times.hpp"
@@ -75,12 +76,14 @@
   /** The order is on its way. */
   bool Sent{false};
   bool Accepted{false};
+  time_point AcceptedAt;
 };
 
 /** @brief Progress of a wave of maintenance. */
 struct wave_progress {
   wave Wave;
-  time_point Deadline;
+  /** End of its window, ms since 1970; 0 before the wave itself was read. */
+  wall_ms DeadlineMs{0};
   std::set<std::string> Done;
   /** VMs that get no new work before their maintenance, and since when. */
   std::map<std::string, time_point> Draining;
@@ -136,6 +139,13 @@
   time_point VmsAskedAt{NoDeadline};
   std::map<std::string, vm_motion> Motions;
   std::map<std::uint64_t, wave_progress> Waves;
+  /** Arriving work by pool. */
+  std::map<std::string, demand_meter> Demand;
+  seen_jobs SeenJobs;
+  /** VMs of each pool before any was moved. */
+  std::map<std::string, std::size_t> HomeSizes;
+  /** Since when each pool has had room to spare. */
+  std::map<std::string, time_point> SurplusSince;
   time_point LedSince;
   /** Whether the lead was confirmed so lately that no successor can order VMs
    * yet. */
@@ -180,6 +190,16 @@
  * durations, ms. */
 [[nodiscard]] double chainMs(const leader &Leader, const std::string &Queue,
                              const job_spec &Spec);
+/** @brief What a successor must know of a wave. */
+[[nodiscard]] std::string toRecord(const wave_progress &Wave);
+/** @return Progress without the wave itself. */
+[[nodiscard]] std::optional<wave_progress> parseWave(std::string_view Record);
+/** @brief Sizes of pools as a record for the store. */
+[[nodiscard]] std::string
+toRecord(const std::map<std::string, std::size_t> &Sizes);
+/** @return Empty if the record can't be read. */
+[[nodiscard]] std::map<std::string, std::size_t>
+parseSizes(std::string_view Record);
 /** @brief Removes jobs that ended long ago, also from the store. */
 void forgetEnded(leader &Leader);
 
--- a/src/galenalink/job/maintenance.cpp
+++ b/src/galenalink/job/maintenance.cpp
@@ -127,7 +127,8 @@
   const time_point Now = Leader.Now();
   auto Left = leftOf(Leader, Wave);
   const std::size_t Limit =
-      concurrency({Left.size(), Wave.Wave.Cap, Wave.Deadline - Now,
+      concurrency({Left.size(), Wave.Wave.Cap,
+                   std::chrono::milliseconds{Wave.DeadlineMs - Leader.Wall()},
                    Leader.Settings.MaintenanceTime + CycleOverhead});
   std::erase_if(Left, [&](const std::string &Vm) {
     return Wave.Draining.contains(Vm) || !canGoNow(Leader, Vm);
@@ -157,13 +158,14 @@
           return; // tried again with the next look
         (Completed ? Published.CompletedPublished
                    : Published.RunningPublished) = true;
+        recordWave(Leader, Number);
         Log.info("wave published",
                  {{"wave", Number}, {"completed", Completed ? "yes" : "no"}});
       }));
 }
 
 void maintainWave(leader &Leader, wave_progress &Wave) {
-  if (Wave.CompletedPublished)
+  if (Wave.CompletedPublished || Wave.Wave.Vms.empty())
     return;
   orderDrained(Leader, Wave);
   drainMore(Leader, Wave);
@@ -189,11 +191,12 @@
 
 void updateWaves(leader &Leader, const std::map<std::uint64_t, wave> &Waves) {
   for (const auto &[Number, Wave] : Waves) {
-    const auto [Found, Added] = Leader.Waves.try_emplace(Number);
-    Found->second.Wave = Wave;
-    if (Added)
-      Found->second.Deadline =
-          Leader.Now() + std::chrono::seconds{Wave.WithinS};
+    wave_progress &Progress = Leader.Waves[Number];
+    Progress.Wave = Wave;
+    if (Progress.DeadlineMs != 0)
+      continue;
+    Progress.DeadlineMs = Leader.Wall() + Wave.WithinS * wall_ms{1000};
+    recordWave(Leader, Number);
   }
 }
 
@@ -204,9 +207,10 @@
       maintainWave(Leader, Wave);
   }
   for (auto &[Id, Server] : Leader.Servers) {
-    Server->Reserved = std::ranges::any_of(Leader.Waves, [&](const auto &Each) {
-      return Each.second.Draining.contains(Server->Vm);
-    });
+    Server->Reserved = Leader.Motions.contains(Server->Vm) ||
+                       std::ranges::any_of(Leader.Waves, [&](const auto &Each) {
+                         return Each.second.Draining.contains(Server->Vm);
+                       });
   }
 }
 
--- /dev/null
+++ b/src/galenalink/job/pool_plan.cpp
@@ -0,0 +1,94 @@
+#include "galenalink/job/pool_plan.hpp"
+#include <algorithm>
+
+namespace galenalink::job {
+
+namespace {
+
+/** Room beyond the need that a pool keeps when it gives a VM away. */
+constexpr double KeptShare = 1.25;
+
+struct plan {
+  std::vector<pool_view> Pools;
+  std::vector<vm_view> Vms;
+  std::vector<planned_move> Moves;
+
+  void move(const std::size_t Vm, const std::size_t To) {
+    const vm_view Moved = Vms[Vm];
+    Moves.push_back({Moved.Name, Pools[To].Name});
+    Pools[Moved.Pool].Room -= Moved.Room;
+    --Pools[Moved.Pool].Vms;
+    Pools[To].Room += Moved.Room;
+    ++Pools[To].Vms;
+    Vms.erase(Vms.begin() + static_cast<std::ptrdiff_t>(Vm));
+  }
+
+  /** @return Whether a VM could be found for the pool. */
+  bool grow(const std::size_t To) {
+    const auto Standby = std::ranges::find_if(
+        Vms, [&](const vm_view &Each) { return Pools[Each.Pool].Standby; });
+    if (Standby != Vms.end()) {
+      move(static_cast<std::size_t>(Standby - Vms.begin()), To);
+      return true;
+    }
+    const auto Idle = std::ranges::find_if(Vms, [&](const vm_view &Each) {
+      return Each.Idle && Each.Pool != To &&
+             hasSurplus(Pools[Each.Pool], Each.Room);
+    });
+    if (Idle == Vms.end())
+      return false;
+    move(static_cast<std::size_t>(Idle - Vms.begin()), To);
+    return true;
+  }
+
+  void growAll() {
+    std::vector<std::size_t> Order;
+    for (std::size_t I = 0; I < Pools.size(); ++I) {
+      if (!Pools[I].Standby && Pools[I].Need > Pools[I].Room)
+        Order.push_back(I);
+    }
+    std::ranges::sort(Order, std::greater{}, [&](const std::size_t I) {
+      return Pools[I].Need - Pools[I].Room;
+    });
+    for (const std::size_t I : Order) {
+      while (Pools[I].Need > Pools[I].Room && grow(I)) {
+      }
+    }
+  }
+
+  void shrink(const std::size_t From, const std::size_t Standby) {
+    for (std::size_t I = 0; I < Vms.size();) {
+      const pool_view &Pool = Pools[From];
+      const bool Leaves = Vms[I].Pool == From && Vms[I].Idle &&
+                          Pool.Vms > Pool.Floor &&
+                          hasSurplus(Pool, Vms[I].Room);
+      if (Leaves)
+        move(I, Standby);
+      else
+        ++I;
+    }
+  }
+};
+
+} // namespace
+
+bool hasSurplus(const pool_view &Pool, const double VmRoom) {
+  return Pool.Room - VmRoom >= Pool.Need * KeptShare;
+}
+
+std::vector<planned_move> planMoves(std::vector<pool_view> Pools,
+                                    std::vector<vm_view> Vms) {
+  plan Plan{std::move(Pools), std::move(Vms), {}};
+  Plan.growAll();
+  const auto Standby = std::ranges::find_if(Plan.Pools, &pool_view::Standby);
+  if (Standby == Plan.Pools.end())
+    return Plan.Moves;
+  const auto Target = static_cast<std::size_t>(Standby - Plan.Pools.begin());
+  for (std::size_t I = 0; I < Plan.Pools.size(); ++I) {
+    if (!Plan.Pools[I].Standby && Plan.Pools[I].LongSurplus)
+      Plan.shrink(I, Target);
+  }
+  return Plan.Moves;
+}
+
+} // namespace galenalink::job
--- /dev/null
+++ b/src/galenalink/job/pool_sizes.cpp
@@ -0,0 +1,140 @@
+#include "galenalink/job/pool_sizes.hpp"
+#include "galenalink/job/callers.hpp"
+#include "galenalink/job/pool_plan.hpp"
+#include "galenalink/job/vm_orders.hpp"
+#include "galenalink/telemetry/log.hpp"
+#include <algorithm>
+
+namespace galenalink::job {
+
+namespace {
+
+constexpr telemetry::logger Log{"pools"};
+
+/** Accepted work is to be done within this time. */
+constexpr double HorizonMs = 1200;
+/** Share of a pool's room that packing can use. */
+constexpr double Packing = 0.85;
+/** A pool gives VMs back after its surplus has lasted this long. */
+constexpr duration SurplusHold = std::chrono::milliseconds{1500};
+
+/** @brief Pool in which a VM is or will be. */
+const std::string &poolOf(const leader &Leader, const vm &Vm) {
+  const auto Motion = Leader.Motions.find(Vm.Name);
+  const bool Moves =
+      Motion != Leader.Motions.end() && !Motion->second.Pool.empty();
+  return Moves ? Motion->second.Pool : Vm.Pool;
+}
+
+double lastingRoom(const leader &Leader, const std::string &Pool) {
+  double Room = 0;
+  for (const auto &[Id, Entry] : Leader.Open) {
+    if (Entry->Job.pool() != Pool)
+      continue;
+    for (const auto &Step : Entry->Job.spec().Steps) {
+      if (Step.Lasts && !Step.Fills)
+        Room += static_cast<double>(Step.Size.Cpu) * Step.Count;
+    }
+  }
+  return Room;
+}
+
+double need(const leader &Leader, const std::string &Pool) {
+  const auto Meter = Leader.Demand.find(Pool);
+  const double Rate =
+      Meter == Leader.Demand.end() ? 0 : Meter->second.rate(Leader.Now());
+  const double Backlog = loadOf(Leader, Pool).InTimeWork / HorizonMs;
+  return lastingRoom(Leader, Pool) + std::max(Rate, Backlog) / Packing;
+}
+
+std::vector<pool_view> viewPools(leader &Leader) {
+  std::vector<pool_view> Pools;
+  for (const auto &Rule : Leader.Rules.Pools) {
+    pool_view View;
+    View.Name = Rule.Name;
+    View.Standby = Rule.Standby;
+    const auto Home = Leader.HomeSizes.find(Rule.Name);
+    View.Floor = Home == Leader.HomeSizes.end() ? 0 : Home->second;
+    if (!Rule.Standby)
+      View.Need = need(Leader, Rule.Name);
+    Pools.push_back(std::move(View));
+  }
+  return Pools;
+}
+
+bool movable(const leader &Leader, const vm &Vm) {
+  const bool Draining =
+      std::ranges::any_of(Leader.Waves, [&](const auto &Each) {
+        return Each.second.Draining.contains(Vm.Name);
+      });
+  return Vm.State == vm_state::Up && !Draining &&
+         !Leader.Motions.contains(Vm.Name);
+}
+
+/** @brief Counts the VMs into the pools and lists those that can be moved. */
+std::vector<vm_view> viewVms(leader &Leader, std::vector<pool_view> &Pools) {
+  std::vector<vm_view> Views;
+  for (const auto &[Name, Vm] : Leader.Vms) {
+    const auto Pool =
+        std::ranges::find(Pools, poolOf(Leader, Vm), &pool_view::Name);
+    if (Pool == Pools.end() || Vm.State == vm_state::Down)
+      continue;
+    ++Pool->Vms;
+    Pool->Room += static_cast<double>(Vm.Capacity.Cpu);
+    if (!movable(Leader, Vm))
+      continue;
+    vm_view View;
+    View.Name = Name;
+    View.Pool = static_cast<std::size_t>(Pool - Pools.begin());
+    View.Room = static_cast<double>(Vm.Capacity.Cpu);
+    const server *Server = serverOf(Leader, Name);
+    View.Idle = Server != nullptr && Server->Usable && Server->Runs.empty() &&
+                !Server->Entry.Draining;
+    Views.push_back(std::move(View));
+  }
+  return Views;
+}
+
+void noteSurplus(leader &Leader, std::vector<pool_view> &Pools) {
+  for (auto &Pool : Pools) {
+    const double VmRoom =
+        Pool.Vms == 0 ? 0 : Pool.Room / static_cast<double>(Pool.Vms);
+    time_point &Since = Leader.SurplusSince[Pool.Name];
+    if (Pool.Vms == 0 || !hasSurplus(Pool, VmRoom))
+      Since = Leader.Now();
+    Pool.LongSurplus = Leader.Now() >= Since + SurplusHold;
+  }
+}
+
+/** @brief Notes how many VMs each pool had before anything was moved. */
+void noteHomes(leader &Leader) {
+  if (!Leader.HomeSizes.empty() || Leader.Vms.empty())
+    return;
+  for (const auto &[Name, Vm] : Leader.Vms)
+    ++Leader.HomeSizes[Vm.Pool];
+  Leader.Journal.put("h", [&Leader]() -> std::optional<std::string> {
+    return toRecord(Leader.HomeSizes);
+  });
+}
+
+} // namespace
+
+void resizePools(leader &Leader) {
+  if (!mayOrderVms(Leader))
+    return;
+  noteHomes(Leader);
+  auto Pools = viewPools(Leader);
+  auto Vms = viewVms(Leader, Pools);
+  noteSurplus(Leader, Pools);
+  for (const auto &Move : planMoves(Pools, Vms)) {
+    const auto To = std::ranges::find(Pools, Move.To, &pool_view::Name);
+    Log.info("move ordered",
+             {{"vm", Move.Vm},
+              {"to", Move.To},
+              {"need", std::to_string(static_cast<std::int64_t>(To->Need))},
+              {"room", std::to_string(static_cast<std::int64_t>(To->Room))}});
+    orderVm(Leader, Move.Vm, Move.To, 0);
+  }
+}
+
+} // namespace galenalink::job
--- a/src/galenalink/job/recovery.cpp
+++ b/src/galenalink/job/recovery.cpp
@@ -12,6 +12,24 @@
 constexpr char JobKey = 'j';
 constexpr char ProgressKey = 'p';
 constexpr char ServerKey = 's';
+constexpr char HomeSizesKey = 'h';
+constexpr char WaveKey = 'w';
+
+void recoverSizes(leader &Leader, const std::string & /*Id*/,
+                  const std::string &Record) {
+  Leader.HomeSizes = parseSizes(Record);
+  if (Leader.HomeSizes.empty())
+    Log.error("record of the pools' sizes can't be read");
+}
+
+void recoverWave(leader &Leader, const std::string &Number,
+                 const std::string &Record) {
+  auto Wave = parseWave(Record);
+  if (Wave)
+    Leader.Waves[std::stoull(Number)] = std::move(*Wave);
+  else
+    Log.error("record of a wave can't be read", {{"wave", Number}});
+}
 
 void recoverJob(leader &Leader, const std::string &Id,
                 const std::string &Record) {
@@ -51,6 +69,8 @@
   EachOf(JobKey, recoverJob);
   EachOf(ProgressKey, recoverProgress);
   EachOf(ServerKey, recoverServer);
+  EachOf(HomeSizesKey, recoverSizes);
+  EachOf(WaveKey, recoverWave);
   for (auto &[Id, Entry] : Leader.Open) {
     setObjectives(Leader, *Entry);
     openDue(Leader, *Entry);
--- a/src/galenalink/job/vm_orders.cpp
+++ b/src/galenalink/job/vm_orders.cpp
@@ -91,9 +91,7 @@
   if (Result.Outcome != call_outcome::Done)
     return;
   Motion.Accepted = true;
-  const auto Server = Leader.Servers.find(Motion.Server);
-  if (Server != Leader.Servers.end())
-    loseServer(Leader, *Server->second, "its VM was ordered away");
+  Motion.AcceptedAt = Leader.Now();
 }
 
 void send(leader &Leader, const std::string &Vm) {
@@ -106,6 +104,15 @@
                        }));
 }
 
+/** @brief Whether the order had been carried out long before it was sent, so
+ * that what runs on the VM goes on. */
+bool hadNoEffect(const vm_motion &Motion, const vm &Vm,
+                 const time_point AskedAt) {
+  return Motion.Accepted && AskedAt >= Motion.AcceptedAt &&
+         Vm.State == vm_state::Up && !Motion.Server.empty() &&
+         Vm.Server == Motion.Server;
+}
+
 bool complete(const leader &Leader, const vm_motion &Motion, const vm &Vm,
               const time_point AskedAt) {
   const bool Arrived = Motion.Pool.empty() || Vm.Pool == Motion.Pool;
@@ -118,8 +125,22 @@
          AskedAt >= Motion.OrderedAt + Least;
 }
 
+void noteMaintained(leader &Leader, const std::uint64_t Number,
+                    const std::string &Vm) {
+  const auto Wave = Leader.Waves.find(Number);
+  if (Wave == Leader.Waves.end() || !Wave->second.Done.insert(Vm).second)
+    return;
+  recordWave(Leader, Number);
+}
+
 } // namespace
 
+void recordWave(leader &Leader, const std::uint64_t Number) {
+  Leader.Journal.put("w" + std::to_string(Number), [&Leader, Number] {
+    return std::optional{toRecord(Leader.Waves.at(Number))};
+  });
+}
+
 bool mayOrderVms(const leader &Leader) {
   return Leader.Now() >= Leader.LedSince + Leader.Settings.HolderPause &&
          Leader.VmsAskedAt != NoDeadline &&
@@ -131,8 +152,10 @@
   vm_motion Motion;
   Motion.Pool = Pool;
   Motion.Wave = Wave;
-  if (const server *Server = serverOf(Leader, Vm))
+  if (server *Server = serverOf(Leader, Vm)) {
     Motion.Server = Server->Entry.Id;
+    Server->Reserved = true;
+  }
   Leader.Motions.insert_or_assign(Vm, std::move(Motion));
   send(Leader, Vm);
 }
@@ -144,11 +167,11 @@
     Leader.Vms[Vm.Name] = Vm;
     const auto Found = Leader.Motions.find(Vm.Name);
     if (Found == Leader.Motions.end() ||
-        !complete(Leader, Found->second, Vm, AskedAt))
+        (!complete(Leader, Found->second, Vm, AskedAt) &&
+         !hadNoEffect(Found->second, Vm, AskedAt)))
       continue;
-    const auto Wave = Leader.Waves.find(Found->second.Wave);
-    if (Found->second.Pool.empty() && Wave != Leader.Waves.end())
-      Wave->second.Done.insert(Vm.Name);
+    if (Found->second.Pool.empty())
+      noteMaintained(Leader, Found->second.Wave, Vm.Name);
     Log.info(
         "VM order complete",
         {{"vm", Vm.Name}, {"pool", Vm.Pool}, {"wave", Found->second.Wave}});
--- a/src/galenalink/job/vm_orders.hpp
+++ b/src/galenalink/job/vm_orders.hpp
@@ -12,6 +12,8 @@
  * VM ends with it. */
 void orderVm(leader &Leader, const std::string &Vm, const std::string &Pool,
              std::uint64_t Wave);
+/** @brief Has the wave's progress written for a successor. */
+void recordWave(leader &Leader, std::uint64_t Number);
 /** @brief Takes over a list of VMs and ends the motions that it shows done.
  * @param AskedAt When the list was asked for. */
 void updateMotions(leader &Leader, const std::vector<vm> &Vms,
--- a/test/galenalink/job/leader_test.cpp
+++ b/test/galenalink/job/leader_test.cpp
@@ -217,6 +217,37 @@
   BOOST_TEST(Least >= 5U);
 }
 
+// A successor asked again for a maintenance that was done before; what ran on
+// the VM went on and was started a second time elsewhere.
+BOOST_AUTO_TEST_CASE(repeated_maintenance_ends_nothing) {
+  one_pool Platform{3};
+  Platform.advance(4 * Second);
+  wave Wave{1, {"vm-s0", "vm-s1"}, 12, 1};
+  Platform.Leader->setWaves({{1, Wave}});
+  Platform.advance(14 * Second);
+  std::erase_if(Platform.Stored,
+                [](const auto &Each) { return Each.first.front() == 'w'; });
+  Platform.elect();
+  Platform.Leader->setWaves({{1, Wave}});
+  Platform.submit("press", "a", jobOf({lasting(3, 1)}));
+  Platform.advance(12 * Second);
+  BOOST_TEST(Platform.VmOrders.size() == 2U);
+  BOOST_TEST(Platform.Starts == 3U);
+  checkNothingBroken(Platform);
+}
+
+// A VM got new work between the order for its maintenance and the answer.
+BOOST_AUTO_TEST_CASE(vm_that_is_ordered_away_gets_no_new_work) {
+  one_pool Platform{2};
+  Platform.advance(4 * Second);
+  Platform.Leader->setWaves({{1, wave{1, {"vm-s0"}, 4, 1}}});
+  for (int I = 0; I < 60 && Platform.Leader->state().Motions.empty(); ++I)
+    Platform.advance(std::chrono::milliseconds{20});
+  const auto &Servers = Platform.Leader->state().Servers;
+  BOOST_TEST((!Servers.contains("s0") || Servers.at("s0")->Reserved ||
+              !Servers.at("s0")->Usable));
+}
+
 // Maintenance begins on no more VMs than the wave's cap at once.
 BOOST_AUTO_TEST_CASE(cap_holds_and_the_wave_ends_in_time) {
   one_pool Platform{8};
--- a/test/galenalink/job/simulated_platform.cpp
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -141,8 +141,13 @@
 
 vm_result simulated_platform::orderVm(const vm_order &Order) {
   const auto Found = std::ranges::find(Vms, Order.Vm, &vm::Name);
+  if (Found != Vms.end() && Order.Pool.empty() &&
+      Maintained.contains({Order.Vm, Order.Wave}))
+    return {call_outcome::Done, false};
   if (Found == Vms.end() || Found->State != vm_state::Up)
     return {call_outcome::Refused, true};
+  if (Order.Pool.empty())
+    Maintained.emplace(Order.Vm, Order.Wave);
   VmOrders.push_back(Order);
   const std::string Old = Found->Server;
   const std::string Pool = Order.Pool.empty() ? Found->Pool : Order.Pool;
--- a/test/galenalink/job/simulated_platform.hpp
+++ b/test/galenalink/job/simulated_platform.hpp
@@ -66,6 +66,8 @@
   std::uint64_t FencedAppends{0};
   /** Orders for VMs that were carried out, in order. */
   std::vector<job::vm_order> VmOrders;
+  /** VMs that had the maintenance of a wave; a repeat does nothing. */
+  std::set<std::pair<std::string, std::uint64_t>> Maintained;
   bool Fenced{false};
 
   simulated_server &addServer(const std::string &Id, const std::string &Pool,
