Count tasks that start up against the budget of their step

Cause: a task that was moved off one VM was ended on the next one while it started up, together with a task of its step that was at work there; only tasks listed as at work were counted.

Change: every run of the step on the backend server counts as one that the order ends.

Test waves/task_that_starts_up_counts_as_missing failed before.

--- a/src/galenalink/job/vm_orders.cpp
+++ b/src/galenalink/job/vm_orders.cpp
@@ -46,22 +46,22 @@
   return Away;
 }
 
-/** @brief Tasks of the step that are at work on the backend server. */
-std::uint32_t atWorkHere(const server &Server, const task_id &Id) {
+/** @brief Runs of the step on the backend server. Those that start up count:
+ * they may be at work by the time an order arrives. */
+std::uint32_t runsHere(const server &Server, const task_id &Id) {
   return static_cast<std::uint32_t>(
       std::ranges::count_if(Server.Runs, [&](const auto &Each) {
         const task_id &Task = Each.first.Task;
         return Task.Job == Id.Job && Task.Occurrence == Id.Occurrence &&
-               Task.Step == Id.Step && Each.second.Percent >= 100;
+               Task.Step == Id.Step;
       }));
 }
 
-/** @brief Whether the run is at work and its step has a budget. */
+/** @return The step of a run that has a budget; null for any other. */
 const step_spec *budgeted(const leader &Leader, const run_id &Id,
                           const run &Run) {
   const job_entry *Entry = Leader.findJob(Id.Task.Job);
-  const bool Counts = Run.Lasts && Run.Percent >= 100 && Entry != nullptr &&
-                      !Entry->Job.ended();
+  const bool Counts = Run.Lasts && Entry != nullptr && !Entry->Job.ended();
   const step_spec *Step = Counts ? Entry->Job.specOf(Id.Task) : nullptr;
   return Step != nullptr && Step->MayMiss > 0 ? Step : nullptr;
 }
@@ -213,7 +213,7 @@
       return true;
     const job &Job = Leader.findJob(Id.Task.Job)->Job;
     return awayElsewhere(Leader, Job, Id.Task, Server) +
-               atWorkHere(Server, Id.Task) <=
+               runsHere(Server, Id.Task) <=
            Step->MayMiss;
   });
 }
@@ -225,16 +225,17 @@
     if (Step == nullptr || Run.State != run_state::Running)
       continue;
     const job &Job = Leader.findJob(Id.Task.Job)->Job;
-    const bool Stopping =
+    const bool Missing =
         std::ranges::any_of(Server.Runs, [&, Task = Id.Task](const auto &Each) {
-          return Each.first.Task.Job == Task.Job &&
-                 Each.second.State == run_state::Stopping;
+          return Each.first.Task.Job == Task.Job && Each.first.Task != Task &&
+                 !(Each.second.State == run_state::Running &&
+                   Each.second.Percent >= 100);
         });
     const bool Chosen =
         std::ranges::any_of(Leaving, [&, Task = Id.Task](const run_id &Each) {
           return Each.Task.Job == Task.Job;
         });
-    if (!Stopping && !Chosen &&
+    if (!Missing && !Chosen &&
         awayElsewhere(Leader, Job, Id.Task, Server) < Step->MayMiss)
       Leaving.push_back(Id);
   }
--- a/test/galenalink/job/leader_test.cpp
+++ b/test/galenalink/job/leader_test.cpp
@@ -1,3 +1,4 @@
+#include "galenalink/job/vm_orders.hpp"
 #include "simulated_platform.hpp"
 #include <boost/test/unit_test.hpp>
 
@@ -217,10 +218,26 @@
   BOOST_TEST(Least >= 5U);
 }
 
+// A task that had just been moved off one VM was ended on the next one while it
+// started up, together with another task of its step.
+BOOST_AUTO_TEST_CASE(task_that_starts_up_counts_as_missing) {
+  one_pool Platform{3};
+  Platform.submit("press", "a", jobOf({lasting(3, 1)}));
+  Platform.advance(5 * Second);
+  leader &State = Platform.Leader->state();
+  BOOST_REQUIRE(State.Servers.at("s0")->Runs.size() == 1U);
+  BOOST_TEST(budgetsAllow(State, *State.Servers.at("s0")));
+  auto Moved = State.Servers.at("s1")->Runs.extract(
+      State.Servers.at("s1")->Runs.begin());
+  Moved.mapped().Percent = 0;
+  State.Servers.at("s0")->Runs.insert(std::move(Moved));
+  BOOST_TEST(!budgetsAllow(State, *State.Servers.at("s0")));
+}
+
 // A successor asked again for a maintenance that was done before; what ran on
 // the VM went on and was started a second time elsewhere.
 BOOST_AUTO_TEST_CASE(repeated_maintenance_ends_nothing) {
-  one_pool Platform{3};
+  one_pool Platform{4};
   Platform.advance(4 * Second);
   wave Wave{1, {"vm-s0", "vm-s1"}, 12, 1};
   Platform.Leader->setWaves({{1, Wave}});
--- a/test/galenalink/job/simulated_platform.cpp
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -12,6 +12,8 @@
 constexpr duration AppendTime = std::chrono::milliseconds{8};
 constexpr duration CallTimeout = std::chrono::milliseconds{700};
 constexpr duration TickInterval = std::chrono::milliseconds{20};
+/** Time until a task that lasts is at work. */
+constexpr duration StartUp = std::chrono::milliseconds{700};
 constexpr wall_ms WallStart = 1'700'000'000'000;
 
 std::int64_t toMs(const time_point Time) {
@@ -331,7 +333,8 @@
   Result.ClockMs = toMs(Now);
   Result.BornMs = Server.Entry.BornMs;
   for (const auto &[Run, State] : Server.Running)
-    Result.Running.push_back({Run, State.Saved, 100, 0});
+    Result.Running.push_back(
+        {Run, State.Saved, Now >= State.StartedAt + StartUp ? 100U : 0U, 0});
   Result.Ends = Server.Listed;
   return Result;
 }
@@ -379,6 +382,19 @@
   return Leader->query(Id).State;
 }
 
+std::size_t simulated_platform::atWork(const std::string &Job,
+                                       const std::uint32_t Count) const {
+  std::set<std::uint32_t> Working;
+  for (const auto &[Id, Server] : Servers) {
+    for (const auto &[Run, State] : Server.Running) {
+      if (Run.Task.Job == Job && Run.Task.Index < Count &&
+          Now >= State.StartedAt + StartUp)
+        Working.insert(Run.Task.Index);
+    }
+  }
+  return Working.size();
+}
+
 void simulated_platform::crash(const std::string &Id) { Servers.erase(Id); }
 
 } // namespace galenalink::test
--- a/test/galenalink/job/simulated_platform.hpp
+++ b/test/galenalink/job/simulated_platform.hpp
@@ -83,6 +83,8 @@
   job::job_state stateOf(const std::string &Id) const;
   /** @brief Runs of a task on all backend servers. */
   std::size_t running(const job::task_id &Task) const;
+  /** @brief Tasks of a job's first step that are at work. */
+  std::size_t atWork(const std::string &Job, std::uint32_t Count) const;
   void crash(const std::string &Id);
 
   std::unique_ptr<job::controller> Leader;
