Move standby VMs to the pool whose turn of demand it is

Change: pool_sizes meters arriving work, pool_plan gives a pool with too little room VMs of the standby pool, then idle ones of pools with room to spare, and returns them after a surplus of 1.5 s.

Tests: demand_in_turns, admission_in_turns.

--- a/src/galenalink/job/controller.cpp
+++ b/src/galenalink/job/controller.cpp
@@ -85,6 +85,7 @@
     Leader->Dirty = true;
     mendStragglers(*Leader);
     maintain(*Leader);
+    resizePools(*Leader);
     forgetEnded(*Leader);
   }
   settle();
--- /dev/null
+++ b/test/galenalink/job/pool_plan.cpp
@@ -0,0 +1,183 @@
+#include "galenalink/job/pool_plan.hpp"
+#include "galenalink/job/admission.hpp"
+#include "galenalink/job/demand.hpp"
+#include "simulated_platform.hpp"
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+using namespace galenalink;
+using namespace galenalink::job;
+using namespace galenalink::test;
+
+namespace {
+
+constexpr duration Second = std::chrono::seconds{1};
+constexpr double VmRoom = 32000;
+
+std::vector<pool_view> pools() {
+  return {{"press", false, 0, 4 * VmRoom, 4, 4, false},
+          {"post", false, 0, 4 * VmRoom, 4, 4, false},
+          {"spare", true, 0, 3 * VmRoom, 0, 3, false}};
+}
+
+std::vector<vm_view> vms(const bool Idle) {
+  std::vector<vm_view> Vms;
+  for (std::size_t Pool = 0; Pool < 3; ++Pool) {
+    for (std::size_t I = 0; I < (Pool == 2 ? 3U : 4U); ++I)
+      Vms.push_back({"vm" + std::to_string(Pool) + std::to_string(I), Pool,
+                     VmRoom, Idle});
+  }
+  return Vms;
+}
+
+std::size_t movesTo(const std::vector<planned_move> &Moves,
+                    const std::string &Pool) {
+  return static_cast<std::size_t>(
+      std::ranges::count(Moves, Pool, &planned_move::To));
+}
+
+/** Two pools whose demand takes turns, beside a standby pool. */
+struct turns : simulated_platform {
+  turns() {
+    queue_rule Post = Rules.Queues.front();
+    Post.Name = "post";
+    Post.Pool = "post";
+    Rules.Queues.push_back(Post);
+    Rules.Pools.push_back({"post", false, false});
+    Rules.Pools.push_back({"spare", false, true});
+    for (int I = 0; I < 4; ++I) {
+      addServer("a" + std::to_string(I), "press");
+      addServer("b" + std::to_string(I), "post");
+    }
+    for (int I = 0; I < 4; ++I)
+      Vms.push_back({"spare" + std::to_string(I),
+                     "spare",
+                     vm_state::Up,
+                     "",
+                     {32000, 1 << 20, 0},
+                     {"a", "r2"}});
+    elect();
+    advance(4 * Second);
+  }
+
+  /** Half as much work again as the home VMs of the queue can do. */
+  std::size_t play(const std::string &Queue, std::mt19937 &Random,
+                   const duration Length) {
+    std::uniform_int_distribution<std::uint32_t> Width{4, 16};
+    std::size_t Accepted = 0;
+    for (const time_point End = Now + Length; Now < End;) {
+      job_spec Spec;
+      Spec.Steps.push_back(makeStep(Width(Random), 4000, 480));
+      const auto Reply =
+          submit(Queue, "job" + std::to_string(++Submitted), Spec);
+      Accepted += Reply && Reply->Verdict == caller_reply::verdict::Ok ? 1 : 0;
+      advance(std::chrono::milliseconds{60});
+    }
+    return Accepted;
+  }
+
+  std::size_t inPool(const std::string &Pool) const {
+    return static_cast<std::size_t>(std::ranges::count(Vms, Pool, &vm::Pool));
+  }
+
+  std::uint32_t Submitted{0};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(demand_in_turns)
+
+// A pool in its turn must get standby VMs first, and no more than it needs.
+BOOST_AUTO_TEST_CASE(standby_vms_go_where_the_turn_is) {
+  auto Pools = pools();
+  Pools[0].Need = 5.5 * VmRoom;
+  const auto Moves = planMoves(Pools, vms(true));
+  BOOST_TEST(Moves.size() == 2U);
+  BOOST_TEST(movesTo(Moves, "press") == 2U);
+  BOOST_TEST(Moves[0].Vm.starts_with("vm2"));
+}
+
+// A VM on which something runs must not be moved, since a move ends it.
+BOOST_AUTO_TEST_CASE(busy_vms_are_not_moved) {
+  auto Pools = pools();
+  Pools[0].Need = 12 * VmRoom;
+  const auto Moves = planMoves(Pools, vms(false));
+  BOOST_TEST(Moves.size() == 3U);
+}
+
+// Pools give VMs back only after a lasting surplus, and not below their floor.
+BOOST_AUTO_TEST_CASE(surplus_returns_down_to_the_floor) {
+  auto Pools = pools();
+  Pools[0].Floor = 2;
+  BOOST_TEST(planMoves(Pools, vms(true)).empty());
+  Pools[0].LongSurplus = true;
+  BOOST_TEST(movesTo(planMoves(Pools, vms(true)), "spare") == 2U);
+}
+
+// In a turn the pool must grow, and shrink to its home size afterwards.
+BOOST_AUTO_TEST_CASE(pools_follow_the_turns) {
+  turns Platform;
+  std::mt19937 Random{7};
+  Platform.play("press", Random, 4 * Second);
+  BOOST_TEST(Platform.inPool("press") > 4U);
+  Platform.advance(5 * Second);
+  BOOST_TEST(Platform.inPool("press") == 4U);
+  // The other pool may have lent a VM, which waits in the standby pool.
+  BOOST_TEST(Platform.inPool("spare") >= 4U);
+  Platform.play("post", Random, 4 * Second);
+  BOOST_TEST(Platform.inPool("post") > 4U);
+  for (const auto &Each : Platform.Broken)
+    BOOST_ERROR(Each);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(admission_in_turns)
+
+// Work that can meet its objective must be admitted, even behind other work.
+BOOST_AUTO_TEST_CASE(work_in_time_is_admitted) {
+  const auto Result = admit({100000, 30000000, 0}, {500, 1000000, 1400});
+  BOOST_CHECK(Result.Verdict == admission_verdict::InTime);
+}
+
+// Work that can only end late must not displace work in time.
+BOOST_AUTO_TEST_CASE(late_work_is_deferred) {
+  const auto Result = admit({100000, 100000000, 0}, {500, 1000000, 1400});
+  BOOST_CHECK(Result.Verdict == admission_verdict::Deferred);
+}
+
+// What would end too late to be of use is refused, with the time at which it
+// would fit.
+BOOST_AUTO_TEST_CASE(useless_work_is_refused_at_once) {
+  const auto Result =
+      admit({100000, 200000000, 200000000}, {500, 1000000, 1400});
+  BOOST_CHECK(Result.Verdict == admission_verdict::Refused);
+  BOOST_TEST(Result.RetryAfterMs >= 1000U);
+}
+
+// A pool without room must refuse, and not divide by zero.
+BOOST_AUTO_TEST_CASE(pool_without_room_refuses) {
+  BOOST_CHECK(admit({}, {500, 1000000, 1400}).Verdict ==
+              admission_verdict::Refused);
+}
+
+// The meter must show a turn within half a second and forget it in two.
+BOOST_AUTO_TEST_CASE(demand_meter_follows_a_turn) {
+  demand_meter Meter;
+  time_point Now{Second};
+  for (int I = 0; I < 50; ++I) {
+    Now += Second / 100;
+    Meter.arrived(Now, 100 * 1000);
+  }
+  BOOST_TEST(Meter.rate(Now) > 4000);
+  BOOST_TEST(Meter.rate(Now + 2 * Second) < 1000);
+}
+
+// A job that is asked for again after a refusal is no new demand.
+BOOST_AUTO_TEST_CASE(repeats_are_no_new_demand) {
+  seen_jobs Seen;
+  BOOST_TEST(Seen.add("a", time_point{Second}));
+  BOOST_TEST(!Seen.add("a", time_point{2 * Second}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
