Size pools by the work that is due, and share VMs fairly

Change: the need of a pool is each job's work left over its time to the objective; VMs go one after the other to the pool shortest of room against its need.

Test demand_in_turns/no_pool_takes_all failed before.

--- a/src/galenalink/job/pool_plan.cpp
+++ b/src/galenalink/job/pool_plan.cpp
@@ -1,5 +1,6 @@
 #include "galenalink/job/pool_plan.hpp"
 #include <algorithm>
+#include <optional>
 
 namespace galenalink::job {
 
@@ -41,21 +42,27 @@
     return true;
   }
 
+  /** @brief Gives one VM after the other to the pool that is shortest of room
+   * against its need, so that no pool takes all of them. */
   void growAll() {
-    std::vector<std::size_t> Order;
-    for (std::size_t I = 0; I < Pools.size(); ++I) {
-      if (!Pools[I].Standby && Pools[I].Need > Pools[I].Room)
-        Order.push_back(I);
-    }
-    std::ranges::sort(Order, std::greater{}, [&](const std::size_t I) {
-      return Pools[I].Need - Pools[I].Room;
-    });
-    for (const std::size_t I : Order) {
-      while (Pools[I].Need > Pools[I].Room && grow(I)) {
+    std::vector<bool> Stuck(Pools.size());
+    while (true) {
+      std::optional<std::size_t> Shortest;
+      for (std::size_t I = 0; I < Pools.size(); ++I) {
+        const bool Short = !Stuck[I] && Pools[I].Need > Pools[I].Room;
+        if (Short && (!Shortest || share(I) < share(*Shortest)))
+          Shortest = I;
       }
+      if (!Shortest)
+        return;
+      Stuck[*Shortest] = !grow(*Shortest);
     }
   }
 
+  [[nodiscard]] double share(const std::size_t Pool) const {
+    return Pools[Pool].Room / Pools[Pool].Need;
+  }
+
   void shrink(const std::size_t From, const std::size_t Standby) {
     for (std::size_t I = 0; I < Vms.size();) {
       const pool_view &Pool = Pools[From];
--- a/src/galenalink/job/pool_sizes.cpp
+++ b/src/galenalink/job/pool_sizes.cpp
@@ -11,8 +11,8 @@
 
 constexpr telemetry::logger Log{"pools"};
 
-/** Accepted work is to be done within this time. */
-constexpr double HorizonMs = 1200;
+/** Work that is due sooner is spread over this time. */
+constexpr duration ShortestHorizon = std::chrono::milliseconds{400};
 /** Share of a pool's room that packing can use. */
 constexpr double Packing = 0.85;
 /** A pool gives VMs back after its surplus has lasted this long. */
@@ -39,12 +39,31 @@
   return Room;
 }
 
+/** @brief Room that accepted jobs need to meet their objectives: the work left
+ * of each, spread over its time left. */
+double backlogRoom(const leader &Leader, const std::string &Pool) {
+  double Room = 0;
+  const time_point Now = Leader.Now();
+  for (const auto &[Id, Entry] : Leader.Open) {
+    if (Entry->Job.pool() != Pool || Entry->Job.open().empty() ||
+        Entry->Deferred)
+      continue;
+    const time_point Objective = Entry->Job.open().front().Objective;
+    if (Objective <= Now)
+      continue;
+    const std::chrono::duration<double, std::milli> Left =
+        std::max(Objective - Now, ShortestHorizon);
+    Room += workLeft(Leader, Entry->Job) / Left.count();
+  }
+  return Room;
+}
+
 double need(const leader &Leader, const std::string &Pool) {
   const auto Meter = Leader.Demand.find(Pool);
   const double Rate =
       Meter == Leader.Demand.end() ? 0 : Meter->second.rate(Leader.Now());
-  const double Backlog = loadOf(Leader, Pool).InTimeWork / HorizonMs;
-  return lastingRoom(Leader, Pool) + std::max(Rate, Backlog) / Packing;
+  return lastingRoom(Leader, Pool) +
+         std::max(Rate, backlogRoom(Leader, Pool)) / Packing;
 }
 
 std::vector<pool_view> viewPools(leader &Leader) {
--- a/test/galenalink/job/pool_plan.cpp
+++ b/test/galenalink/job/pool_plan.cpp
@@ -97,6 +97,17 @@
   BOOST_TEST(Moves[0].Vm.starts_with("vm2"));
 }
 
+// A pool whose need was estimated far too high took all standby VMs, and
+// another one was left with half of its room.
+BOOST_AUTO_TEST_CASE(no_pool_takes_all) {
+  auto Pools = pools();
+  Pools[0].Need = 20 * VmRoom;
+  Pools[1].Need = 30 * VmRoom;
+  const auto Moves = planMoves(Pools, vms(false));
+  BOOST_TEST(movesTo(Moves, "press") >= 1U);
+  BOOST_TEST(movesTo(Moves, "post") >= 1U);
+}
+
 // A VM on which something runs must not be moved, since a move ends it.
 BOOST_AUTO_TEST_CASE(busy_vms_are_not_moved) {
   auto Pools = pools();
