Forecast the next turn of demand

Cause: a pool grows 2 s after its turn began, nearly half of the turn.

Change: turn_forecast learns from the demand seen that the pools' turns come one after the other at equal distances, and has the next pool grow ahead. The turns are stored for a successor.

--- a/src/galenalink/job/job_record.cpp
+++ b/src/galenalink/job/job_record.cpp
@@ -134,6 +134,24 @@
   }
 }
 
+std::string toRecord(const std::vector<turn> &Turns) {
+  json Rows = json::array();
+  for (const auto &Each : Turns)
+    Rows.push_back({Each.Pool, Each.StartMs, Each.Rate});
+  return toText(Rows);
+}
+
+std::vector<turn> parseTurns(const std::string_view Record) {
+  std::vector<turn> Turns;
+  try {
+    for (const auto &Each : json::from_cbor(Record))
+      Turns.push_back({Each.at(0), Each.at(1), Each.at(2)});
+  } catch (const json::exception &) {
+    Turns.clear();
+  }
+  return Turns;
+}
+
 std::string job::progress() const {
   json Occurrences = json::array();
   for (const auto &Each : Open) {
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -6,6 +6,7 @@
 #include "galenalink/job/journal.hpp"
 #include "galenalink/job/run_times.hpp"
 #include "galenalink/job/server.hpp"
+#include "galenalink/job/turn_forecast.hpp"
 #include <memory>
 #include <set>
 #include <unordered_map>
@@ -142,6 +143,7 @@
   /** Arriving work by pool. */
   std::map<std::string, demand_meter> Demand;
   seen_jobs SeenJobs;
+  turn_forecast Forecast;
   /** VMs of each pool before any was moved. */
   std::map<std::string, std::size_t> HomeSizes;
   /** Since when each pool has had room to spare. */
@@ -200,6 +202,10 @@
 /** @return Empty if the record can't be read. */
 [[nodiscard]] std::map<std::string, std::size_t>
 parseSizes(std::string_view Record);
+/** @brief Turns of demand as a record for the store. */
+[[nodiscard]] std::string toRecord(const std::vector<turn> &Turns);
+/** @return Empty if the record can't be read. */
+[[nodiscard]] std::vector<turn> parseTurns(std::string_view Record);
 /** @brief Removes jobs that ended long ago, also from the store. */
 void forgetEnded(leader &Leader);
 
--- a/src/galenalink/job/pool_sizes.cpp
+++ b/src/galenalink/job/pool_sizes.cpp
@@ -15,6 +15,8 @@
 constexpr duration ShortestHorizon = std::chrono::milliseconds{400};
 /** Share of a pool's room that packing can use. */
 constexpr double Packing = 0.85;
+/** From a VM's arrival in a pool until it takes work. */
+constexpr duration JoinTime = std::chrono::milliseconds{600};
 /** A pool gives VMs back after its surplus has lasted this long. */
 constexpr duration SurplusHold = std::chrono::milliseconds{1500};
 
@@ -39,6 +41,14 @@
   return Room;
 }
 
+/** @return Room of an average VM. */
+double vmRoom(const leader &Leader) {
+  double Room = 0;
+  for (const auto &[Name, Vm] : Leader.Vms)
+    Room += static_cast<double>(Vm.Capacity.Cpu);
+  return Leader.Vms.empty() ? 0 : Room / static_cast<double>(Leader.Vms.size());
+}
+
 /** @brief Room that accepted jobs need to meet their objectives: the work left
  * of each, spread over its time left. */
 double backlogRoom(const leader &Leader, const std::string &Pool) {
@@ -58,12 +68,43 @@
   return Room;
 }
 
-double need(const leader &Leader, const std::string &Pool) {
+double arrivalRate(const leader &Leader, const std::string &Pool) {
   const auto Meter = Leader.Demand.find(Pool);
-  const double Rate =
-      Meter == Leader.Demand.end() ? 0 : Meter->second.rate(Leader.Now());
+  return Meter == Leader.Demand.end() ? 0 : Meter->second.rate(Leader.Now());
+}
+
+double need(const leader &Leader, const std::string &Pool) {
+  const duration Lead = Leader.Settings.MoveTime + JoinTime;
+  const double Expected = Leader.Forecast.expected(
+      Pool, Leader.Wall(),
+      std::chrono::duration_cast<std::chrono::milliseconds>(Lead).count());
   return lastingRoom(Leader, Pool) +
-         std::max(Rate, backlogRoom(Leader, Pool)) / Packing;
+         std::max(
+             {arrivalRate(Leader, Pool), backlogRoom(Leader, Pool), Expected}) /
+             Packing;
+}
+
+/** @brief Lets the forecast see the demand of all pools. */
+void observeTurns(leader &Leader) {
+  std::size_t Pools = 0;
+  for (const auto &Rule : Leader.Rules.Pools) {
+    if (Rule.Standby || !Leader.Demand.contains(Rule.Name))
+      continue;
+    ++Pools;
+    const auto Home = Leader.HomeSizes.find(Rule.Name);
+    const double Vms =
+        Home == Leader.HomeSizes.end() ? 0 : static_cast<double>(Home->second);
+    const bool Began =
+        Leader.Forecast.observe(Rule.Name, arrivalRate(Leader, Rule.Name),
+                                Vms * vmRoom(Leader), Leader.Wall());
+    if (!Began)
+      continue;
+    Log.info("turn of demand began", {{"pool", Rule.Name}});
+    Leader.Journal.put("t", [&Leader] {
+      return std::optional{toRecord(Leader.Forecast.turns())};
+    });
+  }
+  Leader.Forecast.setPools(Pools);
 }
 
 std::vector<pool_view> viewPools(leader &Leader) {
@@ -142,6 +183,7 @@
   if (!mayOrderVms(Leader))
     return;
   noteHomes(Leader);
+  observeTurns(Leader);
   auto Pools = viewPools(Leader);
   auto Vms = viewVms(Leader, Pools);
   noteSurplus(Leader, Pools);
--- a/src/galenalink/job/recovery.cpp
+++ b/src/galenalink/job/recovery.cpp
@@ -14,6 +14,7 @@
 constexpr char ServerKey = 's';
 constexpr char HomeSizesKey = 'h';
 constexpr char WaveKey = 'w';
+constexpr char TurnsKey = 't';
 
 void recoverSizes(leader &Leader, const std::string & /*Id*/,
                   const std::string &Record) {
@@ -31,6 +32,14 @@
     Log.error("record of a wave can't be read", {{"wave", Number}});
 }
 
+void recoverTurns(leader &Leader, const std::string & /*Id*/,
+                  const std::string &Record) {
+  auto Turns = parseTurns(Record);
+  if (Turns.empty())
+    Log.error("record of the turns of demand can't be read");
+  Leader.Forecast.restore(std::move(Turns));
+}
+
 void recoverJob(leader &Leader, const std::string &Id,
                 const std::string &Record) {
   auto Job = parseJob(Id, Record);
@@ -71,6 +80,7 @@
   EachOf(ServerKey, recoverServer);
   EachOf(HomeSizesKey, recoverSizes);
   EachOf(WaveKey, recoverWave);
+  EachOf(TurnsKey, recoverTurns);
   for (auto &[Id, Entry] : Leader.Open) {
     setObjectives(Leader, *Entry);
     openDue(Leader, *Entry);
