--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -1,5 +1,6 @@
 #include "galenalink/job/callers.hpp"
 #include "galenalink/telemetry/log.hpp"
+#include <algorithm>
 #include <numeric>
 
 namespace galenalink::job {
@@ -75,8 +76,29 @@
   });
 }
 
+/** @brief Properties of the job's steps that bind its placement. */
+std::string traitsOf(const queue_rule &Rule, const job_spec &Spec) {
+  std::string Traits = Rule.Advised ? "advised " : "";
+  const auto Add = [&](const std::string_view Name, const auto &Has) {
+    if (std::ranges::any_of(Spec.Steps, Has))
+      Traits += std::string{Name} + " ";
+  };
+  Add("lasts", [](const step_spec &Step) { return Step.Lasts; });
+  Add("fills", [](const step_spec &Step) { return Step.Fills; });
+  Add("serves", [](const step_spec &Step) { return Step.TargetMs > 0; });
+  Add("gang", [](const step_spec &Step) { return Step.Gang; });
+  Add("copies", [](const step_spec &Step) { return Step.Copies; });
+  Add("label", [](const step_spec &Step) { return !Step.Label.empty(); });
+  Add("rack", [](const step_spec &Step) { return !Step.Rack.empty(); });
+  Add("spread", [](const step_spec &Step) { return Step.Spread > 0; });
+  if (!Traits.empty())
+    Traits.pop_back();
+  return Traits;
+}
+
 void logDecision(const leader &Leader, const queue_rule &Rule,
-                 const std::string &Id, const admission &Admission) {
+                 const std::string &Id, const job_spec &Spec,
+                 const admission &Admission) {
   const pool_load Load = loadOf(Leader, Rule.Pool);
   const auto Number = [](const double Value) {
     return std::to_string(static_cast<std::int64_t>(Value));
@@ -90,6 +112,9 @@
             {"capacity", Number(Load.Capacity)},
             {"in_time_work", Number(Load.InTimeWork)},
             {"deferred_work", Number(Load.DeferredWork)},
+            {"steps", Spec.Steps.size()},
+            {"times", Spec.Times},
+            {"traits", traitsOf(Rule, Spec)},
             {"rules", Leader.Rules.Version}});
 }
 
@@ -170,7 +195,7 @@
   Admission.Verdict = admission_verdict::InTime;
   if (!Spec.lasts() && Spec.Times == 0)
     Admission = decide(Leader, *Rule, Id, Spec);
-  logDecision(Leader, *Rule, Id, Admission);
+  logDecision(Leader, *Rule, Id, Spec, Admission);
   if (Admission.Verdict == admission_verdict::Refused) {
     Reply(refused("the pool is full", Admission.RetryAfterMs));
     return;
