Promote deferred jobs when room comes up

Cause: jobs that were admitted to run behind the others ended in half of the time that had been expected, often within reach of their objective, but stayed behind jobs that could no longer meet theirs.

Change: deferred jobs are admitted again when the pool has room; jobs that cannot end in time any more are placed after them.

Test admission_in_turns/deferred_job_is_promoted_when_there_is_room failed before.

--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -158,6 +158,32 @@
   return Load;
 }
 
+void promoteDeferred(leader &Leader) {
+  std::map<std::string, pool_load> Loads;
+  const time_point Now = Leader.Now();
+  for (auto &[Id, Entry] : Leader.Open) {
+    if (!Entry->Deferred || Entry->Job.open().empty())
+      continue;
+    const auto [Load, Added] = Loads.try_emplace(Entry->Job.pool());
+    if (Added)
+      Load->second = loadOf(Leader, Entry->Job.pool());
+    const occurrence &Occurrence = Entry->Job.open().front();
+    const std::chrono::duration<double, std::milli> Left =
+        Occurrence.Objective - Now;
+    admission_request Request;
+    Request.ChainMs = chainLeftMs(Leader, Entry->Job, Occurrence);
+    Request.Work = workLeft(Leader, Entry->Job);
+    Request.ObjectiveMs = std::max(Left.count(), 0.0);
+    if (admit(Load->second, Request).Verdict != admission_verdict::InTime)
+      continue;
+    Log.info("promoted", {{"job", Id}, {"queue", Entry->Job.queue()}});
+    Entry->Deferred = false;
+    Load->second.InTimeWork += Request.Work;
+    Load->second.DeferredWork -= Request.Work;
+    Leader.Dirty = true;
+  }
+}
+
 void submitJob(leader &Leader, const std::string &Queue, const std::string &Id,
                job_spec Spec, reply_function Reply) {
   if (job_entry *Known = Leader.findJob(Id)) {
--- a/src/galenalink/job/callers.hpp
+++ b/src/galenalink/job/callers.hpp
@@ -17,6 +17,9 @@
 [[nodiscard]] caller_reply pendingJobs(const leader &Leader,
                                        const std::string &Queue);
 
+/** @brief Admits deferred jobs to run in time where room has come up. */
+void promoteDeferred(leader &Leader);
+
 /** @brief Room and accepted work of a pool. */
 [[nodiscard]] pool_load loadOf(const leader &Leader, std::string_view Pool);
 /** @brief Work left of a job, thousandths of a core times ms. */
--- a/src/galenalink/job/controller.cpp
+++ b/src/galenalink/job/controller.cpp
@@ -84,6 +84,7 @@
     // Back-offs and objectives pass without an event.
     Leader->Dirty = true;
     mendStragglers(*Leader);
+    promoteDeferred(*Leader);
     maintain(*Leader);
     resizePools(*Leader);
     forgetEnded(*Leader);
--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -18,11 +18,20 @@
 /** A run that takes this many times the expected duration is a straggler. */
 constexpr int StragglerFactor = 3;
 constexpr duration StragglerSlack = std::chrono::milliseconds{300};
+/** Durations may be over-estimated by this much before a job counts as late. */
+constexpr double Optimism = 0.7;
 /** Share of a pool's room up to which worthless work may fill it. */
 constexpr double WorthlessLoad = 0.5;
 
 /** Order in which work is placed. */
-enum class urgency : std::uint8_t { Lasting, InTime, Late, Worthless };
+enum class urgency : std::uint8_t {
+  Lasting,
+  InTime,
+  /** May end in time if the others leave room. */
+  Deferred,
+  Late,
+  Worthless,
+};
 
 struct candidate {
   job_entry *Entry{nullptr};
@@ -37,13 +46,22 @@
   }
 };
 
-urgency urgencyOf(const occurrence &Occurrence, const step_spec &Step,
-                  const bool Deferred, const time_point Now) {
+/** @brief Whether the rest of the occurrence can end within its objective. */
+bool canMeetObjective(const leader &Leader, const job &Job,
+                      const occurrence &Occurrence) {
+  const double LeftMs = chainLeftMs(Leader, Job, Occurrence) * Optimism;
+  const duration Left{static_cast<std::int64_t>(LeftMs * 1000)};
+  return Leader.Now() + Left <= Occurrence.Objective;
+}
+
+urgency urgencyOf(const leader &Leader, const job_entry &Entry,
+                  const occurrence &Occurrence, const step_spec &Step) {
   if (Step.Lasts)
     return urgency::Lasting;
-  if (Now < Occurrence.Objective && !Deferred)
-    return urgency::InTime;
-  return Now < Occurrence.Worthless ? urgency::Late : urgency::Worthless;
+  if (canMeetObjective(Leader, Entry.Job, Occurrence))
+    return Entry.Deferred ? urgency::Deferred : urgency::InTime;
+  return Leader.Now() < Occurrence.Worthless ? urgency::Late
+                                             : urgency::Worthless;
 }
 
 bool waiting(const task &Task, const time_point Now) {
@@ -63,11 +81,10 @@
                          });
       if (!Waits)
         continue;
-      Out.push_back({&Entry, &Occurrence, I,
-                     urgencyOf(Occurrence, Entry.Job.spec().Steps[I],
-                               Entry.Deferred, Now),
-                     Rule == nullptr ? 0 : Rule->Priority,
-                     Occurrence.Objective});
+      Out.push_back(
+          {&Entry, &Occurrence, I,
+           urgencyOf(Leader, Entry, Occurrence, Entry.Job.spec().Steps[I]),
+           Rule == nullptr ? 0 : Rule->Priority, Occurrence.Objective});
     }
   }
 }
--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -81,22 +81,50 @@
   }
 }
 
-double chainMs(const leader &Leader, const std::string &Queue,
-               const job_spec &Spec) {
+namespace {
+
+/** @param StepMs Duration of each step. */
+template <typename Function>
+double longestChain(const job_spec &Spec, const Function &StepMs) {
   std::vector<double> Ends;
   double Longest = 0;
-  for (const auto &Step : Spec.Steps) {
+  for (std::size_t I = 0; I < Spec.Steps.size(); ++I) {
     double Begin = 0;
-    for (const auto Earlier : Step.DependsOn) {
+    for (const auto Earlier : Spec.Steps[I].DependsOn) {
       if (Earlier < Ends.size())
         Begin = std::max(Begin, Ends[Earlier]);
     }
-    Ends.push_back(Begin + Leader.Times.predictMs(Queue, Step.EstimateMs));
+    Ends.push_back(Begin + StepMs(I));
     Longest = std::max(Longest, Ends.back());
   }
   return Longest;
 }
 
+} // namespace
+
+double chainMs(const leader &Leader, const std::string &Queue,
+               const job_spec &Spec) {
+  return longestChain(Spec, [&](const std::size_t I) {
+    return Leader.Times.predictMs(Queue, Spec.Steps[I].EstimateMs);
+  });
+}
+
+double chainLeftMs(const leader &Leader, const job &Job,
+                   const occurrence &Occurrence) {
+  /** What a step has left on average while its tasks run. */
+  constexpr double RunningShare = 0.5;
+  return longestChain(Job.spec(), [&](const std::size_t I) {
+    const step &Step = Occurrence.Steps[I];
+    if (Step.done())
+      return 0.0;
+    const bool AllRun = std::ranges::all_of(Step.Tasks, [](const task &Each) {
+      return Each.Done || Each.Runs > 0;
+    });
+    return Leader.Times.predictMs(Job.queue(), Job.spec().Steps[I].EstimateMs) *
+           (AllRun ? RunningShare : 1);
+  });
+}
+
 void forgetEnded(leader &Leader) {
   const time_point Oldest = Leader.Now() - Leader.Settings.KeepEnded;
   std::erase_if(Leader.Jobs, [&](const auto &Each) {
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -196,6 +196,9 @@
 [[nodiscard]] std::string toRecord(const wave_progress &Wave);
 /** @return Progress without the wave itself. */
 [[nodiscard]] std::optional<wave_progress> parseWave(std::string_view Record);
+/** @brief Longest chain of the work that an occurrence has left, ms. */
+[[nodiscard]] double chainLeftMs(const leader &Leader, const job &Job,
+                                 const occurrence &Occurrence);
 /** @brief Sizes of pools as a record for the store. */
 [[nodiscard]] std::string
 toRecord(const std::map<std::string, std::size_t> &Sizes);
--- a/test/galenalink/job/pool_plan.cpp
+++ b/test/galenalink/job/pool_plan.cpp
@@ -166,6 +166,29 @@
   BOOST_TEST(Result.RetryAfterMs >= 1000U);
 }
 
+// A deferred job stayed behind all others, although room had come up for it.
+BOOST_AUTO_TEST_CASE(deferred_job_is_promoted_when_there_is_room) {
+  simulated_platform Platform;
+  Platform.addServer("s0", "press");
+  Platform.elect();
+  Platform.advance(Second);
+  job_spec Large;
+  Large.Steps.push_back(makeStep(14, 16000, 400));
+  Platform.submit("press", "large", Large);
+  job_spec Small;
+  Small.Steps.push_back(makeStep(1, 1000, 400));
+  Platform.submit("press", "small", Small);
+  const leader &State = Platform.Leader->state();
+  BOOST_REQUIRE(State.findJob("large")->Deferred);
+  Platform.Leader->cancel("large", [](const caller_reply &) {});
+  Platform.submit("press", "next", Large);
+  Platform.addServer("s1", "press");
+  Platform.addServer("s2", "press");
+  Platform.addServer("s3", "press");
+  Platform.advance(Second / 2);
+  BOOST_TEST(!State.findJob("next")->Deferred);
+}
+
 // A pool without room must refuse, and not divide by zero.
 BOOST_AUTO_TEST_CASE(pool_without_room_refuses) {
   BOOST_CHECK(admit({}, {500, 1000000, 1400}).Verdict ==
