Replace a leader whose process has ended without waiting

Cause: after the loss of the leader's process nothing was placed for the 1.8 s of silence that a frozen or cut-off leader is granted; a restart of all nodes waited the same time.

Change: nodes that miss a sign of life ask the leader's node. A refused connection, or another process at its address, shows the end of the leader; no answer shows nothing. Safety rests on the epoch as before.

Tests: election_of_the_leader, records_of_the_leader, leases_of_servers.

--- a/src/galenalink/job/election.cpp
+++ b/src/galenalink/job/election.cpp
@@ -61,6 +61,11 @@
   LastAlive = Now;
 }
 
+void election::presumeGone(const std::uint64_t Epoch) noexcept {
+  if (Current.Epoch == Epoch && !leads())
+    Current.Released = true;
+}
+
 election_action election::next(const time_point Now) const {
   if (leads())
     return Now >= LastAlive + Settings.AliveInterval ? election_action::Alive
--- a/src/galenalink/job/election.hpp
+++ b/src/galenalink/job/election.hpp
@@ -80,6 +80,11 @@
   }
   /** @brief The node's own claim was appended at the offset. */
   void claimed(std::uint64_t Offset, time_point Now);
+  /** @brief The process that leads the epoch has ended, as its node shows, so
+   * that its silence need not be waited for. */
+  void presumeGone(std::uint64_t Epoch) noexcept;
+  /** @return Since when the leader has been silent. */
+  [[nodiscard]] time_point silentSince() const noexcept { return LastSign; }
   /** @brief The node no longer leads its epoch, whatever the log says. */
   void resign() noexcept { OwnEpoch = 0; }
   [[nodiscard]] const election_settings &settings() const noexcept {
--- a/src/galenalink/job_node/leader_seat.cpp
+++ b/src/galenalink/job_node/leader_seat.cpp
@@ -11,9 +11,12 @@
 constexpr telemetry::logger Log{"election"};
 
 /** How long a read of the log waits for the next sign of life, ms. */
-constexpr std::uint32_t ReadWaitMs = 1000;
+constexpr std::uint32_t ReadWaitMs = 700;
 /** Pause between looks at the clock. */
 constexpr duration StepPause = std::chrono::milliseconds{50};
+/** A leader that misses its sign of life is asked, and asked again. */
+constexpr duration ProbeAfter = std::chrono::milliseconds{750};
+constexpr duration ProbeInterval = std::chrono::milliseconds{250};
 /** Pause after a call that failed. */
 constexpr duration FailurePause = std::chrono::milliseconds{150};
 
@@ -24,7 +27,32 @@
     : Loop{Loop}, Ports{Ports}, Election{std::move(Settings)}, Hooks{std::move(
                                                                    Hooks)} {}
 
-void leader_seat::start() { step(); }
+void leader_seat::start() {
+  step();
+  ProbeTimer = Loop.every(ProbeInterval, [this] { probe(); });
+}
+
+void leader_seat::probe() {
+  const job::leadership &Current = Election.current();
+  const bool Silent = boot_clock::now() >= Election.silentSince() + ProbeAfter;
+  const bool Asks = !Stopped && !Probing && !Election.leads() &&
+                    !Current.Released && Current.Epoch != 0 &&
+                    (Silent || ProbedEpoch == 0);
+  if (!Asks)
+    return;
+  Probing = true;
+  ProbedEpoch = Current.Epoch;
+  Hooks.Probe(Current, [this, Epoch = Current.Epoch,
+                        Weak = std::weak_ptr{Alive}](const bool Gone) {
+    if (!Weak.lock())
+      return;
+    Probing = false;
+    if (!Gone)
+      return;
+    Log.info("leader has ended", {{"epoch", Epoch}});
+    Election.presumeGone(Epoch);
+  });
+}
 
 void leader_seat::later(const duration Pause) {
   Timer = Loop.at(boot_clock::now() + Pause, [this] { step(); });
@@ -155,6 +183,7 @@
   const bool Leads = Election.leads();
   Stopped = true;
   Timer.cancel();
+  ProbeTimer.cancel();
   if (!Leads) {
     Loop.post(std::move(OnReleased));
     return;
--- a/src/galenalink/job_node/leader_seat.hpp
+++ b/src/galenalink/job_node/leader_seat.hpp
@@ -17,6 +17,10 @@
     std::function<void(std::uint64_t Epoch)> OnElected;
     /** This node no longer leads. */
     std::function<void()> OnDeposed;
+    /** Asks the leader's node whether that process still leads; the answer is
+     * `true` only if it surely does not. */
+    std::function<void(const job::leadership &, std::function<void(bool)>)>
+        Probe;
   };
 
   leader_seat(http::loop &Loop, const job::ports &Ports,
@@ -44,6 +48,7 @@
                 const job::claim_result &Result);
   void take(const job::read_result &Result);
   void checkDeposed();
+  void probe();
 
   http::loop &Loop;
   const job::ports &Ports;
@@ -53,6 +58,10 @@
   bool WasLeading{false};
   /** An append did not succeed, so that the log must be read first. */
   bool MustRead{true};
+  bool Probing{false};
+  /** Epoch whose leader was asked once; 0 at the start. */
+  std::uint64_t ProbedEpoch{0};
+  http::timer ProbeTimer;
   time_point AnsweredAt{NoDeadline};
   http::timer Timer;
   std::shared_ptr<bool> Alive{std::make_shared<bool>(true)};
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -29,6 +29,9 @@
 constexpr std::uint32_t NoLeaderRetryMs = 1000;
 /** A node is not ready for this long after the leader could not be reached. */
 constexpr duration UnreachablePause = std::chrono::milliseconds{1500};
+/** Tells whether a node leads, and as which process. */
+constexpr std::string_view LeaderPath = "/v1/leader";
+constexpr duration ProbeTimeout = std::chrono::milliseconds{400};
 /** Nodes claim after delays that differ by up to this. */
 constexpr std::uint64_t StaggerMs = 250;
 /** The answer leaves this long before the caller stops to wait, or in three
@@ -146,7 +149,11 @@
            Ports,
            electionSettings(this->Settings),
            {[this](const std::uint64_t Epoch) { elected(Epoch); },
-            [this] { deposed(); }}},
+            [this] { deposed(); },
+            [this](const job::leadership &Leader,
+                   std::function<void(bool)> Answer) {
+              probe(Leader, std::move(Answer));
+            }}},
       PeerServer{
           Loop,
           {},
@@ -363,7 +370,36 @@
       });
 }
 
+void node::probe(const job::leadership &Leader,
+                 std::function<void(bool)> Answer) {
+  http::request Request;
+  Request.Path = std::string{LeaderPath};
+  const auto Address = tryOr(
+      [&]() -> result<http::address> {
+        return http::parseAddress(Leader.Address);
+      },
+      [](const error &) { return http::address{}; });
+  PeerClient.send(Address, std::move(Request), boot_clock::now() + ProbeTimeout,
+                  [Node = Leader.Node,
+                   Answer = std::move(Answer)](const http::answer &Result) {
+                    const auto *Response = std::get_if<http::response>(&Result);
+                    if (Response != nullptr) {
+                      Answer(Response->Status != 200 || Response->Body != Node);
+                      return;
+                    }
+                    // A refused connection shows that no process listens there;
+                    // silence shows nothing.
+                    const auto &Failure = std::get<http::failure>(Result);
+                    Answer(Failure.Delivery == http::delivery::NotSent &&
+                           Failure.Error.Code == errc::Unavailable);
+                  });
+}
+
 void node::fromPeer(http::exchange Exchange) {
+  if (Exchange.path() == LeaderPath) {
+    Exchange.reply(Seat.leads() ? 200 : 404, {}, Seat.current().Node);
+    return;
+  }
   const auto Call = parseCall(Exchange);
   if (!Call) {
     Exchange.reply(400, {}, {});
--- a/src/galenalink/job_node/node.hpp
+++ b/src/galenalink/job_node/node.hpp
@@ -52,6 +52,7 @@
   void serveHere(const caller_call &Call, job::reply_function Reply);
   void forward(const caller_call &Call, job::reply_function Reply);
   void fromPeer(http::exchange Exchange);
+  void probe(const job::leadership &Leader, std::function<void(bool)> Answer);
 
   http::loop &Loop;
   const job::ports &Ports;
--- /dev/null
+++ b/test/galenalink/job/election.cpp
@@ -0,0 +1,103 @@
+#include "galenalink/job/election.hpp"
+#include <boost/test/unit_test.hpp>
+
+using namespace galenalink;
+using namespace galenalink::job;
+
+namespace {
+
+constexpr time_point Start{std::chrono::seconds{100}};
+constexpr duration Second = std::chrono::seconds{1};
+
+election node(const std::string &Name) {
+  election_settings Settings;
+  Settings.Node = Name;
+  Settings.Address = Name + ":1";
+  return election{Settings};
+}
+
+leader_record claim(const std::string &Name) {
+  return {leader_record::kind::Claim, Name, Name + ":1", 0};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(election_of_the_leader)
+
+// Records must survive the way through the store.
+BOOST_AUTO_TEST_CASE(record_round_trip) {
+  const leader_record Record{leader_record::kind::Release, "a", "b:2", 7};
+  const auto Parsed = parseLeader(toText(Record));
+  BOOST_REQUIRE(Parsed);
+  BOOST_CHECK(Parsed->Kind == Record.Kind);
+  BOOST_TEST(Parsed->Node == "a");
+  BOOST_TEST(Parsed->Address == "b:2");
+  BOOST_TEST(Parsed->Epoch == 7U);
+  BOOST_TEST(!parseLeader("{"));
+}
+
+// Two claims at one offset must not both start an epoch.
+BOOST_AUTO_TEST_CASE(later_claim_deposes_the_first) {
+  election A = node("a");
+  A.readTo(0, Start);
+  A.claimed(0, Start);
+  BOOST_TEST(A.leads());
+  BOOST_TEST(A.current().Epoch == 1U);
+  A.seen(1, claim("b"), Start);
+  BOOST_TEST(!A.leads());
+  BOOST_TEST(A.current().Epoch == 2U);
+}
+
+// A node whose claim had no answer must find it in the log, or nobody leads.
+BOOST_AUTO_TEST_CASE(claim_without_answer_is_found) {
+  election A = node("a");
+  A.seen(4, claim("a"), Start);
+  BOOST_TEST(A.leads());
+  BOOST_TEST(A.current().Epoch == 5U);
+}
+
+// Silence must not count while the node can't read the log: with the store
+// down for all, every node would claim at its return.
+BOOST_AUTO_TEST_CASE(silence_counts_only_while_reading) {
+  election B = node("b");
+  B.seen(0, claim("a"), Start);
+  B.readTo(1, Start);
+  B.readFailed();
+  BOOST_CHECK(B.next(Start + 20 * Second) == election_action::None);
+  B.readTo(1, Start + 20 * Second);
+  BOOST_CHECK(B.next(Start + 21 * Second) == election_action::None);
+  BOOST_CHECK(B.next(Start + 22 * Second) == election_action::Claim);
+}
+
+// A released lead, or one whose process has ended, is claimed at once.
+BOOST_AUTO_TEST_CASE(ended_leader_is_replaced_at_once) {
+  election B = node("b");
+  B.seen(0, claim("a"), Start);
+  B.readTo(1, Start);
+  BOOST_CHECK(B.next(Start + Second) == election_action::None);
+  B.presumeGone(1);
+  BOOST_CHECK(B.next(Start + Second) == election_action::Claim);
+}
+
+// Stale news of an earlier leader's end must not depose the present one.
+BOOST_AUTO_TEST_CASE(old_probe_says_nothing_of_a_new_leader) {
+  election B = node("b");
+  B.seen(0, claim("a"), Start);
+  B.seen(1, claim("c"), Start);
+  B.readTo(2, Start);
+  B.presumeGone(1);
+  BOOST_CHECK(B.next(Start + Second) == election_action::None);
+}
+
+// A leader must show signs of life well before others claim.
+BOOST_AUTO_TEST_CASE(leader_shows_signs_of_life) {
+  election A = node("a");
+  A.readTo(0, Start);
+  A.claimed(0, Start);
+  BOOST_CHECK(A.next(Start + Second / 2) == election_action::None);
+  BOOST_CHECK(A.next(Start + Second) == election_action::Alive);
+  A.aliveSent(Start + Second);
+  BOOST_CHECK(A.next(Start + Second) == election_action::None);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/galenalink/job/journal.cpp
@@ -0,0 +1,123 @@
+#include "galenalink/job/journal.hpp"
+#include "galenalink/job/lease.hpp"
+#include <boost/test/unit_test.hpp>
+
+using namespace galenalink;
+using namespace galenalink::job;
+
+namespace {
+
+constexpr duration Ms = std::chrono::milliseconds{1};
+
+/** A store that answers when the test says so. */
+struct manual_store {
+  time_point Now{std::chrono::seconds{50}};
+  std::vector<std::pair<std::uint64_t, std::vector<keyed_record>>> Appends;
+  std::function<void(append_result)> Answer;
+  bool Fenced{false};
+
+  journal make() {
+    return journal{{[this](std::uint64_t, const std::uint64_t Sequence,
+                           const std::vector<keyed_record> &Records,
+                           const auto &Callback) {
+                      Appends.emplace_back(Sequence, Records);
+                      Answer = Callback;
+                    },
+                    [this] { return Now; }, [this] { Fenced = true; }},
+                   1};
+  }
+};
+
+journal::render text(const std::string &Value) {
+  return [Value] { return std::optional{Value}; };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(records_of_the_leader)
+
+// What comes during an append must go into the next one, newest value only.
+BOOST_AUTO_TEST_CASE(appends_are_batched) {
+  manual_store Store;
+  journal Journal = Store.make();
+  Journal.put("a", text("1"));
+  Journal.flush();
+  Journal.put("b", text("1"));
+  Journal.put("b", text("2"));
+  Journal.flush();
+  BOOST_TEST(Store.Appends.size() == 1U);
+  Store.Answer({call_outcome::Done, ""});
+  Journal.flush();
+  BOOST_REQUIRE(Store.Appends.size() == 2U);
+  BOOST_TEST(Store.Appends[1].first == 1U);
+  BOOST_CHECK(
+      (Store.Appends[1].second == std::vector<keyed_record>{{"b", "2"}}));
+}
+
+// An append without an answer must be repeated with the same number and the
+// same records, or it could take effect twice.
+BOOST_AUTO_TEST_CASE(append_without_answer_is_repeated_unchanged) {
+  manual_store Store;
+  journal Journal = Store.make();
+  bool Stored = false;
+  Journal.put("a", text("1"));
+  Journal.whenStored([&] { Stored = true; });
+  Journal.flush();
+  Store.Answer({call_outcome::Unknown, ""});
+  BOOST_TEST(!Journal.healthy());
+  Journal.put("a", text("2"));
+  Store.Now += 500 * Ms;
+  Journal.flush();
+  BOOST_REQUIRE(Store.Appends.size() == 2U);
+  BOOST_CHECK(Store.Appends[0] == Store.Appends[1]);
+  BOOST_TEST(!Stored);
+  Store.Answer({call_outcome::Done, ""});
+  BOOST_TEST(Stored);
+  BOOST_TEST(Journal.healthy());
+}
+
+// A fenced leader must learn it and store nothing more.
+BOOST_AUTO_TEST_CASE(fenced_leader_learns_it) {
+  manual_store Store;
+  journal Journal = Store.make();
+  bool Stored = false;
+  Journal.put("a", text("1"));
+  Journal.whenStored([&] { Stored = true; });
+  Journal.flush();
+  Store.Answer({call_outcome::Fenced, ""});
+  BOOST_TEST(Store.Fenced);
+  BOOST_TEST(!Stored);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(leases_of_servers)
+
+// A backend server's clock may be 2% slow, so its lease lasts longer for us.
+BOOST_AUTO_TEST_CASE(slow_clock_lengthens_the_lease) {
+  lease Lease;
+  const time_point Now{std::chrono::seconds{10}};
+  Lease.sample(5000, Now);
+  BOOST_TEST(Lease.extend(Now, 4000 * Ms) == 9000);
+  BOOST_CHECK(Lease.expiry() >= Now + 4081 * Ms);
+}
+
+// A later, shorter lease must not shorten an earlier one.
+BOOST_AUTO_TEST_CASE(lease_never_shortens) {
+  lease Lease;
+  const time_point Now{std::chrono::seconds{10}};
+  Lease.sample(5000, Now);
+  BOOST_TEST(Lease.extend(Now, 4000 * Ms) == 9000);
+  BOOST_TEST(Lease.extend(Now, 1000 * Ms) == 9000);
+}
+
+// Answers that overtake each other must not turn the clock back.
+BOOST_AUTO_TEST_CASE(older_sample_is_ignored) {
+  lease Lease;
+  const time_point Now{std::chrono::seconds{10}};
+  Lease.sample(5000, Now);
+  Lease.sample(1000, Now - 100 * Ms);
+  BOOST_TEST(Lease.extend(Now, 1000 * Ms) == 6000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
