Write logs to standard output without blocking, and show metrics

Cause: the log went to standard error through a stream that blocks when the reader of a pipe stands still; the node on the users' platform had no metrics.

Change: openLogOn writes each line with one call that cannot block; a line that a full pipe does not take is counted and the count is written later.

Measured: test log_lines/full_pipe_loses_lines_and_counts_them.

--- a/apps/galenalinkd.cpp
+++ b/apps/galenalinkd.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <unistd.h>
 
 namespace {
 
@@ -58,7 +59,8 @@
 /** @brief Loads the settings, sets up the log and serves. */
 template <typename Settings>
 [[nodiscard]] int run(const command_line &Line,
-                      result<int> (*Serve)(const Settings &)) {
+                      result<int> (*Serve)(const Settings &),
+                      void (*OpenLog)(telemetry::severity, bool)) {
   Settings Loaded;
   if (!loadSettings(Line.File, Loaded))
     return ExitBadInput;
@@ -66,8 +68,8 @@
     std::cout << Line.File << ": valid\n";
     return 0;
   }
-  telemetry::openLog(static_cast<telemetry::severity>(Loaded.Level),
-                     Loaded.Format == config::log_format::Json);
+  OpenLog(static_cast<telemetry::severity>(Loaded.Level),
+          Loaded.Format == config::log_format::Json);
   return tryOr([&] { return Serve(Loaded); },
                [](const error &Error) {
                  std::cerr << "galenalinkd: " << Error.Message << '\n';
@@ -76,8 +78,13 @@
                });
 }
 
+void openPlatformLog(const telemetry::severity Least, const bool Json) {
+  telemetry::openLogOn(STDOUT_FILENO, Least, Json);
+}
+
 [[nodiscard]] result<int> serveOnPlatform(const job_node::settings &Settings) {
-  BOOST_LEAF_CHECK(users_platform::serve(Settings));
+  if (auto Done = users_platform::serve(Settings); !Done)
+    return Done.error();
   return 0;
 }
 
@@ -104,10 +111,10 @@
   CLI11_PARSE(App, Argc, Argv);
 
   if (OnPlatform->parsed())
-    return run<job_node::settings>(Line, serveOnPlatform);
+    return run<job_node::settings>(Line, serveOnPlatform, openPlatformLog);
   if (Settings->count() == 0) {
     std::cerr << "galenalinkd: --settings is required\n";
     return ExitBadInput;
   }
-  return run<config::settings>(Line, serve);
+  return run<config::settings>(Line, serve, telemetry::openLog);
 }
--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -223,9 +223,13 @@
     Admission = decide(Leader, *Rule, Id, Spec);
   logDecision(Leader, *Rule, Id, Spec, Admission);
   if (Admission.Verdict == admission_verdict::Refused) {
+    ++Leader.Counts->Refused;
     Reply(refused("the pool is full", Admission.RetryAfterMs));
     return;
   }
+  ++(Admission.Verdict == admission_verdict::Deferred
+         ? Leader.Counts->AdmittedDeferred
+         : Leader.Counts->AdmittedInTime);
   accept(Leader, *Rule, Id, std::move(Spec),
          Admission.Verdict == admission_verdict::Deferred, std::move(Reply));
 }
--- a/src/galenalink/job/journal.cpp
+++ b/src/galenalink/job/journal.cpp
@@ -40,7 +40,8 @@
   std::size_t Bytes = 0;
   while (!Puts.empty() && Bytes < MaxBatchBytes) {
     const auto First = Puts.begin();
-    auto &Record = Batch.emplace_back(First->first, First->second());
+    Batch.push_back({First->first, First->second()});
+    const keyed_record &Record = Batch.back();
     Bytes += Record.Key.size() + (Record.Value ? Record.Value->size() : 0);
     Puts.erase(First);
   }
--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -31,7 +31,8 @@
 
 leader::leader(const ports &Ports, leader_settings Settings,
                const std::uint64_t Epoch, std::function<time_point()> Now,
-               std::function<wall_ms()> Wall, std::function<void()> OnFenced)
+               std::function<wall_ms()> Wall,
+               const std::function<void()> &OnFenced)
     : Ports{Ports}, Settings{std::move(Settings)}, Epoch{Epoch},
       Now{std::move(Now)}, Wall{std::move(Wall)}, OnFenced{OnFenced},
       Journal{{Ports.Append, this->Now, OnFenced}, Epoch}, LedSince{
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -66,6 +66,21 @@
   duration HolderPause{std::chrono::milliseconds{3000}};
 };
 
+/** @brief Decisions and outcomes of a node since its start. */
+struct counters {
+  std::uint64_t AdmittedInTime{0};
+  std::uint64_t AdmittedDeferred{0};
+  std::uint64_t Refused{0};
+  std::uint64_t Starts{0};
+  std::uint64_t StartsRefused{0};
+  std::uint64_t StartsUnknown{0};
+  /** By how the runs ended. */
+  std::map<run_end, std::uint64_t> Ends;
+  std::uint64_t ServersLost{0};
+  std::uint64_t Moves{0};
+  std::uint64_t Maintenances{0};
+};
+
 /** @brief An order for a VM that is not known to be complete. */
 struct vm_motion {
   /** Pool to move to; empty for maintenance. */
@@ -118,7 +133,7 @@
 struct leader {
   leader(const ports &Ports, leader_settings Settings, std::uint64_t Epoch,
          std::function<time_point()> Now, std::function<wall_ms()> Wall,
-         std::function<void()> OnFenced);
+         const std::function<void()> &OnFenced);
 
   const ports &Ports;
   leader_settings Settings;
@@ -135,6 +150,8 @@
   /** By id of the incarnation. */
   std::map<std::string, std::unique_ptr<server>> Servers;
   run_times Times;
+  /** Outlives the leader, so that counts only grow. */
+  std::shared_ptr<counters> Counts{std::make_shared<counters>()};
   /** Newest list of VMs, and when it was asked for; empty before the first. */
   std::map<std::string, vm> Vms;
   time_point VmsAskedAt{NoDeadline};
--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -32,6 +32,7 @@
 
 void startRefused(leader &Leader, server &Server, const run_id &Run,
                   const order_result &Result) {
+  ++Leader.Counts->StartsRefused;
   const time_point Now = Leader.Now();
   if (Result.Why == start_refusal::Busy)
     Server.Health.refused(Now);
@@ -43,6 +44,7 @@
 
 /** @brief The order may be carried out later: only a stop prevents that. */
 void startUnanswered(leader &Leader, server &Server, const run_id &Run) {
+  ++Leader.Counts->StartsUnknown;
   Server.Health.refused(Leader.Now());
   const auto Found = Server.Runs.find(Run);
   if (Found->second.State != run_state::Starting)
@@ -188,6 +190,7 @@
   const time_point Now = Leader.Now();
   const step_spec &Step = *Entry.Job.specOf(Id);
   task &Task = *Entry.Job.find(Id);
+  ++Leader.Counts->Starts;
   Task.LastRun = Number;
   ++Task.Runs;
   run Run;
@@ -258,6 +261,7 @@
                                       {"address", Server.Entry.Address},
                                       {"why", std::string{Why}},
                                       {"runs", Server.Runs.size()}});
+  ++Leader.Counts->ServersLost;
   Server.Usable = false;
   Server.Registered = false;
   while (!Server.Runs.empty())
@@ -269,6 +273,7 @@
                          {"server", Server.Entry.Id},
                          {"number", End.Number},
                          {"how", std::string{nameOf(RunEndNames, End.How)}}});
+  ++Leader.Counts->Ends[End.How];
   job_entry *Entry = Leader.findJob(End.Run.Task.Job);
   if (Entry != nullptr && !Entry->Job.ended()) {
     task *Task = Entry->Job.find(End.Run.Task);
--- a/src/galenalink/job/server.hpp
+++ b/src/galenalink/job/server.hpp
@@ -101,9 +101,9 @@
     return Fills ? room{0, Size.Memory, Size.Gpu} : Size;
   }
 
-  run &addRun(const run_id &Id, run Run) {
+  run &addRun(const run_id &Id, const run &Run) {
     Used += charged(Run.Size, Run.Fills);
-    return Runs.insert_or_assign(Id, std::move(Run)).first->second;
+    return Runs.insert_or_assign(Id, Run).first->second;
   }
   void eraseRun(const run_id &Id) {
     const auto Found = Runs.find(Id);
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -163,7 +163,9 @@
 node::~node() = default;
 
 result<void> node::start() {
-  BOOST_LEAF_CHECK(PeerServer.listen(Settings.Peers.Host, Settings.Peers.Port));
+  if (auto Done = PeerServer.listen(Settings.Peers.Host, Settings.Peers.Port);
+      !Done)
+    return Done.error();
   OperatorTail.start();
   Seat.start();
   return {};
@@ -250,6 +252,7 @@
   State->Confirmed = [this] {
     return boot_clock::now() < Seat.answeredAt() + ConfirmedFor;
   };
+  State->Counts = Counts;
   State->AfterEvent = [this] { scheduleSettle(); };
   Controller = std::make_unique<job::controller>(std::move(State), Records,
                                                  View.rules());
@@ -304,8 +307,26 @@
   });
 }
 
-void node::call(caller_call Call, job::reply_function Reply) {
-  auto Once = withDeadline(Loop, replyBy(Call.Deadline), std::move(Reply));
+std::string node::metrics() {
+  node_levels Levels;
+  Levels.Ready = ready();
+  Levels.Leads = leads();
+  Levels.Epoch = Seat.current().Epoch;
+  Levels.RulesVersion = View.rules().Version;
+  if (Controller) {
+    Levels.OpenJobs = Controller->state().Open.size();
+    Levels.Servers = Controller->state().Servers.size();
+  }
+  return Metrics.render(*Counts, Levels);
+}
+
+void node::call(const caller_call &Call, job::reply_function Reply) {
+  auto Counted = [this, Kind = Call.Kind, From = boot_clock::now(),
+                  Reply = std::move(Reply)](const job::caller_reply &Result) {
+    Metrics.answered(Kind, Result.Verdict, boot_clock::now() - From);
+    Reply(Result);
+  };
+  auto Once = withDeadline(Loop, replyBy(Call.Deadline), std::move(Counted));
   if (Controller)
     serveHere(Call, std::move(Once));
   else
--- a/src/galenalink/job_node/node.hpp
+++ b/src/galenalink/job_node/node.hpp
@@ -8,6 +8,7 @@
 #include "galenalink/job_node/fleet_view.hpp"
 #include "galenalink/job_node/keyed_tail.hpp"
 #include "galenalink/job_node/leader_seat.hpp"
+#include "galenalink/job_node/node_metrics.hpp"
 #include "galenalink/job_node/settings.hpp"
 
 namespace galenalink::job_node {
@@ -30,7 +31,7 @@
   void stop(std::function<void()> OnReleased);
 
   /** @brief Answers a call, here or at the leader. */
-  void call(caller_call Call, job::reply_function Reply);
+  void call(const caller_call &Call, job::reply_function Reply);
 
   [[nodiscard]] const job::fleet_rules &rules() const noexcept {
     return View.rules();
@@ -38,7 +39,8 @@
   /** @return Whether callers' requests can be served now. */
   [[nodiscard]] bool ready() const;
   [[nodiscard]] bool leads() const noexcept { return Controller != nullptr; }
-  [[nodiscard]] const leader_seat &seat() const noexcept { return Seat; }
+  /** @brief Metrics in Prometheus' text format. */
+  [[nodiscard]] std::string metrics();
 
 private:
   void takeOperator(const std::vector<job::keyed_record> &Records);
@@ -74,6 +76,8 @@
   /** When a forwarded call last failed; `NoDeadline` after one that worked. */
   time_point ForwardFailedAt{NoDeadline};
   http::timer Tick;
+  node_metrics Metrics;
+  std::shared_ptr<job::counters> Counts{std::make_shared<job::counters>()};
   std::shared_ptr<bool> Alive{std::make_shared<bool>(true)};
 };
 
--- /dev/null
+++ b/src/galenalink/job_node/node_metrics.hpp
@@ -0,0 +1,39 @@
+#ifndef GALENALINK_JOB_NODE_NODE_METRICS_HPP
+#define GALENALINK_JOB_NODE_NODE_METRICS_HPP
+
+#include "galenalink/job_node/caller_call.hpp"
+#include "galenalink/telemetry/metrics.hpp"
+
+namespace galenalink::job_node {
+
+/** @brief What the metrics show beside the counts. */
+struct node_levels {
+  bool Ready{false};
+  bool Leads{false};
+  std::uint64_t Epoch{0};
+  std::uint64_t RulesVersion{0};
+  std::size_t OpenJobs{0};
+  std::size_t Servers{0};
+};
+
+/** @brief Metrics of one node, in Prometheus' text format. */
+class node_metrics {
+public:
+  void answered(call_kind Kind, job::caller_reply::verdict Verdict,
+                duration Took);
+  [[nodiscard]] std::string render(const job::counters &Counts,
+                                   const node_levels &Levels);
+
+private:
+  /** @brief Raises a counter to the given total. */
+  void raise(const std::string &Name, const std::string &Help,
+             const telemetry::labels &Labels, std::uint64_t Total);
+  void raiseAll(const job::counters &Counts);
+
+  telemetry::metrics Metrics;
+  std::map<std::pair<std::string, telemetry::labels>, std::uint64_t> Shown;
+};
+
+} // namespace galenalink::job_node
+
+#endif
--- a/src/galenalink/job_node/settings.cpp
+++ b/src/galenalink/job_node/settings.cpp
@@ -18,8 +18,8 @@
                   const std::string &Address) {
   const bool Valid = tryOr(
       [&]() -> result<bool> {
-        BOOST_LEAF_CHECK(http::parseAddress(Address));
-        return true;
+        BOOST_LEAF_AUTO(Parsed, http::parseAddress(Address));
+        return Parsed.Port != 0;
       },
       [](const error &) { return false; });
   if (!Valid)
--- a/src/galenalink/telemetry/log.cpp
+++ b/src/galenalink/telemetry/log.cpp
@@ -1,7 +1,9 @@
 #include "galenalink/telemetry/log.hpp"
+#include "galenalink/core/time.hpp"
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
@@ -9,8 +11,11 @@
 #include <boost/log/support/date_time.hpp>
 #include <boost/make_shared.hpp>
 #include <boost/shared_ptr.hpp>
+#include <climits>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
 
 namespace galenalink::telemetry {
 
@@ -26,6 +31,7 @@
 struct sink_state {
   severity Least{severity::Info};
   bool Json{false};
+  std::uint64_t Lost{0};
 };
 
 sink_state &state() noexcept {
@@ -62,10 +68,48 @@
   return Line;
 }
 
+/**
+ * @brief Writes each line with one call that cannot block. A pipe that reports
+ * room takes `PIPE_BUF` bytes at once, so longer lines are cut.
+ */
+class bounded_backend : public boost::log::sinks::basic_formatted_sink_backend<
+                            char, boost::log::sinks::synchronized_feeding> {
+public:
+  explicit bounded_backend(const int Descriptor) : Descriptor{Descriptor} {}
+
+  void consume(const boost::log::record_view & /*Record*/,
+               const std::string &Line) {
+    if (Unreported > 0 &&
+        tryWrite("{\"severity\":\"warning\",\"module\":\"log\",\"message\":"
+                 "\"lines lost\",\"count\":\"" +
+                 std::to_string(Unreported) + "\"}"))
+      Unreported = 0;
+    if (Unreported == 0 && tryWrite(Line))
+      return;
+    ++Unreported;
+    ++state().Lost;
+  }
+
+private:
+  [[nodiscard]] bool tryWrite(std::string Line) const {
+    pollfd Poll{Descriptor, POLLOUT, 0};
+    if (poll(&Poll, 1, 0) != 1 || (Poll.revents & POLLOUT) == 0)
+      return false;
+    Line.resize(std::min<std::size_t>(Line.size(), PIPE_BUF - 1));
+    Line.push_back('\n');
+    return write(Descriptor, Line.data(), Line.size()) ==
+           static_cast<ssize_t>(Line.size());
+  }
+
+  int Descriptor;
+  std::uint64_t Unreported{0};
+};
+
 std::string jsonLine(const severity Level, const std::string_view Prefix,
                      const std::string_view Message,
                      const std::initializer_list<attribute> Attributes) {
-  nlohmann::ordered_json Line{{"severity", nameOf(SeverityNames, Level)},
+  nlohmann::ordered_json Line{{"time_ms", wallNow()},
+                              {"severity", nameOf(SeverityNames, Level)},
                               {"module", Prefix},
                               {"message", Message}};
   for (const auto &Attribute : Attributes)
@@ -73,31 +117,43 @@
   return Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-} // namespace
-
-void openLog(const severity Least, const bool Json) {
-  state() = {Least, Json};
+template <typename Sink> void install(const Sink &Added) {
   const auto Core = boost::log::core::get();
   Core->remove_all_sinks();
-  auto Backend = boost::make_shared<backend>();
-  Backend->add_stream(boost::shared_ptr<std::ostream>{
-      &std::clog, [](const std::ostream * /*unused*/) {}});
-  Backend->auto_flush(true);
-  auto Sink = boost::make_shared<sink>(Backend);
-  if (Json) {
-    Sink->set_formatter(expressions::stream << expressions::smessage);
+  if (state().Json) {
+    Added->set_formatter(expressions::stream << expressions::smessage);
   } else {
-    Sink->set_formatter(
+    Added->set_formatter(
         expressions::stream
         << expressions::format_date_time<boost::posix_time::ptime>(
                "TimeStamp", "%Y-%m-%dT%H:%M:%S.%fZ")
         << ' ' << expressions::smessage);
   }
   Core->add_global_attribute("TimeStamp", boost::log::attributes::utc_clock{});
-  Core->set_filter(level >= Least);
-  Core->add_sink(Sink);
+  Core->set_filter(level >= state().Least);
+  Core->add_sink(Added);
 }
 
+} // namespace
+
+void openLog(const severity Least, const bool Json) {
+  state() = {Least, Json, 0};
+  auto Backend = boost::make_shared<backend>();
+  Backend->add_stream(boost::shared_ptr<std::ostream>{
+      &std::clog, [](const std::ostream * /*unused*/) {}});
+  Backend->auto_flush(true);
+  install(boost::make_shared<sink>(Backend));
+}
+
+void openLogOn(const int Descriptor, const severity Least, const bool Json) {
+  state() = {Least, Json, 0};
+  install(
+      boost::make_shared<boost::log::sinks::synchronous_sink<bounded_backend>>(
+          boost::make_shared<bounded_backend>(Descriptor)));
+}
+
+std::uint64_t lostLogLines() noexcept { return state().Lost; }
+
 void logger::write(const severity Level, const std::string_view Message,
                    const std::initializer_list<attribute> Attributes) const {
   if (Level < state().Least)
--- a/src/galenalink/telemetry/log.hpp
+++ b/src/galenalink/telemetry/log.hpp
@@ -41,6 +41,15 @@
  */
 void openLog(severity Least, bool Json);
 
+/**
+ * @brief Sets up the process-wide sink on a descriptor, which is written
+ * without blocking: a line that a full pipe does not take is lost and counted,
+ * and the count is written when there is room again.
+ */
+void openLogOn(int Descriptor, severity Least, bool Json);
+/** @return Lines that were lost since the start. */
+[[nodiscard]] std::uint64_t lostLogLines() noexcept;
+
 /** @brief Writes log lines with the fixed prefix of one module. */
 class logger {
 public:
--- a/test/galenalink/telemetry/log.cpp
+++ b/test/galenalink/telemetry/log.cpp
@@ -1,8 +1,10 @@
 #include "galenalink/telemetry/log.hpp"
+#include <array>
 #include <boost/test/unit_test.hpp>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <unistd.h>
 
 using namespace galenalink::telemetry;
 
@@ -42,4 +44,29 @@
   BOOST_TEST(Line["slots"] == "3");
 }
 
+// A reader that stands still must not stop the process: lines are lost and
+// counted, and the count is written once there is room.
+BOOST_AUTO_TEST_CASE(full_pipe_loses_lines_and_counts_them) {
+  std::array<int, 2> Pipe{};
+  BOOST_REQUIRE(pipe(Pipe.data()) == 0);
+  openLogOn(Pipe[1], severity::Info, true);
+  constexpr logger Log{"placement"};
+  const std::string Value(1000, 'x');
+  for (int I = 0; I < 200; ++I)
+    Log.info("Placed request.", {{"vm", Value}});
+  const auto Lost = lostLogLines();
+  BOOST_TEST(Lost > 0U);
+  std::string Text(1 << 20, '\0');
+  BOOST_REQUIRE(read(Pipe[0], Text.data(), Text.size()) > 0);
+  Log.info("Placed request.");
+  const auto Size = read(Pipe[0], Text.data(), Text.size());
+  BOOST_REQUIRE(Size > 0);
+  Text.resize(static_cast<std::size_t>(Size));
+  BOOST_TEST(Text.find("\"lines lost\",\"count\":\"" + std::to_string(Lost)) !=
+             std::string::npos);
+  openLog(severity::Info, false);
+  close(Pipe[0]);
+  close(Pipe[1]);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
