--- /dev/null
+++ b/test/galenalink/job_node/fleet_view.cpp
@@ -0,0 +1,107 @@
+#include "galenalink/job_node/fleet_view.hpp"
+#include "galenalink/job_node/settings.hpp"
+#include <boost/test/unit_test.hpp>
+
+using namespace galenalink;
+using namespace galenalink::job;
+using namespace galenalink::job_node;
+
+namespace {
+
+/** Versions and sequence numbers stand as text in the records. */
+ports numbers() {
+  ports Ports;
+  Ports.DecodeOperator = [](const keyed_record &Record) -> operator_record {
+    fleet_rules Rules;
+    Rules.Version = std::stoull(*Record.Value);
+    return Rules;
+  };
+  Ports.DecodeRegistration =
+      [](const keyed_record &Record) -> std::optional<registration> {
+    if (!Record.Value)
+      return std::nullopt;
+    registration Entry;
+    Entry.Id = Record.Key;
+    Entry.Sequence = std::stoull(*Record.Value);
+    return Entry;
+  };
+  return Ports;
+}
+
+queue_rule queueAt(const std::string &Host, const std::string &Prefix) {
+  queue_rule Queue;
+  Queue.Name = Prefix;
+  Queue.Host = Host;
+  Queue.PathPrefix = Prefix;
+  return Queue;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(view_of_the_fleet)
+
+// A store that answers out of date must not bring back an older version.
+BOOST_AUTO_TEST_CASE(rules_never_go_back) {
+  const ports Ports = numbers();
+  fleet_view View{Ports};
+  BOOST_TEST(View.takeOperator({{"config", "7"}}));
+  BOOST_TEST(!View.takeOperator({{"config", "4"}}));
+  BOOST_TEST(View.rules().Version == 7U);
+}
+
+// A registration that is out of date must not replace a newer one, and one
+// that is gone must go.
+BOOST_AUTO_TEST_CASE(registrations_never_go_back) {
+  const ports Ports = numbers();
+  fleet_view View{Ports};
+  View.takeRegistrations({{"i", "5"}, {"k", "1"}}, true);
+  View.takeRegistrations({{"i", "3"}}, false);
+  BOOST_TEST(View.registrations().front().Sequence == 5U);
+  View.takeRegistrations({{"k", std::nullopt}}, false);
+  BOOST_TEST(View.registrations().size() == 1U);
+  View.takeRegistrations({}, true);
+  BOOST_TEST(View.registrations().empty());
+}
+
+// The longest prefix of the caller's host decides.
+BOOST_AUTO_TEST_CASE(longest_prefix_wins) {
+  fleet_rules Rules;
+  Rules.Queues = {queueAt("h", "/a/"), queueAt("h", "/a/b/"),
+                  queueAt("g", "/a/b/c/")};
+  BOOST_TEST(matchQueue(Rules, "h", "/a/b/c/1")->Name == "/a/b/");
+  BOOST_TEST(matchQueue(Rules, "h", "/a/1")->Name == "/a/");
+  BOOST_TEST(matchQueue(Rules, "h", "/x/1") == nullptr);
+  BOOST_TEST(matchQueue(Rules, "f", "/a/1") == nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(settings_of_a_node)
+
+BOOST_AUTO_TEST_CASE(valid_settings) {
+  settings Settings;
+  const auto Errors = parseSettings("node.json", R"({
+    // comment
+    "name": "n", "data_centre": "d", "callers": "10.0.0.1:80",
+    "readiness": "10.0.0.1:81", "peers": {"host": "10.0.0.1", "port": 82},
+    "store": "10.0.0.2:80", "vm_list": "10.0.0.3:80", "stop_deadline_s": 2.5
+  })",
+                                    Settings);
+  BOOST_TEST(Errors.empty());
+  BOOST_TEST(Settings.StopDeadlineS == 2.5);
+  BOOST_TEST(Settings.Peers.Port == 82);
+}
+
+// Each wrong value must be found before the node starts.
+BOOST_AUTO_TEST_CASE(wrong_settings_are_found) {
+  settings Settings;
+  const auto Errors = parseSettings("node.json", R"({
+    "name": "n", "data_centre": "d", "callers": "host:80",
+    "readiness": "10.0.0.1:81", "store": "10.0.0.2:80",
+    "vm_list": "10.0.0.3:80", "max_lease_ms": 0, "typo": 1
+  })",
+                                    Settings);
+  BOOST_TEST(Errors.size() == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/platform/codec.cpp
@@ -0,0 +1,113 @@
+#include "codec.hpp"
+#include <boost/test/unit_test.hpp>
+
+using namespace galenalink;
+using namespace galenalink::job;
+using namespace galenalink::users_platform;
+
+BOOST_AUTO_TEST_SUITE(bodies_of_the_users_platform)
+
+// Fields whose value is 0, false or empty are left out, and must not be needed.
+BOOST_AUTO_TEST_CASE(job_with_few_fields) {
+  const auto Spec = parseJobBody(
+      R"({"spec":"text","steps":[{"count":4,"cpu":500},)"
+      R"({"count":1,"dependsOn":[0],"checkpointing":true,"antiAffinity":2}]})");
+  BOOST_REQUIRE(Spec);
+  BOOST_TEST(Spec->Steps.size() == 2U);
+  BOOST_TEST(Spec->Steps[0].Size.Cpu == 500);
+  BOOST_TEST(!Spec->Steps[0].SavesProgress);
+  BOOST_TEST(Spec->Steps[1].SavesProgress);
+  BOOST_TEST(Spec->Steps[1].Spread == 2U);
+  BOOST_TEST(Spec->occurrences() == 1U);
+}
+
+// A body that is no job must be told from one without steps.
+BOOST_AUTO_TEST_CASE(body_that_is_no_job) {
+  BOOST_TEST(!parseJobBody("{"));
+  BOOST_TEST(!parseJobBody(R"({"steps":[{"count":"many"}]})"));
+}
+
+BOOST_AUTO_TEST_CASE(task_names_round_trip) {
+  const task_id Task{"5c0e7a21d94b36f8", 3, 1, 17};
+  BOOST_TEST(toTaskName(Task) == "5c0e7a21d94b36f8.3.1.17");
+  BOOST_CHECK(parseTaskName(toTaskName(Task)) == Task);
+  BOOST_TEST(!parseTaskName("5c0e7a21d94b36f8.3.1"));
+  BOOST_TEST(!parseTaskName("5c0e7a21d94b36f8.3.1.x"));
+}
+
+// A registration of another writer names no backend server to use.
+BOOST_AUTO_TEST_CASE(foreign_registrations_are_ignored) {
+  const std::string Good =
+      R"({"service":"a","address":"10.0.0.1:80","zone":"z","state":"ready",)"
+      R"("capacity":{"cpu":1000,"memMb":10},"labels":["a","r1"],"born":5,"seq":4})";
+  const auto Entry = parseRegistration({"i-1", Good});
+  BOOST_REQUIRE(Entry);
+  BOOST_TEST(Entry->Pool == "a");
+  BOOST_TEST(Entry->BornMs == 5);
+  BOOST_TEST(!parseRegistration({"i-1", std::nullopt}));
+  BOOST_TEST(!parseRegistration({"i-1", "\xff\x01"}));
+  BOOST_TEST(!parseRegistration({"i-1", R"({"service":"a"})"}));
+  std::string Unknown = Good;
+  Unknown.replace(Unknown.find("ready"), 5, "eager");
+  BOOST_TEST(!parseRegistration({"i-1", Unknown}));
+}
+
+// Records of no known kind must change nothing.
+BOOST_AUTO_TEST_CASE(operator_records_by_kind) {
+  const auto Rules = parseOperatorRecord(
+      {"config",
+       R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/",)"
+       R"("service":"a","sloMs":600,"stretchFactor":1.6,"maxAttempts":4}],)"
+       R"("services":[{"name":"a","standby":true}],"new":1})"});
+  BOOST_REQUIRE(std::holds_alternative<fleet_rules>(Rules));
+  const auto &Parsed = std::get<fleet_rules>(Rules);
+  BOOST_TEST(Parsed.Version == 7U);
+  BOOST_TEST(Parsed.Queues[0].SlackMs == 600U);
+  BOOST_TEST(Parsed.Pools[0].Standby);
+  const auto Wave = parseOperatorRecord(
+      {"wave/1", R"({"wave":1,"machines":["m"],"withinS":20,"cap":2})"});
+  BOOST_REQUIRE(std::holds_alternative<wave>(Wave));
+  BOOST_CHECK(std::holds_alternative<std::monostate>(
+      parseOperatorRecord({"config", "{"})));
+  BOOST_CHECK(std::holds_alternative<std::monostate>(
+      parseOperatorRecord({"other", "{}"})));
+}
+
+BOOST_AUTO_TEST_CASE(list_of_runs) {
+  hold_result Result;
+  BOOST_REQUIRE(parseHold(
+      R"({"clockMs":9,"born":3,"running":[["a.0.1.2",4,"s",41,7]],)"
+      R"("finished":[[58,"a.0.1.3",1,"done",""],[59,"a.0.1.4",1,"odd",""]]})",
+      Result));
+  BOOST_TEST(Result.ClockMs == 9);
+  BOOST_TEST(Result.BornMs == 3);
+  BOOST_REQUIRE(Result.Running.size() == 1U);
+  BOOST_TEST(Result.Running[0].Percent == 41U);
+  BOOST_TEST(Result.Running[0].Gauge == 7U);
+  // An end of an unknown kind is logged and not taken for a known one.
+  BOOST_REQUIRE(Result.Ends.size() == 1U);
+  BOOST_CHECK(Result.Ends[0].How == run_end::Done);
+  BOOST_TEST(!parseHold("{}", Result));
+}
+
+// A lease or a wait of 0 must not be sent as a limit.
+BOOST_AUTO_TEST_CASE(empty_fields_are_left_out) {
+  hold_order Order;
+  Order.Epoch = 3;
+  BOOST_TEST(toBody(Order) == R"({"fencingToken":3,"lastSeen":0})");
+  start_order Start;
+  Start.Run = {{"a", 0, 0, 0}, 1};
+  BOOST_TEST(toBody(Start).find("checkpoint") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(vm_pages) {
+  const auto Page = parseVmPage(
+      R"({"machines":[{"machine":"m","pool":"p","state":"upkeep","id":"i",)"
+      R"("capacity":{"cpu":5}}],"nextToken":null})");
+  BOOST_REQUIRE(Page);
+  BOOST_CHECK(Page->Vms[0].State == vm_state::Maintenance);
+  BOOST_TEST(Page->Next.empty());
+  BOOST_TEST(!parseVmPage("{}"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
