--- a/src/galenalink/job/admission.hpp
+++ b/src/galenalink/job/admission.hpp
@@ -1,6 +1,7 @@
 #ifndef GALENALINK_JOB_ADMISSION_HPP
 #define GALENALINK_JOB_ADMISSION_HPP
 
+#include "galenalink/core/enum_names.hpp"
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
@@ -27,6 +28,12 @@
 
 enum class admission_verdict : std::uint8_t { InTime, Deferred, Refused };
 
+inline constexpr enum_names<admission_verdict, 3> AdmissionVerdictNames{{
+    {admission_verdict::InTime, "in-time"},
+    {admission_verdict::Deferred, "deferred"},
+    {admission_verdict::Refused, "refused"},
+}};
+
 struct admission {
   admission_verdict Verdict{admission_verdict::Refused};
   /** Expected time to the end, ms. */
--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -103,19 +103,19 @@
   const auto Number = [](const double Value) {
     return std::to_string(static_cast<std::int64_t>(Value));
   };
-  Log.info("admission",
-           {{"job", Id},
-            {"queue", Rule.Name},
-            {"verdict", static_cast<std::uint64_t>(Admission.Verdict)},
-            {"finish_ms", Number(Admission.FinishMs)},
-            {"retry_ms", Admission.RetryAfterMs},
-            {"capacity", Number(Load.Capacity)},
-            {"in_time_work", Number(Load.InTimeWork)},
-            {"deferred_work", Number(Load.DeferredWork)},
-            {"steps", Spec.Steps.size()},
-            {"times", Spec.Times},
-            {"traits", traitsOf(Rule, Spec)},
-            {"rules", Leader.Rules.Version}});
+  Log.info("admission", {{"job", Id},
+                         {"queue", Rule.Name},
+                         {"verdict", std::string{nameOf(AdmissionVerdictNames,
+                                                        Admission.Verdict)}},
+                         {"finish_ms", Number(Admission.FinishMs)},
+                         {"retry_ms", Admission.RetryAfterMs},
+                         {"capacity", Number(Load.Capacity)},
+                         {"in_time_work", Number(Load.InTimeWork)},
+                         {"deferred_work", Number(Load.DeferredWork)},
+                         {"steps", Spec.Steps.size()},
+                         {"times", Spec.Times},
+                         {"traits", traitsOf(Rule, Spec)},
+                         {"rules", Leader.Rules.Version}});
 }
 
 } // namespace
--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -33,6 +33,14 @@
   Worthless,
 };
 
+constexpr enum_names<urgency, 5> UrgencyNames{{
+    {urgency::Lasting, "lasting"},
+    {urgency::InTime, "in-time"},
+    {urgency::Deferred, "deferred"},
+    {urgency::Late, "late"},
+    {urgency::Worthless, "worthless"},
+}};
+
 struct candidate {
   job_entry *Entry{nullptr};
   occurrence *Occurrence{nullptr};
@@ -125,7 +133,7 @@
             {"number", Number},
             {"server", Server.Entry.Id},
             {"free_cpu", std::to_string(Server.free().Cpu)},
-            {"urgency", static_cast<std::uint64_t>(Candidate.Urgency)}});
+            {"urgency", std::string{nameOf(UrgencyNames, Candidate.Urgency)}}});
 }
 
 /** @return Whether all waiting tasks of the step were started. */
