Let the pool whose turn is next keep its VMs

Change: pools lend no VM below a floor: all of their home size if their turn is next, 3 VMs otherwise, and 0.7 of the home size while no pattern is known.

Test demand_in_turns/pools_keep_their_home_vms_for_their_own_turn failed before.

--- a/src/galenalink/job/pool_plan.cpp
+++ b/src/galenalink/job/pool_plan.cpp
@@ -33,8 +33,9 @@
       return true;
     }
     const auto Idle = std::ranges::find_if(Vms, [&](const vm_view &Each) {
-      return Each.Idle && Each.Pool != To &&
-             hasSurplus(Pools[Each.Pool], Each.Room);
+      const pool_view &From = Pools[Each.Pool];
+      return Each.Idle && Each.Pool != To && From.Vms > From.LendFloor &&
+             hasSurplus(From, Each.Room);
     });
     if (Idle == Vms.end())
       return false;
--- a/src/galenalink/job/pool_plan.hpp
+++ b/src/galenalink/job/pool_plan.hpp
@@ -17,6 +17,8 @@
   double Room{0};
   /** VMs below which it does not shrink. */
   std::size_t Floor{0};
+  /** VMs below which it lends none to other pools. */
+  std::size_t LendFloor{0};
   /** VMs in the pool or on their way to it. */
   std::size_t Vms{0};
   /** It has had more room than it needs for long enough. */
@@ -42,8 +44,8 @@
 
 /**
  * @brief Answers to demand that comes in turns: a pool whose work exceeds its
- * room gets VMs of the standby pool, then idle ones of pools with room to
- * spare; VMs that were idle for long go to the standby pool.
+ * room gets VMs of the standby pool, then idle ones that other pools have
+ * can lend; VMs that were idle for long go to the standby pool.
  */
 [[nodiscard]] std::vector<planned_move> planMoves(std::vector<pool_view> Pools,
                                                   std::vector<vm_view> Vms);
--- a/src/galenalink/job/pool_sizes.cpp
+++ b/src/galenalink/job/pool_sizes.cpp
@@ -4,6 +4,7 @@
 #include "galenalink/job/vm_orders.hpp"
 #include "galenalink/telemetry/log.hpp"
 #include <algorithm>
+#include <cmath>
 
 namespace galenalink::job {
 
@@ -17,6 +18,10 @@
 constexpr double Packing = 0.85;
 /** From a VM's arrival in a pool until it takes work. */
 constexpr duration JoinTime = std::chrono::milliseconds{600};
+/** VMs that a pool keeps while its turn is far. */
+constexpr std::size_t SmallestPool = 3;
+/** Share of its home size that a pool keeps while turns are not known. */
+constexpr double KeptWithoutPattern = 0.7;
 /** A pool gives VMs back after its surplus has lasted this long. */
 constexpr duration SurplusHold = std::chrono::milliseconds{1500};
 
@@ -107,6 +112,16 @@
   Leader.Forecast.setPools(Pools);
 }
 
+/** @brief VMs that a pool does not lend: the pool whose turn is next needs all,
+ * and without a pattern any pool may be next. */
+std::size_t lendFloor(const leader &Leader, const std::string &Pool,
+                      const std::size_t Home) {
+  if (Leader.Forecast.regular())
+    return Leader.Forecast.nextPool() == Pool ? Home : SmallestPool;
+  return static_cast<std::size_t>(
+      std::ceil(static_cast<double>(Home) * KeptWithoutPattern));
+}
+
 std::vector<pool_view> viewPools(leader &Leader) {
   std::vector<pool_view> Pools;
   for (const auto &Rule : Leader.Rules.Pools) {
@@ -115,6 +130,7 @@
     View.Standby = Rule.Standby;
     const auto Home = Leader.HomeSizes.find(Rule.Name);
     View.Floor = Home == Leader.HomeSizes.end() ? 0 : Home->second;
+    View.LendFloor = lendFloor(Leader, Rule.Name, View.Floor);
     if (!Rule.Standby)
       View.Need = need(Leader, Rule.Name);
     Pools.push_back(std::move(View));
--- a/src/galenalink/job/turn_forecast.cpp
+++ b/src/galenalink/job/turn_forecast.cpp
@@ -91,6 +91,11 @@
   return due{Oldest->first, Last.StartMs + Gap, Oldest->second.Rate};
 }
 
+std::string turn_forecast::nextPool() const {
+  const auto Due = next();
+  return Due ? Due->Pool : std::string{};
+}
+
 double turn_forecast::expected(const std::string &Pool, const wall_ms NowMs,
                                const wall_ms LeadMs) const {
   const auto Due = next();
--- a/src/galenalink/job/turn_forecast.hpp
+++ b/src/galenalink/job/turn_forecast.hpp
@@ -40,6 +40,8 @@
   [[nodiscard]] double expected(const std::string &Pool, wall_ms NowMs,
                                 wall_ms LeadMs) const;
 
+  /** @return Pool whose turn is due next; empty if there is no pattern. */
+  [[nodiscard]] std::string nextPool() const;
   /** @brief Whether turns have come regularly, one for each pool at least.
    * @param Pools Pools that have turns. */
   [[nodiscard]] bool regular() const;
--- a/test/galenalink/job/pool_plan.cpp
+++ b/test/galenalink/job/pool_plan.cpp
@@ -15,9 +15,9 @@
 constexpr double VmRoom = 32000;
 
 std::vector<pool_view> pools() {
-  return {{"press", false, 0, 4 * VmRoom, 4, 4, false},
-          {"post", false, 0, 4 * VmRoom, 4, 4, false},
-          {"spare", true, 0, 3 * VmRoom, 0, 3, false}};
+  return {{"press", false, 0, 4 * VmRoom, 4, 4, 4, false},
+          {"post", false, 0, 4 * VmRoom, 4, 4, 4, false},
+          {"spare", true, 0, 3 * VmRoom, 0, 0, 3, false}};
 }
 
 std::vector<vm_view> vms(const bool Idle) {
@@ -108,6 +108,17 @@
   BOOST_TEST(movesTo(Moves, "post") >= 1U);
 }
 
+// A pool between its turns lent most of its VMs, and had a third of its home
+// size when its own turn began.
+BOOST_AUTO_TEST_CASE(pools_keep_their_home_vms_for_their_own_turn) {
+  auto Pools = pools();
+  Pools[0].Need = 12 * VmRoom;
+  const auto Moves = planMoves(Pools, vms(true));
+  BOOST_TEST(Moves.size() == 3U);
+  Pools[1].LendFloor = 3;
+  BOOST_TEST(planMoves(Pools, vms(true)).size() == 4U);
+}
+
 // A VM on which something runs must not be moved, since a move ends it.
 BOOST_AUTO_TEST_CASE(busy_vms_are_not_moved) {
   auto Pools = pools();
