Let a successor order VMs at once

Change: an order is recorded in the store before it is sent, so that a successor holds back only VMs that were ordered a moment ago. The lead counts as confirmed from the sending of the newest append that succeeded, not from its answer: others count silence from the record itself.

Test waves/successor_orders_other_vms_at_once.

--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -62,7 +62,7 @@
   /** How long VMs take to change their pool. */
   duration MoveTime{std::chrono::milliseconds{1500}};
   duration MaintenanceTime{std::chrono::milliseconds{2000}};
-  /** Two holders' orders for a VM are at least this far apart. */
+  /** Two holders' orders for one VM are at least this far apart. */
   duration HolderPause{std::chrono::milliseconds{3000}};
 };
 
@@ -156,6 +156,8 @@
   std::map<std::string, vm> Vms;
   time_point VmsAskedAt{NoDeadline};
   std::map<std::string, vm_motion> Motions;
+  /** VMs that an earlier leader may have ordered a moment ago. */
+  std::set<std::string> LatelyOrdered;
   std::map<std::uint64_t, wave_progress> Waves;
   /** Arriving work by pool. */
   std::map<std::string, demand_meter> Demand;
--- a/src/galenalink/job/maintenance.cpp
+++ b/src/galenalink/job/maintenance.cpp
@@ -53,7 +53,7 @@
 bool canGoNow(const leader &Leader, const std::string &Vm) {
   const auto Listed = Leader.Vms.find(Vm);
   if (Listed == Leader.Vms.end() || Listed->second.State != vm_state::Up ||
-      Leader.Motions.contains(Vm))
+      Leader.Motions.contains(Vm) || heldBack(Leader, Vm))
     return false;
   // What runs on a backend server that is not known yet is not known either.
   return Listed->second.Server.empty() ||
--- a/src/galenalink/job/pool_sizes.cpp
+++ b/src/galenalink/job/pool_sizes.cpp
@@ -144,7 +144,7 @@
         return Each.second.Draining.contains(Vm.Name);
       });
   return Vm.State == vm_state::Up && !Draining &&
-         !Leader.Motions.contains(Vm.Name);
+         !Leader.Motions.contains(Vm.Name) && !heldBack(Leader, Vm.Name);
 }
 
 /** @brief Counts the VMs into the pools and lists those that can be moved. */
--- a/src/galenalink/job/recovery.cpp
+++ b/src/galenalink/job/recovery.cpp
@@ -1,6 +1,7 @@
 #include "galenalink/job/recovery.hpp"
 #include "galenalink/job/server_watch.hpp"
 #include "galenalink/telemetry/log.hpp"
+#include <charconv>
 
 namespace galenalink::job {
 
@@ -15,6 +16,11 @@
 constexpr char HomeSizesKey = 'h';
 constexpr char WaveKey = 'w';
 constexpr char TurnsKey = 't';
+constexpr char VmOrderKey = 'v';
+
+/** Orders that are older than this by the time of day, which may differ between
+ * nodes, are past for sure. */
+constexpr wall_ms LongPastMs = 10000;
 
 void recoverSizes(leader &Leader, const std::string & /*Id*/,
                   const std::string &Record) {
@@ -40,6 +46,18 @@
   Leader.Forecast.restore(std::move(Turns));
 }
 
+void recoverVmOrder(leader &Leader, const std::string &Vm,
+                    const std::string &Record) {
+  wall_ms OrderedMs = 0;
+  const char *End = Record.data() + Record.size();
+  if (std::from_chars(Record.data(), End, OrderedMs).ec != std::errc{}) {
+    Log.error("record of an order for a VM can't be read", {{"vm", Vm}});
+    OrderedMs = Leader.Wall();
+  }
+  if (OrderedMs > Leader.Wall() - LongPastMs)
+    Leader.LatelyOrdered.insert(Vm);
+}
+
 void recoverJob(leader &Leader, const std::string &Id,
                 const std::string &Record) {
   auto Job = parseJob(Id, Record);
@@ -81,6 +99,7 @@
   EachOf(HomeSizesKey, recoverSizes);
   EachOf(WaveKey, recoverWave);
   EachOf(TurnsKey, recoverTurns);
+  EachOf(VmOrderKey, recoverVmOrder);
   for (auto &[Id, Entry] : Leader.Open) {
     setObjectives(Leader, *Entry);
     openDue(Leader, *Entry);
--- a/src/galenalink/job/vm_orders.cpp
+++ b/src/galenalink/job/vm_orders.cpp
@@ -142,11 +142,15 @@
 }
 
 bool mayOrderVms(const leader &Leader) {
-  return Leader.Now() >= Leader.LedSince + Leader.Settings.HolderPause &&
-         Leader.VmsAskedAt != NoDeadline &&
+  return Leader.VmsAskedAt != NoDeadline &&
          (!Leader.Confirmed || Leader.Confirmed());
 }
 
+bool heldBack(const leader &Leader, const std::string &Vm) {
+  return Leader.LatelyOrdered.contains(Vm) &&
+         Leader.Now() < Leader.LedSince + Leader.Settings.HolderPause;
+}
+
 void orderVm(leader &Leader, const std::string &Vm, const std::string &Pool,
              const std::uint64_t Wave) {
   ++(Pool.empty() ? Leader.Counts->Maintenances : Leader.Counts->Moves);
@@ -157,8 +161,17 @@
     Motion.Server = Server->Entry.Id;
     Server->Reserved = true;
   }
+  Motion.Sent = true;
+  Motion.OrderedAt = Leader.Now();
   Leader.Motions.insert_or_assign(Vm, std::move(Motion));
-  send(Leader, Vm);
+  // A successor must know of the order before the platform does.
+  Leader.Journal.put("v" + Vm, [Now = Leader.Wall()] {
+    return std::optional{std::to_string(Now)};
+  });
+  Leader.Journal.whenStored([&Leader, Vm] {
+    if (Leader.Motions.contains(Vm))
+      send(Leader, Vm);
+  });
 }
 
 void updateMotions(leader &Leader, const std::vector<vm> &Vms,
--- a/src/galenalink/job/vm_orders.hpp
+++ b/src/galenalink/job/vm_orders.hpp
@@ -5,9 +5,12 @@
 
 namespace galenalink::job {
 
-/** @brief Whether this leader may order VMs: an earlier holder's orders are
- * long enough past, and no successor can have begun. */
+/** @brief Whether this leader may order VMs at all: it has a list of them, and
+ * no successor can have begun. */
 [[nodiscard]] bool mayOrderVms(const leader &Leader);
+/** @brief Whether an earlier leader's order for the VM is too recent for one by
+ * this leader. */
+[[nodiscard]] bool heldBack(const leader &Leader, const std::string &Vm);
 /** @brief Orders a move, or maintenance if no pool is given. What runs on the
  * VM ends with it. */
 void orderVm(leader &Leader, const std::string &Vm, const std::string &Pool,
--- a/src/galenalink/job_node/leader_seat.cpp
+++ b/src/galenalink/job_node/leader_seat.cpp
@@ -131,6 +131,7 @@
   Record.Epoch =
       Kind == leader_record::kind::Claim ? 0 : Election.current().Epoch;
   const std::uint64_t At = Election.end();
+  AppendSentAt = boot_clock::now();
   Ports.Claim(At, toText(Record),
               [this, Kind, At,
                Weak = std::weak_ptr{Alive}](const job::claim_result &Result) {
@@ -152,6 +153,7 @@
     return;
   }
   AnsweredAt = Now;
+  ConfirmedAt = AppendSentAt;
   if (Kind == leader_record::kind::Claim) {
     Election.claimed(At, Now);
     WasLeading = true;
--- a/src/galenalink/job_node/leader_seat.hpp
+++ b/src/galenalink/job_node/leader_seat.hpp
@@ -38,6 +38,9 @@
   [[nodiscard]] bool leads() const noexcept { return Election.leads(); }
   /** @return When the store last answered. */
   [[nodiscard]] time_point answeredAt() const noexcept { return AnsweredAt; }
+  /** @return When the newest append that succeeded was sent; others can't have
+   * taken the leader for silent before that. */
+  [[nodiscard]] time_point confirmedAt() const noexcept { return ConfirmedAt; }
 
 private:
   void step();
@@ -63,6 +66,8 @@
   std::uint64_t ProbedEpoch{0};
   http::timer ProbeTimer;
   time_point AnsweredAt{NoDeadline};
+  time_point AppendSentAt{NoDeadline};
+  time_point ConfirmedAt{NoDeadline};
   http::timer Timer;
   std::shared_ptr<bool> Alive{std::make_shared<bool>(true)};
 };
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -250,7 +250,7 @@
       [] { return wallNow(); },
       [this] { Loop.post([this] { Seat.fenced(); }); });
   State->Confirmed = [this] {
-    return boot_clock::now() < Seat.answeredAt() + ConfirmedFor;
+    return boot_clock::now() < Seat.confirmedAt() + ConfirmedFor;
   };
   State->Counts = Counts;
   State->AfterEvent = [this] { scheduleSettle(); };
--- a/test/galenalink/job/leader_test.cpp
+++ b/test/galenalink/job/leader_test.cpp
@@ -287,6 +287,24 @@
               !Servers.at("s0")->Usable));
 }
 
+// A successor had to wait 3 s before it could order any VM; only the VMs that
+// the leader before has just ordered must wait.
+BOOST_AUTO_TEST_CASE(successor_orders_other_vms_at_once) {
+  one_pool Platform{4};
+  Platform.Leader->setWaves({{1, wave{1, {"vm-s0"}, 4, 2}}});
+  Platform.advance(Second);
+  BOOST_REQUIRE(Platform.VmOrders.size() == 1U);
+  Platform.elect();
+  leader &State = Platform.Leader->state();
+  BOOST_TEST(heldBack(State, "vm-s0"));
+  Platform.Leader->setWaves({{1, wave{1, {"vm-s0", "vm-s1"}, 4, 2}}});
+  Platform.advance(Second);
+  BOOST_REQUIRE(Platform.VmOrders.size() == 2U);
+  BOOST_TEST(Platform.VmOrders[1].Vm == "vm-s1");
+  Platform.advance(3 * Second);
+  BOOST_TEST(!heldBack(State, "vm-s0"));
+}
+
 // Maintenance begins on no more VMs than the wave's cap at once.
 BOOST_AUTO_TEST_CASE(cap_holds_and_the_wave_ends_in_time) {
   one_pool Platform{8};
