Ask again soon for a lost answer of the store

Answers of the store were lost one by one; each was waited for 1 s, and one alone counted as an outage.

Change: the first wait is 0.3 s, doubled with each repeat up to 1.2 s, since a repeat takes effect once; two failures in a row count as an outage.

--- a/src/galenalink/job/journal.cpp
+++ b/src/galenalink/job/journal.cpp
@@ -13,6 +13,12 @@
 constexpr duration FirstRetry = std::chrono::milliseconds{50};
 constexpr duration LongestRetry = std::chrono::milliseconds{400};
 
+/** Wait for an answer, doubled with each repeat. A repeat takes effect once, so
+ * that a lost answer need not hold up callers for long; slow days bring answers
+ * after several hundred milliseconds. */
+constexpr duration FirstWait = std::chrono::milliseconds{300};
+constexpr duration LongestWait = std::chrono::milliseconds{1200};
+
 } // namespace
 
 journal::journal(hooks Hooks, const std::uint64_t Epoch)
@@ -58,8 +64,10 @@
 void journal::send() {
   Sent = true;
   ++Appends;
+  const duration Wait = FirstWait * (1U << std::min(Failures, 2U));
   Hooks.Append(
       Epoch, Sequence, Batch,
+      Hooks.Now() + std::min<duration>(Wait, LongestWait),
       [this, Weak = std::weak_ptr{Alive}](const append_result &Result) {
         if (Weak.lock())
           answered(Result);
--- a/src/galenalink/job/journal.hpp
+++ b/src/galenalink/job/journal.hpp
@@ -36,9 +36,9 @@
    * way, or repeats one that had no answer. To be called after each event. */
   void flush();
 
-  /** @return Whether the store took the newest append without a failure, or
-   * none is under way. */
-  [[nodiscard]] bool healthy() const noexcept { return Failures == 0; }
+  /** @return Whether appends succeed; one lost answer alone is no outage, as
+   * the repeat is likely to be answered. */
+  [[nodiscard]] bool healthy() const noexcept { return Failures < 2; }
   [[nodiscard]] bool idle() const noexcept {
     return !InFlight && Puts.empty() && Waiting.empty();
   }
--- a/src/galenalink/job/maintenance.cpp
+++ b/src/galenalink/job/maintenance.cpp
@@ -138,6 +138,7 @@
     return Wave.Draining.contains(Vm) || !canGoNow(Leader, Vm);
   });
   std::vector<std::pair<double, std::string>> Ranked;
+  Ranked.reserve(Left.size());
   for (auto &Vm : Left)
     Ranked.emplace_back(disturbance(Leader, Vm), std::move(Vm));
   std::ranges::sort(Ranked);
--- a/src/galenalink/job/ports.hpp
+++ b/src/galenalink/job/ports.hpp
@@ -258,9 +258,10 @@
   template <typename Type> using callback = std::function<void(Type)>;
 
   /** Appends to `Jobs` as the leader of the epoch; a repeat with the same
-   * sequence number takes effect once. */
+   * sequence number takes effect once. Without an answer by the given time
+   * the outcome is unknown. */
   std::function<void(std::uint64_t Epoch, std::uint64_t Sequence,
-                     const std::vector<keyed_record> &,
+                     const std::vector<keyed_record> &, time_point AnswerBy,
                      callback<append_result>)>
       Append;
   /** Makes appends to `Jobs` under lower epochs fail. */
