Let nodes with more processor time claim a free lead first

Cause: the leader's work grows with the fleet.

Change: a node waits longer before it claims, the less of a quarter of a core it may use (up to 0.5 s). Nodes with a quarter or more claim as before. The settings name the processor time; settings and members that nothing used (drain_ms, remote_factor, away_ms, appends()) are removed.

The leader is led by a strong node wherever one is there; a hand-over from a weak leader to a strong one is not built.

--- a/src/galenalink/job/election.cpp
+++ b/src/galenalink/job/election.cpp
@@ -4,6 +4,25 @@
 
 namespace galenalink::job {
 
+namespace {
+
+/** Nodes of equal strength claim after delays that differ by up to this. */
+constexpr std::uint64_t SpreadMs = 250;
+/** Processor time with which a node claims without a further delay; small
+ * fleets, a quarter of a core a node, lead well with it. */
+constexpr double AmpleCores = 0.25;
+/** Further delay of a node with next to none, ms. */
+constexpr double LongestDelayMs = 500;
+
+} // namespace
+
+duration claimDelay(const double Cores, const std::uint64_t Spread) {
+  const double Lack = 1 - std::clamp(Cores / AmpleCores, 0.0, 1.0);
+  const auto DelayMs = static_cast<std::int64_t>(LongestDelayMs * Lack);
+  return std::chrono::milliseconds{
+      DelayMs + static_cast<std::int64_t>(Spread % SpreadMs)};
+}
+
 std::string toText(const leader_record &Record) {
   return nlohmann::json::array({static_cast<std::uint32_t>(Record.Kind),
                                 Record.Node, Record.Address, Record.Epoch})
--- a/src/galenalink/job/election.hpp
+++ b/src/galenalink/job/election.hpp
@@ -46,6 +46,15 @@
   duration Stagger{0};
 };
 
+/**
+ * @brief How long a node waits before it claims a lead that is free. The
+ * leader's work grows with the fleet, so that nodes with more processor time
+ * claim first and the others follow if none of those does.
+ * @param Cores Processor time that the node may use, in cores.
+ * @param Spread Any number that differs by node.
+ */
+[[nodiscard]] duration claimDelay(double Cores, std::uint64_t Spread);
+
 enum class election_action : std::uint8_t {
   None,
   Claim,
--- a/src/galenalink/job/journal.cpp
+++ b/src/galenalink/job/journal.cpp
@@ -63,7 +63,6 @@
 
 void journal::send() {
   Sent = true;
-  ++Appends;
   const duration Wait = FirstWait * (1U << std::min(Failures, 2U));
   Hooks.Append(
       Epoch, Sequence, Batch,
--- a/src/galenalink/job/journal.hpp
+++ b/src/galenalink/job/journal.hpp
@@ -42,7 +42,6 @@
   [[nodiscard]] bool idle() const noexcept {
     return !InFlight && Puts.empty() && Waiting.empty();
   }
-  [[nodiscard]] std::uint64_t appends() const noexcept { return Appends; }
 
 private:
   void collect();
@@ -61,7 +60,6 @@
   bool Sent{false};
   std::uint32_t Failures{0};
   time_point RetryAt;
-  std::uint64_t Appends{0};
   std::shared_ptr<bool> Alive{std::make_shared<bool>(true)};
 };
 
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -55,10 +55,6 @@
   duration RegistrationGrace{std::chrono::milliseconds{3000}};
   /** Ended jobs can be asked for at least this long. */
   duration KeepEnded{std::chrono::seconds{150}};
-  /** How much longer a task takes away from its data. */
-  double RemoteFactor{3};
-  /** A task that is away this long counts as missing from its budget. */
-  duration AwayAfter{std::chrono::milliseconds{4500}};
   /** How long VMs take to change their pool. */
   duration MoveTime{std::chrono::milliseconds{1500}};
   duration MaintenanceTime{std::chrono::milliseconds{2000}};
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -32,8 +32,6 @@
 /** Tells whether a node leads, and as which process. */
 constexpr std::string_view LeaderPath = "/v1/leader";
 constexpr duration ProbeTimeout = std::chrono::milliseconds{400};
-/** Nodes claim after delays that differ by up to this. */
-constexpr std::uint64_t StaggerMs = 250;
 /** The answer leaves this long before the caller stops to wait, or in three
  * quarters of a shorter time. */
 constexpr duration ReplyMargin = std::chrono::milliseconds{150};
@@ -51,8 +49,8 @@
   Election.Node = Settings.Name + "@" + std::to_string(wallNow());
   Election.Address =
       Settings.Peers.Host + ":" + std::to_string(Settings.Peers.Port);
-  Election.Stagger =
-      std::chrono::milliseconds{hash64(Election.Node) % StaggerMs};
+  Election.Stagger = job::claimDelay(
+      Settings.ProcessorShare * Settings.ProcessorSpeed, hash64(Election.Node));
   return Election;
 }
 
@@ -65,8 +63,6 @@
   Leader.Node = Settings.Name;
   Leader.Lease =
       std::chrono::milliseconds{std::min(LeaseMs, Settings.MaxLeaseMs)};
-  Leader.RemoteFactor = Settings.RemoteFactor;
-  Leader.AwayAfter = std::chrono::milliseconds{Settings.AwayMs};
   Leader.HolderPause = std::chrono::milliseconds{Settings.HolderPauseMs};
   Leader.MoveTime = fromSeconds(Settings.MoveS);
   Leader.MaintenanceTime = fromSeconds(Settings.MaintenanceS);
--- a/src/galenalink/job_node/settings.cpp
+++ b/src/galenalink/job_node/settings.cpp
@@ -12,7 +12,8 @@
 constexpr range PortRange{0, 65535, ""};
 constexpr range TimeRange{1, 3600000, "ms"};
 constexpr range SecondsRange{0, 3600, "s"};
-constexpr range FactorRange{1, 1000, ""};
+constexpr range ShareRange{0, 1, ""};
+constexpr range SpeedRange{1, 1000, ""};
 
 void checkAddress(reader &Reader, const std::string_view Key,
                   const std::string &Address) {
@@ -54,9 +55,8 @@
               })
       .number("max_lease_ms", Out.MaxLeaseMs, TimeRange)
       .decimal("stop_deadline_s", Out.StopDeadlineS, SecondsRange)
-      .number("drain_ms", Out.DrainMs, TimeRange)
-      .decimal("remote_factor", Out.RemoteFactor, FactorRange)
-      .number("away_ms", Out.AwayMs, TimeRange)
+      .decimal("processor_share", Out.ProcessorShare, ShareRange)
+      .decimal("processor_speed", Out.ProcessorSpeed, SpeedRange)
       .decimal("move_s", Out.MoveS, SecondsRange)
       .decimal("maintenance_s", Out.MaintenanceS, SecondsRange)
       .number("holder_pause_ms", Out.HolderPauseMs, TimeRange)
--- a/src/galenalink/job_node/settings.hpp
+++ b/src/galenalink/job_node/settings.hpp
@@ -28,12 +28,10 @@
   std::uint32_t MaxLeaseMs{6000};
   /** Time from SIGTERM to SIGKILL, s. */
   double StopDeadlineS{6};
-  /** How long a backend server that drains still serves, ms. */
-  std::uint32_t DrainMs{2000};
-  /** Time of a task away from its data against the time near it. */
-  double RemoteFactor{3};
-  /** How long a task must be away to count as missing, ms. */
-  std::uint32_t AwayMs{4500};
+  /** Share of a core that the node may use, and how many times as fast as one
+   * core it is meanwhile. */
+  double ProcessorShare{1};
+  double ProcessorSpeed{1};
   /** How long a VM takes to change its pool, and for maintenance, s. */
   double MoveS{1.5};
   double MaintenanceS{2};
--- a/test/galenalink/job/election.cpp
+++ b/test/galenalink/job/election.cpp
@@ -24,6 +24,15 @@
 
 BOOST_AUTO_TEST_SUITE(election_of_the_leader)
 
+// A node that may use little processor time must not lead a large fleet while
+// one with more is there.
+BOOST_AUTO_TEST_CASE(strong_nodes_claim_first) {
+  BOOST_CHECK(claimDelay(0.12, 0) > claimDelay(0.5, 249));
+  BOOST_CHECK(claimDelay(0.25, 0) == claimDelay(0.5, 0));
+  // Weak nodes alone still get a leader soon.
+  BOOST_CHECK(claimDelay(0, 249) < Second);
+}
+
 // Records must survive the way through the store.
 BOOST_AUTO_TEST_CASE(record_round_trip) {
   const leader_record Record{leader_record::kind::Release, "a", "b:2", 7};
--- a/test/galenalink/job_node/fleet_view.cpp
+++ b/test/galenalink/job_node/fleet_view.cpp
@@ -84,11 +84,13 @@
     // comment
     "name": "n", "data_centre": "d", "callers": "10.0.0.1:80",
     "readiness": "10.0.0.1:81", "peers": {"host": "10.0.0.1", "port": 82},
-    "store": "10.0.0.2:80", "vm_list": "10.0.0.3:80", "stop_deadline_s": 2.5
+    "store": "10.0.0.2:80", "vm_list": "10.0.0.3:80", "stop_deadline_s": 2.5,
+    "processor_share": 0.5
   })",
                                     Settings);
   BOOST_TEST(Errors.empty());
   BOOST_TEST(Settings.StopDeadlineS == 2.5);
+  BOOST_TEST(Settings.ProcessorShare == 0.5);
   BOOST_TEST(Settings.Peers.Port == 82);
 }
 
