Let tasks that last stand together

Cause: tasks that last were spread over all VMs of a pool, so that nearly every VM ran one. Such a VM is not idle and can't be lent, so the pool whose turn it was got few VMs beside the standby ones.

Change: tasks of one step stand apart, also by rack; among VMs that allow it, those that already run lasting tasks of other jobs come first.

--- a/src/galenalink/job/placement.cpp
+++ b/src/galenalink/job/placement.cpp
@@ -1,5 +1,6 @@
 #include "galenalink/job/placement.hpp"
 #include <algorithm>
+#include <map>
 #include <tuple>
 
 namespace galenalink::job {
@@ -43,13 +44,41 @@
       Server.Runs, [](const auto &Each) { return Each.second.Lasts; }));
 }
 
+/** @brief Runs of a step on each rack. */
+using rack_runs = std::map<std::string_view, std::uint32_t>;
+
+rack_runs runsByRack(const std::vector<server *> &Servers,
+                     const task_id &Task) {
+  rack_runs Runs;
+  for (const server *Each : Servers)
+    Runs[Each->rack()] += runsOfStep(*Each, Task);
+  return Runs;
+}
+
+/**
+ * @brief How well a backend server suits a task that lasts; lower is better.
+ * Tasks of one step stand apart, also by rack, so that one loss takes few of
+ * them. Those of different jobs stand together, which leaves VMs that can
+ * change their pool.
+ */
+auto lastingCost(const server &Server, const task_id &Task,
+                 const rack_runs &Racks) {
+  const std::uint32_t Lasting = lastingRuns(Server);
+  return std::tuple{runsOfStep(Server, Task), Lasting == 0,
+                    Racks.at(Server.rack()), Lasting, -Server.free().Cpu};
+}
+
 /** @brief Lower is better. */
-auto cost(const server &Server, const step_spec &Step) {
+auto cost(const server &Server, const placement_request &Request,
+          const rack_runs &Racks) {
+  const step_spec &Step = *Request.Step;
   const bool Slow = Server.Health.slowness() >= SlowFrom;
   const std::int64_t Free = Server.free().Cpu;
+  using lasting_cost = decltype(lastingCost(Server, Request.Task, Racks));
   return std::tuple{disturbs(Server, Step), Slow, !near(Server, Step),
-                    Step.Lasts ? lastingRuns(Server) : 0U,
-                    Step.Lasts || Step.Fills ? -Free : Free};
+                    Step.Lasts ? lastingCost(Server, Request.Task, Racks)
+                               : lasting_cost{},
+                    Step.Fills ? -Free : Free};
 }
 
 } // namespace
@@ -76,12 +105,14 @@
 
 server *choose(const std::vector<server *> &Servers,
                const placement_request &Request) {
+  const rack_runs Racks =
+      Request.Step->Lasts ? runsByRack(Servers, Request.Task) : rack_runs{};
   server *Best = nullptr;
   for (server *Each : Servers) {
     if (!canRun(*Each, Request))
       continue;
     if (Best == nullptr ||
-        cost(*Each, *Request.Step) < cost(*Best, *Request.Step))
+        cost(*Each, Request, Racks) < cost(*Best, Request, Racks))
       Best = Each;
   }
   return Best;
--- a/src/galenalink/job/placement.hpp
+++ b/src/galenalink/job/placement.hpp
@@ -28,8 +28,9 @@
 
 /**
  * @brief Chooses the backend server for a task. Short tasks go where the least
- * room is left, so that room for large ones remains; tasks that last are
- * spread. Slow backend servers come last.
+ * room is left, so that room for large ones remains; tasks of a step that
+ * lasts stand apart, but beside those of other jobs. Slow backend servers come
+ * last.
  * @param Servers Those that accept work.
  * @return Nothing if the task fits nowhere.
  */
--- a/test/galenalink/job/placement.cpp
+++ b/test/galenalink/job/placement.cpp
@@ -92,6 +92,35 @@
   BOOST_TEST(choose({&Serving, &Full}, requestFor(Step)) == &Full);
 }
 
+// Tasks of one step that last must not share a VM or a rack with each other
+// while there are more.
+BOOST_AUTO_TEST_CASE(lasting_tasks_of_a_step_stand_apart) {
+  server First = makeServer("a", "r1");
+  server SameRack = makeServer("b", "r1");
+  server OtherRack = makeServer("c", "r2");
+  run Run;
+  Run.Lasts = true;
+  First.addRun({{"job", 0, 0, 1}, 1}, Run);
+  step_spec Step = makeStep(3, 1000, 0);
+  Step.Lasts = true;
+  BOOST_TEST(choose({&First, &SameRack, &OtherRack}, requestFor(Step)) ==
+             &OtherRack);
+}
+
+// Lasting tasks of several jobs stood on nearly every VM, so that no pool could
+// lend one to the pool whose turn it was.
+BOOST_AUTO_TEST_CASE(lasting_tasks_of_several_jobs_stand_together) {
+  server Host = makeServer("a", "r1");
+  server Empty = makeServer("b", "r2");
+  run Run;
+  Run.Size = {4000, 0, 0};
+  Run.Lasts = true;
+  Host.addRun({{"other", 0, 0, 0}, 1}, Run);
+  step_spec Step = makeStep(1, 1000, 0);
+  Step.Lasts = true;
+  BOOST_TEST(choose({&Empty, &Host}, requestFor(Step)) == &Host);
+}
+
 // A slow backend server must come last.
 BOOST_AUTO_TEST_CASE(slow_servers_come_last) {
   server Slow = makeServer("s", "r");
