Tell turns of demand by the middle of their arrivals

Cause: a turn was taken to begin when the rate passed a share of the pool's room. The rate of a begun turn was that of the meter, which needs a second to rise.

Change: a turn needs several jobs close together; its middle, the mean of the arrival times, gives the distance of turns. The pool that is the last one without a turn comes next. A begun turn is met at the rate it had before, or at that of the others against their rooms. Pools that had their turn in the first cycle lend their VMs.

--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -48,8 +48,10 @@
   for (const auto &Step : Spec.Steps)
     Request.Work += stepWork(Leader, Rule.Name, Step, Step.Count);
   // Demand is what callers ask for, whether it fits or not, but each job once.
-  if (Leader.SeenJobs.add(Id, Leader.Now()))
+  if (Leader.SeenJobs.add(Id, Leader.Now())) {
     Leader.Demand[Rule.Pool].arrived(Leader.Now(), Request.Work);
+    Leader.Forecast.arrived(Rule.Pool, Request.Work, Leader.Wall());
+  }
   return admit(loadOf(Leader, Rule.Pool), Request);
 }
 
--- a/src/galenalink/job/job_record.cpp
+++ b/src/galenalink/job/job_record.cpp
@@ -137,7 +137,8 @@
 std::string toRecord(const std::vector<turn> &Turns) {
   json Rows = json::array();
   for (const auto &Each : Turns)
-    Rows.push_back({Each.Pool, Each.StartMs, Each.Rate});
+    Rows.push_back({Each.Pool, Each.FirstMs, Each.LastMs, Each.CenterMs,
+                    Each.Work, Each.Jobs});
   return toText(Rows);
 }
 
@@ -145,7 +146,8 @@
   std::vector<turn> Turns;
   try {
     for (const auto &Each : json::from_cbor(Record))
-      Turns.push_back({Each.at(0), Each.at(1), Each.at(2)});
+      Turns.push_back({Each.at(0), Each.at(1), Each.at(2), Each.at(3),
+                       Each.at(4), Each.at(5)});
   } catch (const json::exception &) {
     Turns.clear();
   }
--- a/src/galenalink/job/pool_sizes.cpp
+++ b/src/galenalink/job/pool_sizes.cpp
@@ -91,33 +91,36 @@
 
 /** @brief Lets the forecast see the demand of all pools. */
 void observeTurns(leader &Leader) {
-  std::size_t Pools = 0;
   for (const auto &Rule : Leader.Rules.Pools) {
     if (Rule.Standby || !Leader.Demand.contains(Rule.Name))
       continue;
-    ++Pools;
     const auto Home = Leader.HomeSizes.find(Rule.Name);
     const double Vms =
         Home == Leader.HomeSizes.end() ? 0 : static_cast<double>(Home->second);
-    const bool Began =
-        Leader.Forecast.observe(Rule.Name, arrivalRate(Leader, Rule.Name),
-                                Vms * vmRoom(Leader), Leader.Wall());
-    if (!Began)
+    if (!Leader.Forecast.observe(Rule.Name, Vms * vmRoom(Leader),
+                                 Leader.Wall()))
       continue;
-    Log.info("turn of demand began", {{"pool", Rule.Name}});
+    const bool Begins = Leader.Forecast.active(Rule.Name);
+    Log.info("turn of demand",
+             {{"pool", Rule.Name},
+              {"state", Begins ? "began" : "ended"},
+              {"regular", Leader.Forecast.regular() ? "yes" : "no"},
+              {"next", Leader.Forecast.nextPool(Leader.Wall())}});
     Leader.Journal.put("t", [&Leader] {
       return std::optional{toRecord(Leader.Forecast.turns())};
     });
   }
-  Leader.Forecast.setPools(Pools);
 }
 
 /** @brief VMs that a pool does not lend: the pool whose turn is next needs all,
- * and without a pattern any pool may be next. */
+ * and without a pattern any pool may be next that has not had its turn. */
 std::size_t lendFloor(const leader &Leader, const std::string &Pool,
                       const std::size_t Home) {
-  if (Leader.Forecast.regular())
-    return Leader.Forecast.nextPool() == Pool ? Home : SmallestPool;
+  const std::string Next = Leader.Forecast.nextPool(Leader.Wall());
+  if (!Next.empty())
+    return Next == Pool ? Home : SmallestPool;
+  if (Leader.Forecast.waitsForOthers(Pool))
+    return SmallestPool;
   return static_cast<std::size_t>(
       std::ceil(static_cast<double>(Home) * KeptWithoutPattern));
 }
--- a/src/galenalink/job/turn_forecast.hpp
+++ b/src/galenalink/job/turn_forecast.hpp
@@ -2,20 +2,27 @@
 #define GALENALINK_JOB_TURN_FORECAST_HPP
 
 #include "galenalink/core/fwd.hpp"
+#include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace galenalink::job {
 
-/** @brief One turn of demand of a pool, as it was seen. */
+/** @brief One turn of demand of a pool, as far as it was seen. */
 struct turn {
   std::string Pool;
-  /** When it began, ms since 1970. */
-  wall_ms StartMs{0};
-  /** Mean rate of arriving work in it, thousandths of a core. */
-  double Rate{0};
+  /** First and last arrival, ms since 1970. */
+  wall_ms FirstMs{0};
+  wall_ms LastMs{0};
+  /** Mean of the arrival times; few arrivals already show it well. */
+  double CenterMs{0};
+  /** All that arrived, thousandths of a core times ms. */
+  double Work{0};
+  std::uint32_t Jobs{0};
 
   [[nodiscard]] bool operator==(const turn &) const = default;
 };
@@ -27,45 +34,67 @@
  */
 class turn_forecast {
 public:
+  /** @param Work Thousandths of a core times ms. */
+  void arrived(const std::string &Pool, double Work, wall_ms NowMs);
+
   /**
-   * @param Rate Rate of arriving work, thousandths of a core.
-   * @param Room Room of the pool at its home size.
-   * @return Whether a turn has begun with this.
+   * @brief Lets time pass for a pool.
+   * @param Room Room of the pool at its home size, thousandths of a core.
+   * @return Whether a turn has begun or ended with this.
    */
-  bool observe(const std::string &Pool, double Rate, double Room,
-               wall_ms NowMs);
+  bool observe(const std::string &Pool, double Room, wall_ms NowMs);
 
-  /** @return Rate to prepare for if a turn of the pool is due within the lead
-   * time; 0 otherwise. */
+  /** @return Rate of work to prepare for, thousandths of a core: that of the
+   * pool's turn if it is due within the lead time or lasts longer than that;
+   * 0 otherwise. */
   [[nodiscard]] double expected(const std::string &Pool, wall_ms NowMs,
                                 wall_ms LeadMs) const;
 
-  /** @return Pool whose turn is due next; empty if there is no pattern. */
-  [[nodiscard]] std::string nextPool() const;
-  /** @brief Whether turns have come regularly, one for each pool at least.
-   * @param Pools Pools that have turns. */
-  [[nodiscard]] bool regular() const;
-  void setPools(const std::size_t Count) noexcept { Pools = Count; }
+  /** @return Pool whose turn is due next; empty if that is not known. */
+  [[nodiscard]] std::string nextPool(wall_ms NowMs) const;
+  /** @brief Whether turns have come at equal distances. */
+  [[nodiscard]] bool regular() const { return gapMs() > 0; }
+  /** @brief Whether the pool had its turn and others still wait for their
+   * first one, so that its own is not the next. */
+  [[nodiscard]] bool waitsForOthers(const std::string &Pool) const;
 
+  /** @return Whether the pool has its turn now. */
+  [[nodiscard]] bool active(const std::string &Pool) const {
+    return Active.contains(Pool);
+  }
+  /** @return Turns, oldest first. */
   [[nodiscard]] const std::vector<turn> &turns() const noexcept {
     return Turns;
   }
   void restore(std::vector<turn> Seen) { Turns = std::move(Seen); }
 
 private:
+  struct arrival {
+    wall_ms AtMs{0};
+    double Work{0};
+  };
   struct due {
     std::string Pool;
-    wall_ms AtMs{0};
-    double Rate{0};
+    wall_ms StartMs{0};
   };
-  [[nodiscard]] std::optional<due> next() const;
-  [[nodiscard]] std::map<std::string, turn> newest() const;
 
-  std::size_t Pools{0};
-  /** Oldest first. */
+  [[nodiscard]] const turn *newestOf(const std::string &Pool) const;
+  [[nodiscard]] bool complete(const turn &Turn) const {
+    return &Turn != &Turns.back() || !Active.contains(Turn.Pool);
+  }
+  [[nodiscard]] double gapMs() const;
+  [[nodiscard]] std::optional<due> next(wall_ms NowMs) const;
+  [[nodiscard]] std::string follower(const std::string &Pool) const;
+  [[nodiscard]] double rateOf(const std::string &Pool) const;
+  [[nodiscard]] double currentRate(const turn &Turn, wall_ms NowMs) const;
+  void begin(const std::string &Pool, const std::deque<arrival> &Arrivals);
+
+  /** Home rooms of the pools that have had demand. */
+  std::map<std::string, double> Rooms;
+  std::map<std::string, std::deque<arrival>> Recent;
+  /** Pools in their turn. */
+  std::set<std::string> Active;
   std::vector<turn> Turns;
-  /** Pools in their turn, with the looks that its mean rate is taken over. */
-  std::map<std::string, std::uint32_t> Active;
 };
 
 } // namespace galenalink::job
