Replace a leader that can't write or does not answer sooner

Cause: a leader that lost its store or its power was replaced after a silence of 1.8 s, up to 0.7 s late because a read that waited for a sign of life held up the claim. Meanwhile callers were refused.

Change: a leader whose appends have had no answer for 0.5 s says so when another node asks, and is replaced at once. One whose node does not answer either is replaced after 1.2 s. The leader is asked only after the store has answered the asking node since the silence began. A read waits no longer than until the next claim. Nodes that were started lately claim first, so that a roll-out does not move the lead to the node that is next.

--- a/src/galenalink/job/election.cpp
+++ b/src/galenalink/job/election.cpp
@@ -6,13 +6,18 @@
 
 namespace {
 
-/** Nodes of equal strength claim after delays that differ by up to this. */
-constexpr std::uint64_t SpreadMs = 250;
+/** Nodes of equal strength claim after delays that differ by up to this; a
+ * claim takes a tenth of it. */
+constexpr std::uint64_t SpreadMs = 100;
 /** Processor time with which a node claims without a further delay; small
  * fleets, a quarter of a core a node, lead well with it. */
 constexpr double AmpleCores = 0.25;
 /** Further delay of a node with next to none, ms. */
 constexpr double LongestDelayMs = 500;
+/** Delay by the time that the process has run, up to a limit: when nodes are
+ * restarted in turn, one that was restarted stays. */
+constexpr int AgeShare = 300;
+constexpr duration LongestAgeDelay = std::chrono::milliseconds{150};
 
 } // namespace
 
@@ -48,6 +53,7 @@
                     const time_point Now) {
   End = std::max(End, Offset + 1);
   LastSign = Now;
+  UnreachableEpoch = 0;
   switch (Record.Kind) {
   case leader_record::kind::Claim:
     Current = {Offset + 1, Record.Node, Record.Address, false};
@@ -85,20 +91,25 @@
     Current.Released = true;
 }
 
+time_point election::claimAt(const time_point Now) const {
+  const duration AgeDelay = std::min<duration>(
+      (Now - Settings.StartedAt) / AgeShare, LongestAgeDelay);
+  const time_point Since = std::max(ReadingSince, LastSign);
+  if (Current.Released)
+    return Since + Settings.Stagger + AgeDelay;
+  const bool Unreachable =
+      UnreachableEpoch != 0 && UnreachableEpoch == Current.Epoch;
+  return Since + Settings.Stagger + AgeDelay +
+         (Unreachable ? Settings.UnreachableSilence : Settings.Silence);
+}
+
 election_action election::next(const time_point Now) const {
   if (leads())
     return Now >= LastAlive + Settings.AliveInterval ? election_action::Alive
                                                      : election_action::None;
   if (!Reading)
     return election_action::None;
-  if (Current.Released)
-    return Now >= std::max(ReadingSince, LastSign) + Settings.Stagger
-               ? election_action::Claim
-               : election_action::None;
-  const time_point Since = std::max(ReadingSince, LastSign);
-  return Now >= Since + Settings.Silence + Settings.Stagger
-             ? election_action::Claim
-             : election_action::None;
+  return Now >= claimAt(Now) ? election_action::Claim : election_action::None;
 }
 
 } // namespace galenalink::job
--- a/src/galenalink/job/election.hpp
+++ b/src/galenalink/job/election.hpp
@@ -42,8 +42,12 @@
   duration AliveInterval{std::chrono::milliseconds{600}};
   /** A leader without a sign of life for this long is replaced. */
   duration Silence{std::chrono::milliseconds{1800}};
+  /** The same for a leader whose node does not answer either. */
+  duration UnreachableSilence{std::chrono::milliseconds{1200}};
   /** Added to the silence; differs by node, so that one claims first. */
   duration Stagger{0};
+  /** Start of this process. */
+  time_point StartedAt;
 };
 
 /**
@@ -89,9 +93,15 @@
   }
   /** @brief The node's own claim was appended at the offset. */
   void claimed(std::uint64_t Offset, time_point Now);
-  /** @brief The process that leads the epoch has ended, as its node shows, so
-   * that its silence need not be waited for. */
+  /** @brief The process that leads the epoch has ended or can't write, as its
+   * node shows, so that its silence need not be waited for. */
   void presumeGone(std::uint64_t Epoch) noexcept;
+  /** @brief The node of the epoch's leader did not answer. */
+  void unreachable(const std::uint64_t Epoch) noexcept {
+    UnreachableEpoch = Epoch;
+  }
+  /** @return When this node claims if no sign of life comes until then. */
+  [[nodiscard]] time_point claimAt(time_point Now) const;
   /** @return Since when the leader has been silent. */
   [[nodiscard]] time_point silentSince() const noexcept { return LastSign; }
   /** @brief The node no longer leads its epoch, whatever the log says. */
@@ -105,6 +115,8 @@
   leadership Current;
   /** Epoch that this process claimed; 0 if it does not lead. */
   std::uint64_t OwnEpoch{0};
+  /** Epoch whose leader's node did not answer; 0 for none. */
+  std::uint64_t UnreachableEpoch{0};
   std::uint64_t End{0};
   bool Reading{false};
   time_point ReadingSince;
--- a/src/galenalink/job_node/leader_seat.cpp
+++ b/src/galenalink/job_node/leader_seat.cpp
@@ -10,6 +10,9 @@
 
 constexpr telemetry::logger Log{"election"};
 
+/** A claim that is due sooner is waited for without a read. */
+constexpr std::chrono::milliseconds ShortestReadWait{60};
+constexpr duration ShortestPause = std::chrono::milliseconds{5};
 /** How long a read of the log waits for the next sign of life, ms. */
 constexpr std::uint32_t ReadWaitMs = 700;
 /** Pause between looks at the clock. */
@@ -19,6 +22,9 @@
 constexpr duration ProbeInterval = std::chrono::milliseconds{250};
 /** Pause after a call that failed. */
 constexpr duration FailurePause = std::chrono::milliseconds{150};
+/** A leader whose appends have had no answer for this long lets another one
+ * lead; slow days bring answers of 0.3 s. */
+constexpr duration LongestUnanswered = std::chrono::milliseconds{500};
 
 } // namespace
 
@@ -34,7 +40,10 @@
 
 void leader_seat::probe() {
   const job::leadership &Current = Election.current();
-  const bool Silent = boot_clock::now() >= Election.silentSince() + ProbeAfter;
+  // While the store answers nobody, silence says nothing of the leader.
+  const time_point SilentSince = Election.silentSince();
+  const bool Silent = boot_clock::now() >= SilentSince + ProbeAfter &&
+                      AnsweredAt != NoDeadline && AnsweredAt > SilentSince;
   const bool Asks = !Stopped && !Probing && !Election.leads() &&
                     !Current.Released && Current.Epoch != 0 &&
                     (Silent || ProbedEpoch == 0);
@@ -42,16 +51,31 @@
     return;
   Probing = true;
   ProbedEpoch = Current.Epoch;
-  Hooks.Probe(Current, [this, Epoch = Current.Epoch,
-                        Weak = std::weak_ptr{Alive}](const bool Gone) {
-    if (!Weak.lock())
-      return;
-    Probing = false;
-    if (!Gone)
-      return;
-    Log.info("leader has ended", {{"epoch", Epoch}});
+  Hooks.Probe(Current,
+              [this, Epoch = Current.Epoch,
+               Weak = std::weak_ptr{Alive}](const probe_answer Answer) {
+                if (Weak.lock())
+                  probed(Epoch, Answer);
+              });
+}
+
+void leader_seat::probed(const std::uint64_t Epoch, const probe_answer Answer) {
+  Probing = false;
+  if (Answer == probe_answer::Leads)
+    return;
+  Log.info("leader asked",
+           {{"epoch", Epoch},
+            {"answer", std::string{nameOf(ProbeAnswerNames, Answer)}}});
+  if (Answer == probe_answer::Gone)
     Election.presumeGone(Epoch);
-  });
+  else
+    Election.unreachable(Epoch);
+}
+
+bool leader_seat::leadsWell() const noexcept {
+  return Election.leads() &&
+         (UnansweredSince == NoDeadline ||
+          boot_clock::now() < UnansweredSince + LongestUnanswered);
 }
 
 void leader_seat::later(const duration Pause) {
@@ -79,11 +103,14 @@
     later(StepPause);
     return;
   }
-  // A released lead is claimed soon, so the read does not wait then.
-  if (Election.current().Released)
-    later(StepPause);
+  // A read that waits for a sign of life must not hold up a claim.
+  const time_point Now = boot_clock::now();
+  const auto LeftMs = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Election.claimAt(Now) - Now);
+  if (LeftMs < ShortestReadWait)
+    later(std::max<duration>(LeftMs, ShortestPause));
   else
-    read(ReadWaitMs);
+    read(std::min(ReadWaitMs, static_cast<std::uint32_t>(LeftMs.count())));
 }
 
 void leader_seat::read(const std::uint32_t WaitMs) {
@@ -132,6 +159,8 @@
       Kind == leader_record::kind::Claim ? 0 : Election.current().Epoch;
   const std::uint64_t At = Election.end();
   AppendSentAt = boot_clock::now();
+  if (UnansweredSince == NoDeadline)
+    UnansweredSince = AppendSentAt;
   Ports.Claim(At, toText(Record),
               [this, Kind, At,
                Weak = std::weak_ptr{Alive}](const job::claim_result &Result) {
@@ -146,6 +175,8 @@
   if (Stopped)
     return;
   const time_point Now = boot_clock::now();
+  if (Result.Outcome == job::call_outcome::Fenced)
+    UnansweredSince = NoDeadline;
   if (Result.Outcome != job::call_outcome::Done) {
     MustRead = true;
     later(Result.Outcome == job::call_outcome::Fenced ? duration{0}
@@ -154,6 +185,7 @@
   }
   AnsweredAt = Now;
   ConfirmedAt = AppendSentAt;
+  UnansweredSince = NoDeadline;
   if (Kind == leader_record::kind::Claim) {
     Election.claimed(At, Now);
     WasLeading = true;
--- a/src/galenalink/job_node/leader_seat.hpp
+++ b/src/galenalink/job_node/leader_seat.hpp
@@ -6,6 +6,21 @@
 
 namespace galenalink::job_node {
 
+/** @brief What a leader's node said of the leader. */
+enum class probe_answer : std::uint8_t {
+  Leads,
+  /** It surely does not lead, or it leads and the store does not answer it. */
+  Gone,
+  /** The node did not answer. */
+  Silent,
+};
+
+inline constexpr enum_names<probe_answer, 3> ProbeAnswerNames{{
+    {probe_answer::Leads, "leads"},
+    {probe_answer::Gone, "gone"},
+    {probe_answer::Silent, "silent"},
+}};
+
 /**
  * @brief Takes part in the election of the leader: follows the leader's log,
  * claims, shows signs of life and releases the lead at a stop.
@@ -17,9 +32,9 @@
     std::function<void(std::uint64_t Epoch)> OnElected;
     /** This node no longer leads. */
     std::function<void()> OnDeposed;
-    /** Asks the leader's node whether that process still leads; the answer is
-     * `true` only if it surely does not. */
-    std::function<void(const job::leadership &, std::function<void(bool)>)>
+    /** Asks the leader's node whether that process still leads. */
+    std::function<void(const job::leadership &,
+                       std::function<void(probe_answer)>)>
         Probe;
   };
 
@@ -36,6 +51,9 @@
     return Election.current();
   }
   [[nodiscard]] bool leads() const noexcept { return Election.leads(); }
+  /** @return Whether this node leads and its appends are answered, so that no
+   * other one need replace it. */
+  [[nodiscard]] bool leadsWell() const noexcept;
   /** @return When the store last answered. */
   [[nodiscard]] time_point answeredAt() const noexcept { return AnsweredAt; }
   /** @return When the newest append that succeeded was sent; others can't have
@@ -52,6 +70,7 @@
   void take(const job::read_result &Result);
   void checkDeposed();
   void probe();
+  void probed(std::uint64_t Epoch, probe_answer Answer);
 
   http::loop &Loop;
   const job::ports &Ports;
@@ -67,6 +86,9 @@
   http::timer ProbeTimer;
   time_point AnsweredAt{NoDeadline};
   time_point AppendSentAt{NoDeadline};
+  /** Since when appends have had no answer; `NoDeadline` if the last one had
+   * one. */
+  time_point UnansweredSince{NoDeadline};
   time_point ConfirmedAt{NoDeadline};
   http::timer Timer;
   std::shared_ptr<bool> Alive{std::make_shared<bool>(true)};
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -17,9 +17,9 @@
  * their way. */
 constexpr duration VmListInterval = std::chrono::milliseconds{1000};
 constexpr duration MotionListInterval = std::chrono::milliseconds{300};
-/** A lead that was confirmed this lately has no successor: others claim after
- * a longer silence. */
-constexpr duration ConfirmedFor = std::chrono::milliseconds{1500};
+/** A lead that was confirmed this lately has no successor that orders VMs:
+ * others claim after a longer silence, and recover first. */
+constexpr duration ConfirmedFor = std::chrono::milliseconds{1000};
 /** Pause before recovery is tried again after a failure. */
 constexpr duration RecoverPause = std::chrono::milliseconds{100};
 /** Leases must end well before a successor of a successor starts work, and
@@ -49,6 +49,7 @@
   Election.Node = Settings.Name + "@" + std::to_string(wallNow());
   Election.Address =
       Settings.Peers.Host + ":" + std::to_string(Settings.Peers.Port);
+  Election.StartedAt = boot_clock::now();
   Election.Stagger = job::claimDelay(
       Settings.ProcessorShare * Settings.ProcessorSpeed, hash64(Election.Node));
   return Election;
@@ -147,7 +148,7 @@
            {[this](const std::uint64_t Epoch) { elected(Epoch); },
             [this] { deposed(); },
             [this](const job::leadership &Leader,
-                   std::function<void(bool)> Answer) {
+                   std::function<void(probe_answer)> Answer) {
               probe(Leader, std::move(Answer));
             }}},
       PeerServer{
@@ -388,7 +389,7 @@
 }
 
 void node::probe(const job::leadership &Leader,
-                 std::function<void(bool)> Answer) {
+                 std::function<void(probe_answer)> Answer) {
   http::request Request;
   Request.Path = std::string{LeaderPath};
   const auto Address = tryOr(
@@ -401,20 +402,23 @@
                    Answer = std::move(Answer)](const http::answer &Result) {
                     const auto *Response = std::get_if<http::response>(&Result);
                     if (Response != nullptr) {
-                      Answer(Response->Status != 200 || Response->Body != Node);
+                      const bool Leads =
+                          Response->Status == 200 && Response->Body == Node;
+                      Answer(Leads ? probe_answer::Leads : probe_answer::Gone);
                       return;
                     }
-                    // A refused connection shows that no process listens there;
-                    // silence shows nothing.
+                    // A refused connection shows that no process listens there.
                     const auto &Failure = std::get<http::failure>(Result);
-                    Answer(Failure.Delivery == http::delivery::NotSent &&
-                           Failure.Error.Code == errc::Unavailable);
+                    const bool Refused =
+                        Failure.Delivery == http::delivery::NotSent &&
+                        Failure.Error.Code == errc::Unavailable;
+                    Answer(Refused ? probe_answer::Gone : probe_answer::Silent);
                   });
 }
 
 void node::fromPeer(http::exchange Exchange) {
   if (Exchange.path() == LeaderPath) {
-    Exchange.reply(Seat.leads() ? 200 : 404, {}, Seat.current().Node);
+    Exchange.reply(Seat.leadsWell() ? 200 : 404, {}, Seat.current().Node);
     return;
   }
   const auto Call = parseCall(Exchange);
--- a/src/galenalink/job_node/node.hpp
+++ b/src/galenalink/job_node/node.hpp
@@ -54,7 +54,8 @@
   void serveHere(const caller_call &Call, job::reply_function Reply);
   void forward(const caller_call &Call, job::reply_function Reply);
   void fromPeer(http::exchange Exchange);
-  void probe(const job::leadership &Leader, std::function<void(bool)> Answer);
+  void probe(const job::leadership &Leader,
+             std::function<void(probe_answer)> Answer);
 
   http::loop &Loop;
   const job::ports &Ports;
--- a/test/galenalink/job/election.cpp
+++ b/test/galenalink/job/election.cpp
@@ -13,6 +13,7 @@
   election_settings Settings;
   Settings.Node = Name;
   Settings.Address = Name + ":1";
+  Settings.StartedAt = Start;
   return election{Settings};
 }
 
@@ -88,6 +89,40 @@
   BOOST_CHECK(B.next(Start + Second) == election_action::Claim);
 }
 
+// A leader whose VM lost power is not waited for as long as one that answers
+// while its appends are late.
+BOOST_AUTO_TEST_CASE(unreachable_leader_is_replaced_sooner) {
+  election B = node("b");
+  B.seen(0, claim("a"), Start);
+  B.readTo(1, Start);
+  const time_point Soon = Start + std::chrono::milliseconds{1250};
+  BOOST_CHECK(B.next(Soon) == election_action::None);
+  B.unreachable(1);
+  BOOST_CHECK(B.next(Soon) == election_action::Claim);
+  BOOST_CHECK(B.next(Start + Second) == election_action::None);
+  // A sign of life shows that only the way to its node was cut.
+  B.seen(1, {leader_record::kind::Alive, "a", "a:1", 1}, Soon);
+  BOOST_CHECK(B.next(Soon + Second + Second / 2) == election_action::None);
+}
+
+// When nodes are restarted in turn, the lead went to nodes that were to be
+// restarted next.
+BOOST_AUTO_TEST_CASE(restarted_nodes_claim_before_old_ones) {
+  election_settings Settings;
+  Settings.Node = "old";
+  Settings.StartedAt = Start - 40 * Second;
+  election Old{Settings};
+  Settings.Node = "new";
+  Settings.StartedAt = Start - Second;
+  election New{Settings};
+  for (election *Each : {&Old, &New}) {
+    Each->seen(0, claim("a"), Start);
+    Each->readTo(1, Start);
+    Each->presumeGone(1);
+  }
+  BOOST_CHECK(New.claimAt(Start) < Old.claimAt(Start));
+}
+
 // Stale news of an earlier leader's end must not depose the present one.
 BOOST_AUTO_TEST_CASE(old_probe_says_nothing_of_a_new_leader) {
   election B = node("b");
