Repeat starts that had no answer at the same backend server

Cause: a start without an answer was taken back, its task waited for the stop, and the backend server got no work for 1 to 8 s.

Change: the same run is sent there again after 0.35 s, four times at most, before it is taken back. A backend server is avoided when it answers under a tenth of its orders. A repeat that is refused as old means that the run has been there: its end in the list decides.

The new test of that load failed before (six jobs open after 3 s).

--- a/src/galenalink/job/ports.hpp
+++ b/src/galenalink/job/ports.hpp
@@ -171,6 +171,8 @@
   server_target Server;
   std::uint64_t Epoch{0};
   std::int64_t LeaseEndMs{0};
+  /** Without an answer by then the outcome is unknown. */
+  time_point AnswerBy;
   run_id Run;
   std::string Spec;
   std::string Saved;
@@ -180,6 +182,7 @@
 struct stop_order {
   server_target Server;
   std::uint64_t Epoch{0};
+  time_point AnswerBy;
   run_id Run;
 };
 
--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -14,6 +14,11 @@
 /** Pause after a failure of a task, doubled with each one more. */
 constexpr duration FirstBackoff = std::chrono::milliseconds{20};
 constexpr duration LongestBackoff = std::chrono::milliseconds{1000};
+/** Wait for the answer to an order. Answers come within a few ms; an order that
+ * is lost holds up its task for this long. */
+constexpr duration OrderWait = std::chrono::milliseconds{350};
+/** Sends of one start order before it is taken back. */
+constexpr std::uint32_t MostStartsSent = 4;
 /** Pause after a start that was refused. */
 constexpr duration RefusedBackoff = std::chrono::milliseconds{100};
 
@@ -36,23 +41,69 @@
   const time_point Now = Leader.Now();
   if (Result.Why == start_refusal::Busy)
     Server.Health.refused(Now);
-  if (Result.Why == start_refusal::Late || Result.Why == start_refusal::Room)
+  if (Result.Why != start_refusal::Busy)
     Server.HoldDue = Now;
+  run &Found = Server.Runs.at(Run);
+  // An earlier send of the order may have been carried out: the list of runs
+  // tells once it shows neither the run nor its end.
+  if (Result.Why == start_refusal::Old && Found.StartsSent > 1) {
+    Found.StartConfirmedAt = Now;
+    return;
+  }
+  if (Found.StartsSent > 1) {
+    Found.State = run_state::Unclear;
+    stopRun(Leader, Server, Run);
+    return;
+  }
   releaseRun(Leader, Server, Run);
   backOff(Leader, Run.Task, RefusedBackoff);
 }
 
-/** @brief The order may be carried out later: only a stop prevents that. */
+void sendStart(leader &Leader, server &Server, const run_id &RunId);
+
+/**
+ * @brief The order may be carried out later, so that the task can't start
+ * elsewhere. A repeat of the same run there does no harm and is likely to be
+ * answered; only a stop takes the order back.
+ */
 void startUnanswered(leader &Leader, server &Server, const run_id &Run) {
   ++Leader.Counts->StartsUnknown;
-  Server.Health.refused(Leader.Now());
-  const auto Found = Server.Runs.find(Run);
-  if (Found->second.State != run_state::Starting)
+  Server.Health.unanswered(Leader.Now());
+  struct run &Found = Server.Runs.at(Run);
+  if (Found.State != run_state::Starting)
+    return;
+  const job_entry *Entry = Leader.findJob(Run.Task.Job);
+  const bool Wanted = Entry != nullptr && !Entry->Job.ended() &&
+                      !Server.Reserved && !Server.Entry.Draining;
+  if (Wanted && Found.StartsSent < MostStartsSent) {
+    sendStart(Leader, Server, Run);
     return;
-  Found->second.State = run_state::Unclear;
+  }
+  Found.State = run_state::Unclear;
   stopRun(Leader, Server, Run);
 }
 
+void startAnswered(leader &Leader, const std::string &ServerId,
+                   const run_id &Run, const order_result &Result);
+
+void sendStart(leader &Leader, server &Server, const run_id &RunId) {
+  const time_point Now = Leader.Now();
+  const job_entry &Entry = *Leader.findJob(RunId.Task.Job);
+  ++Server.Runs.at(RunId).StartsSent;
+  start_order Order;
+  Order.Server = Server.target();
+  Order.Epoch = Leader.Epoch;
+  Order.LeaseEndMs = Server.Lease.extend(Now, Leader.Settings.Lease);
+  Order.AnswerBy = Now + OrderWait;
+  Order.Run = RunId;
+  Order.Spec = Entry.Job.spec().Spec;
+  Order.Saved = Server.Runs.at(RunId).StartedFrom;
+  Leader.Ports.Start(Order, Leader.guarded([&Leader, Id = Server.Entry.Id,
+                                            RunId](const order_result &Result) {
+    startAnswered(Leader, Id, RunId, Result);
+  }));
+}
+
 void startAnswered(leader &Leader, const std::string &ServerId,
                    const run_id &Run, const order_result &Result) {
   Log.info("start answered",
@@ -71,6 +122,8 @@
   const auto Each = Server.Runs.find(Run);
   if (Each == Server.Runs.end())
     return; // its end was listed before the answer came
+  if (Result.Outcome != call_outcome::Unknown)
+    Server.Health.answered();
   switch (Result.Outcome) {
   case call_outcome::Done:
     Each->second.StartConfirmedAt = Leader.Now();
@@ -199,6 +252,7 @@
   Run.Fills = Step.Fills;
   Run.TargetMs = Step.TargetMs;
   Run.SentAt = Now;
+  Run.StartedFrom = Task.Saved;
   const auto ExpectedMs =
       Leader.Times.predictMs(Entry.Job.queue(), Step.EstimateMs);
   Run.ExpectedEnd =
@@ -206,17 +260,7 @@
   const run_id RunId{Id, Number};
   Server.addRun(RunId, Run);
   Entry.Job.started();
-  start_order Order;
-  Order.Server = Server.target();
-  Order.Epoch = Leader.Epoch;
-  Order.LeaseEndMs = Server.Lease.extend(Now, Leader.Settings.Lease);
-  Order.Run = RunId;
-  Order.Spec = Entry.Job.spec().Spec;
-  Order.Saved = Task.Saved;
-  Leader.Ports.Start(Order, Leader.guarded([&Leader, Id = Server.Entry.Id,
-                                            RunId](const order_result &Result) {
-    startAnswered(Leader, Id, RunId, Result);
-  }));
+  sendStart(Leader, Server, RunId);
 }
 
 void stopRun(leader &Leader, server &Server, const run_id &RunId) {
@@ -228,11 +272,12 @@
   Run.StopSent = true;
   if (Run.State == run_state::Running)
     Run.State = run_state::Stopping;
-  Leader.Ports.Stop({Server.target(), Leader.Epoch, RunId},
-                    Leader.guarded([&Leader, Id = Server.Entry.Id,
-                                    RunId](const order_result &Result) {
-                      stopAnswered(Leader, Id, RunId, Result);
-                    }));
+  Leader.Ports.Stop(
+      {Server.target(), Leader.Epoch, Leader.Now() + OrderWait, RunId},
+      Leader.guarded(
+          [&Leader, Id = Server.Entry.Id, RunId](const order_result &Result) {
+            stopAnswered(Leader, Id, RunId, Result);
+          }));
 }
 
 void stopRunsOf(leader &Leader, const std::string &Job) {
--- a/src/galenalink/job/server.hpp
+++ b/src/galenalink/job/server.hpp
@@ -39,6 +39,10 @@
   time_point StopConfirmedAt{NoDeadline};
   /** When a run without a backend server's fault should have ended. */
   time_point ExpectedEnd;
+  /** Saved progress that it was started with. */
+  std::string StartedFrom;
+  /** Start orders that were sent. */
+  std::uint32_t StartsSent{0};
   /** A stop order is on its way. */
   bool StopSent{false};
   /** Progress, or 100 for a task that lasts and is at work. */
--- a/src/galenalink/job/server_health.hpp
+++ b/src/galenalink/job/server_health.hpp
@@ -29,6 +29,24 @@
   /** @brief It refused an order, or a run there stands still. */
   void refused(const time_point Now) noexcept { quarantine(Now); }
 
+  void answered() noexcept {
+    ++Answered;
+    forgetOld();
+  }
+  /** @brief An order had no answer. Where every order is lost at times, that is
+   * no evidence against one backend server; one that answers none is avoided.
+   */
+  void unanswered(const time_point Now) noexcept {
+    ++Unanswered;
+    forgetOld();
+    if (Unanswered >= SuspectUnanswered &&
+        Answered * UnansweredRatio < Unanswered) {
+      quarantine(Now);
+      Answered = 0;
+      Unanswered = 0;
+    }
+  }
+
   [[nodiscard]] bool usable(const time_point Now) const noexcept {
     return Now >= AvoidUntil;
   }
@@ -40,6 +58,17 @@
   static constexpr duration FirstQuarantine = std::chrono::milliseconds{1000};
   static constexpr duration LongestQuarantine = std::chrono::milliseconds{8000};
   static constexpr double SlownessWeight = 0.25;
+  static constexpr std::uint32_t SuspectUnanswered = 6;
+  static constexpr std::uint32_t UnansweredRatio = 10;
+  /** Orders after which older ones count half. */
+  static constexpr std::uint32_t OrdersSeen = 32;
+
+  void forgetOld() noexcept {
+    if (Answered + Unanswered < OrdersSeen)
+      return;
+    Answered /= 2;
+    Unanswered /= 2;
+  }
 
   void quarantine(const time_point Now) noexcept {
     AvoidUntil = Now + Quarantine;
@@ -49,6 +78,8 @@
   }
 
   std::uint32_t Failures{0};
+  std::uint32_t Answered{0};
+  std::uint32_t Unanswered{0};
   duration Quarantine{FirstQuarantine};
   time_point AvoidUntil;
   double Slowness{1.0};
--- a/test/galenalink/job/leader_test.cpp
+++ b/test/galenalink/job/leader_test.cpp
@@ -91,6 +91,38 @@
   checkNothingBroken(Platform);
 }
 
+// Orders without an answer made every backend server look bad, so that none
+// took work for seconds while half of the orders were answered.
+BOOST_AUTO_TEST_CASE(lost_orders_do_not_idle_the_pool) {
+  one_pool Platform{3};
+  for (auto &[Id, Server] : Platform.Servers) {
+    Server.LateBy = std::chrono::milliseconds{2500};
+    Server.LatePartly = true;
+  }
+  for (int I = 0; I < 6; ++I)
+    Platform.submit("press", "a" + std::to_string(I),
+                    jobOf({makeStep(3, 4000, 500)}));
+  Platform.advance(3 * Second);
+  for (int I = 0; I < 6; ++I)
+    BOOST_CHECK(Platform.stateOf("a" + std::to_string(I)) ==
+                job_state::Completed);
+  Platform.advance(4 * Second);
+  checkNothingBroken(Platform);
+}
+
+// A repeated start is refused where the first one has run and ended; the task
+// must not start again before that end is known.
+BOOST_AUTO_TEST_CASE(repeated_start_after_the_end_starts_nothing) {
+  one_pool Platform{2};
+  for (auto &[Id, Server] : Platform.Servers)
+    Server.LosesAnswers = true;
+  Platform.submit("press", "a", jobOf({makeStep(2, 4000, 100)}));
+  Platform.advance(3 * Second);
+  BOOST_CHECK(Platform.stateOf("a") == job_state::Completed);
+  BOOST_TEST(Platform.Starts == 2U);
+  checkNothingBroken(Platform);
+}
+
 // Tasks of a backend server that falls silent start elsewhere only after its
 // lease has passed, since they may still run there.
 BOOST_AUTO_TEST_CASE(silent_server_keeps_its_tasks_for_its_lease) {
--- a/test/galenalink/job/placement.cpp
+++ b/test/galenalink/job/placement.cpp
@@ -147,6 +147,20 @@
   BOOST_TEST(Platform.Starts == 3U);
 }
 
+// A backend server that answers no order must be avoided, one that answers half
+// of them must not.
+BOOST_AUTO_TEST_CASE(server_that_answers_nothing_is_avoided) {
+  server_health Mute;
+  server_health Lossy;
+  for (int I = 0; I < 40; ++I) {
+    Mute.unanswered(Now);
+    Lossy.unanswered(Now);
+    Lossy.answered();
+  }
+  BOOST_TEST(!Mute.usable(Now));
+  BOOST_TEST(Lossy.usable(Now));
+}
+
 // One failure of a job that can never be done must not mark a server; failures
 // of many jobs must.
 BOOST_AUTO_TEST_CASE(servers_are_told_from_jobs) {
--- a/test/galenalink/job/simulated_platform.cpp
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -105,7 +105,9 @@
   Ports.Start = [this](const start_order &Order, const auto &Callback) {
     const auto Found = Servers.find(Order.Server.Id);
     const bool Lost = Found == Servers.end() || Found->second.Silent;
-    const bool Late = !Lost && Found->second.LateBy.count() > 0;
+    const bool Spared = !Lost && Found->second.LatePartly &&
+                        ++Found->second.StartCalls % 2 == 0;
+    const bool Late = !Lost && !Spared && Found->second.LateBy.count() > 0;
     if (!Lost)
       after(Late ? Found->second.LateBy : Latency, [this, Order, Callback,
                                                     Late] {
@@ -115,12 +117,12 @@
           Callback(Result);
       });
     if (Lost || Late || Found->second.LosesAnswers)
-      after(CallTimeout, [Callback] { Callback(order_result{}); });
+      after(Order.AnswerBy - Now, [Callback] { Callback(order_result{}); });
   };
   Ports.Stop = [this](const stop_order &Order, const auto &Callback) {
     const auto Found = Servers.find(Order.Server.Id);
     if (Found == Servers.end() || Found->second.Silent) {
-      after(CallTimeout, [Callback] { Callback(order_result{}); });
+      after(Order.AnswerBy - Now, [Callback] { Callback(order_result{}); });
       return;
     }
     after(Latency, [this, Order, Callback] { Callback(stop(Order)); });
--- a/test/galenalink/job/simulated_platform.hpp
+++ b/test/galenalink/job/simulated_platform.hpp
@@ -30,6 +30,9 @@
   bool LosesAnswers{false};
   /** Starts get no answer and are carried out after this delay. */
   duration LateBy{0};
+  /** Every second start gets no answer and is carried out after `LateBy`. */
+  bool LatePartly{false};
+  std::uint32_t StartCalls{0};
   /** Everything that is started fails at once. */
   bool FailsAll{false};
   bool RefusesStarts{false};
