Let a node read the leader's log again after a failure

Cause: since reads wait no longer than until the next claim, a node whose read had failed waited for a claim that it could not make without reading.

Change: a node that does not read reads at once. The new test of the seat failed before.

--- a/src/galenalink/job/election.hpp
+++ b/src/galenalink/job/election.hpp
@@ -100,6 +100,8 @@
   void unreachable(const std::uint64_t Epoch) noexcept {
     UnreachableEpoch = Epoch;
   }
+  /** @return Whether the last read of the log succeeded. */
+  [[nodiscard]] bool reading() const noexcept { return Reading; }
   /** @return When this node claims if no sign of life comes until then. */
   [[nodiscard]] time_point claimAt(time_point Now) const;
   /** @return Since when the leader has been silent. */
--- a/src/galenalink/job_node/leader_seat.cpp
+++ b/src/galenalink/job_node/leader_seat.cpp
@@ -103,6 +103,10 @@
     later(StepPause);
     return;
   }
+  if (!Election.reading()) {
+    read(0);
+    return;
+  }
   // A read that waits for a sign of life must not hold up a claim.
   const time_point Now = boot_clock::now();
   const auto LeftMs = std::chrono::duration_cast<std::chrono::milliseconds>(
--- /dev/null
+++ b/test/galenalink/job_node/leader_seat.cpp
@@ -0,0 +1,100 @@
+#include "galenalink/job_node/leader_seat.hpp"
+#include <boost/test/unit_test.hpp>
+
+using namespace galenalink;
+using namespace galenalink::job;
+using namespace galenalink::job_node;
+
+namespace {
+
+constexpr duration Millisecond = std::chrono::milliseconds{1};
+
+/** A seat beside a leader, with a log that answers reads from a list. */
+struct follower {
+  http::loop Loop;
+  ports Ports;
+  std::uint32_t Reads{0};
+  std::uint32_t Claims{0};
+  std::uint32_t Probes{0};
+  probe_answer Answer{probe_answer::Leads};
+  /** Number of the read that fails; 0 for none. */
+  std::uint32_t FailingRead{0};
+  std::vector<http::timer> Timers;
+
+  follower() {
+    Ports.Read = [this](topic, const std::uint64_t From, std::uint32_t WaitMs,
+                        const auto &Callback) {
+      ++Reads;
+      read_result Result;
+      if (Reads != FailingRead)
+        Result.Outcome = call_outcome::Done;
+      if (From == 0 && Result.Outcome == call_outcome::Done)
+        Result.Records.push_back(
+            {"", toText({leader_record::kind::Claim, "other", "other:1", 0})});
+      Result.Next = From + Result.Records.size();
+      Result.End = Result.Next;
+      answer(Result.Records.empty() ? WaitMs : 1,
+             [Callback, Result] { Callback(Result); });
+    };
+    Ports.Claim = [this](std::uint64_t, const std::string &,
+                         const auto &Callback) {
+      ++Claims;
+      answer(1, [Callback] { Callback({call_outcome::Done, 0}); });
+    };
+  }
+
+  void answer(const std::uint32_t AfterMs, std::function<void()> Call) {
+    Timers.push_back(
+        Loop.at(boot_clock::now() + AfterMs * Millisecond, std::move(Call)));
+  }
+
+  void run(const duration Time) {
+    election_settings Settings;
+    Settings.Node = "self";
+    Settings.Address = "self:1";
+    Settings.StartedAt = boot_clock::now();
+    leader_seat Seat{
+        Loop,
+        Ports,
+        Settings,
+        {[](std::uint64_t) {}, [] {},
+         [this](const leadership &, std::function<void(probe_answer)> Done) {
+           ++Probes;
+           answer(1, [this, Done = std::move(Done)] { Done(Answer); });
+         }}};
+    Seat.start();
+    static_cast<void>(
+        Loop.runUntil([] { return false; }, boot_clock::now() + Time));
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(seat_in_the_election)
+
+// A node whose read of the log had failed did not read again, and took a dead
+// leader for the present one for the rest of the day.
+BOOST_AUTO_TEST_CASE(reads_again_after_a_failure) {
+  follower Follower;
+  Follower.FailingRead = 2;
+  Follower.run(500 * Millisecond);
+  BOOST_TEST(Follower.Reads > 2U);
+}
+
+// A leader that is silent in the log and says that it can't lead is replaced.
+BOOST_AUTO_TEST_CASE(leader_that_has_ended_is_replaced) {
+  follower Follower;
+  Follower.Answer = probe_answer::Gone;
+  Follower.run(1200 * Millisecond);
+  BOOST_TEST(Follower.Claims >= 1U);
+}
+
+// A leader that answers is not replaced before its silence is long.
+BOOST_AUTO_TEST_CASE(leader_that_answers_is_left_alone) {
+  follower Follower;
+  Follower.run(1600 * Millisecond);
+  BOOST_TEST(Follower.Probes >= 1U);
+  BOOST_TEST(Follower.Claims == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
