--- a/test/galenalink/job_node/leader_seat.cpp
+++ b/test/galenalink/job_node/leader_seat.cpp
@@ -33,8 +33,9 @@
             {"", toText({leader_record::kind::Claim, "other", "other:1", 0})});
       Result.Next = From + Result.Records.size();
       Result.End = Result.Next;
-      answer(Result.Records.empty() ? WaitMs : 1,
-             [Callback, Result] { Callback(Result); });
+      const bool Waits =
+          Result.Outcome == call_outcome::Done && Result.Records.empty();
+      answer(Waits ? WaitMs : 1, [Callback, Result] { Callback(Result); });
     };
     Ports.Claim = [this](std::uint64_t, const std::string &,
                          const auto &Callback) {
