Count each failed run of a task once

The leader had recorded the end of run 43001 and was lost before the backend server was told; its successor found the end in the list and counted it again.

Change: the progress of a task keeps the numbers of its failed runs in place of their count.

Ruled out: two runs at once, since the report lists three runs of the task, one after the other.

--- a/src/galenalink/job/job.cpp
+++ b/src/galenalink/job/job.cpp
@@ -95,13 +95,20 @@
                                        : end_effect::TaskDone;
 }
 
-end_effect job::taskFailed(const task_id &Id, const std::uint32_t MaxAttempts) {
-  task *Task = ended() ? nullptr : find(Id);
+end_effect job::taskFailed(const run_id &Run, const std::uint32_t MaxAttempts) {
+  task *Task = ended() ? nullptr : find(Run.Task);
   if (Task == nullptr || Task->Done)
     return end_effect::None;
   started();
+  const bool Lasts = specOf(Run.Task)->Lasts;
+  if (!Lasts) {
+    if (std::ranges::find(Task->FailedRuns, Run.Number) !=
+        Task->FailedRuns.end())
+      return end_effect::None;
+    Task->FailedRuns.push_back(Run.Number);
+  }
   ++Task->Failures;
-  if (specOf(Id)->Lasts || Task->Failures < MaxAttempts)
+  if (Lasts || Task->Failures < MaxAttempts)
     return end_effect::TaskFailed;
   State = job_state::Failed;
   return end_effect::JobFailed;
--- a/src/galenalink/job/job.hpp
+++ b/src/galenalink/job/job.hpp
@@ -12,6 +12,9 @@
   bool Done{false};
   /** Runs that ended by their own fault or their backend server's. */
   std::uint32_t Failures{0};
+  /** Numbers of these runs; a successor sees ends that are recorded but not
+   * told as seen a second time. Not kept for tasks that last. */
+  std::vector<std::uint64_t> FailedRuns;
   /** Number of the newest start; 0 before the first one of this leader. */
   std::uint64_t LastRun{0};
   /** Runs that exist or may exist. */
@@ -92,7 +95,7 @@
   end_effect taskDone(const task_id &Id);
   /** @param MaxAttempts Failures at which the job fails; tasks that last have
    * no limit. */
-  end_effect taskFailed(const task_id &Id, std::uint32_t MaxAttempts);
+  end_effect taskFailed(const run_id &Run, std::uint32_t MaxAttempts);
   /** @return Whether the job was still open. */
   bool cancel() noexcept;
 
--- a/src/galenalink/job/job_record.cpp
+++ b/src/galenalink/job/job_record.cpp
@@ -55,8 +55,8 @@
     const task &Task = Step.Tasks[I];
     if (Task.Done)
       Done[I / 8] |= static_cast<std::uint8_t>(1U << (I % 8));
-    if (Task.Failures > 0)
-      Failures.push_back({I, Task.Failures});
+    if (!Task.FailedRuns.empty())
+      Failures.push_back({I, Task.FailedRuns});
     if (!Task.Saved.empty())
       Saved.push_back({I, Task.Saved});
   }
@@ -69,8 +69,11 @@
     Step.Tasks[I].Done = (Done.at(I / 8) >> (I % 8) & 1U) != 0;
     Step.Done += Step.Tasks[I].Done ? 1 : 0;
   }
-  for (const auto &Each : From.at(1))
-    Step.Tasks.at(Each.at(0)).Failures = Each.at(1);
+  for (const auto &Each : From.at(1)) {
+    task &Task = Step.Tasks.at(Each.at(0));
+    Task.FailedRuns = Each.at(1).get<std::vector<std::uint64_t>>();
+    Task.Failures = static_cast<std::uint32_t>(Task.FailedRuns.size());
+  }
   for (const auto &Each : From.at(2))
     Step.Tasks.at(Each.at(0)).Saved = Each.at(1);
 }
--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -190,7 +190,7 @@
   Server.Health.failed(Leader.Now(), Task->Failures == 0);
   const auto Pause = FirstBackoff * (1U << std::min(Task->Failures, 5U));
   Task->NotBefore = Leader.Now() + std::min<duration>(Pause, LongestBackoff);
-  const auto Effect = Entry.Job.taskFailed(Run.Task, Limit);
+  const auto Effect = Entry.Job.taskFailed(Run, Limit);
   if (!Entry.Job.specOf(Run.Task)->Lasts)
     recordProgress(Leader, Entry);
   if (Effect == end_effect::JobFailed) {
--- a/test/galenalink/job/leader_test.cpp
+++ b/test/galenalink/job/leader_test.cpp
@@ -1,3 +1,4 @@
+#include "galenalink/job/runs.hpp"
 #include "galenalink/job/vm_orders.hpp"
 #include "simulated_platform.hpp"
 #include <boost/test/unit_test.hpp>
@@ -123,6 +124,27 @@
   checkNothingBroken(Platform);
 }
 
+// An end that was recorded, but not told as seen when the leader was lost, was
+// counted again by its successor: a job failed after three of four attempts.
+BOOST_AUTO_TEST_CASE(successor_counts_each_failure_once) {
+  one_pool Platform;
+  Platform.Duration = [](const task_id &, std::uint32_t) { return 60000.0; };
+  Platform.submit("press", "a", jobOf({makeStep(1, 1000, 500)}));
+  Platform.advance(Second);
+  auto &State = Platform.Leader->state();
+  auto &Server = *State.Servers.at("s0");
+  const std::uint64_t Number =
+      State.findJob("a")->Job.find({"a", 0, 0, 0})->LastRun;
+  const listed_end End{9, {{"a", 0, 0, 0}, Number}, run_end::Failed, ""};
+  applyEnd(State, Server, End);
+  Platform.advance(Second);
+  Platform.elect();
+  auto &Successor = Platform.Leader->state();
+  Platform.advance(Second / 2);
+  applyEnd(Successor, *Successor.Servers.at("s0"), End);
+  BOOST_TEST(Successor.findJob("a")->Job.find({"a", 0, 0, 0})->Failures == 1U);
+}
+
 // Tasks of a backend server that falls silent start elsewhere only after its
 // lease has passed, since they may still run there.
 BOOST_AUTO_TEST_CASE(silent_server_keeps_its_tasks_for_its_lease) {
