Pass calls on across changes of the leader

Cause: while the lead changed hands callers were refused and came back a second later, although a planned change takes 0.4 s. Calls to a leader that lost power hung for two seconds and ended without an outcome, although its successor was there. Calls at the leader's own node were lost with it.

Change: a new module, caller_relay, keeps each call until it has a reply. A call that a leader may have taken is never refused for want of a leader. Nodes tell each other "not leading" in place of a refusal.

--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -24,6 +24,8 @@
     NoJob,
     /** Nothing is promised: it may or may not have been accepted. */
     Unknown,
+    /** Between nodes: the one that was asked does not lead. */
+    NotLeading,
   };
   verdict Verdict{verdict::Unknown};
   job_state State{job_state::Queued};
@@ -35,12 +37,13 @@
   std::string Reason;
 };
 
-inline constexpr enum_names<caller_reply::verdict, 5> VerdictNames{{
+inline constexpr enum_names<caller_reply::verdict, 6> VerdictNames{{
     {caller_reply::verdict::Ok, "ok"},
     {caller_reply::verdict::Refused, "refused"},
     {caller_reply::verdict::NoQueue, "no-queue"},
     {caller_reply::verdict::NoJob, "no-job"},
     {caller_reply::verdict::Unknown, "unknown"},
+    {caller_reply::verdict::NotLeading, "not-leading"},
 }};
 
 using reply_function = std::function<void(const caller_reply &)>;
--- a/src/galenalink/job_node/leader_seat.cpp
+++ b/src/galenalink/job_node/leader_seat.cpp
@@ -70,6 +70,7 @@
     Election.presumeGone(Epoch);
   else
     Election.unreachable(Epoch);
+  tellLeader();
   // A read that waits for a sign of life does not hold up the claim.
   const time_point Now = boot_clock::now();
   later(std::max<duration>(Election.claimAt(Now) - Now, ShortestPause));
@@ -154,6 +155,7 @@
   }
   Election.readTo(Result.Next, Now);
   checkDeposed();
+  tellLeader();
   if (Election.leads() && !WasLeading) {
     WasLeading = true;
     Hooks.OnElected(Election.current().Epoch);
@@ -203,6 +205,7 @@
     Election.claimed(At, Now);
     WasLeading = true;
     Log.info("elected", {{"epoch", At + 1}});
+    tellLeader();
     Hooks.OnElected(At + 1);
   } else {
     Election.readTo(At + 1, Now);
@@ -211,6 +214,15 @@
   step();
 }
 
+void leader_seat::tellLeader() {
+  const job::leadership &Current = Election.current();
+  if (Current.Epoch == ToldEpoch && Current.Released == ToldReleased)
+    return;
+  ToldEpoch = Current.Epoch;
+  ToldReleased = Current.Released;
+  Hooks.OnLeader(Current);
+}
+
 void leader_seat::checkDeposed() {
   if (!WasLeading || Election.leads())
     return;
--- a/src/galenalink/job_node/leader_seat.hpp
+++ b/src/galenalink/job_node/leader_seat.hpp
@@ -32,6 +32,8 @@
     std::function<void(std::uint64_t Epoch)> OnElected;
     /** This node no longer leads. */
     std::function<void()> OnDeposed;
+    /** Another process leads, or the lead is free. */
+    std::function<void(const job::leadership &)> OnLeader;
     /** Asks the leader's node whether that process still leads. */
     std::function<void(const job::leadership &,
                        std::function<void(probe_answer)>)>
@@ -69,6 +71,7 @@
                 const job::claim_result &Result);
   void take(const job::read_result &Result);
   void checkDeposed();
+  void tellLeader();
   void probe();
   void probed(std::uint64_t Epoch, probe_answer Answer);
 
@@ -78,6 +81,9 @@
   hooks Hooks;
   bool Stopped{false};
   bool WasLeading{false};
+  /** What was told last. */
+  std::uint64_t ToldEpoch{0};
+  bool ToldReleased{true};
   /** An append did not succeed, so that the log must be read first. */
   bool MustRead{true};
   /** Calls that are under way. */
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -25,8 +25,8 @@
 /** Leases must end well before a successor of a successor starts work, and
  * outlast the election of a new leader. */
 constexpr std::uint32_t LeaseMs = 4500;
-/** A refused caller comes back when a new leader should be there, ms. */
-constexpr std::uint32_t NoLeaderRetryMs = 1000;
+/** Interval at which calls that wait for a leader are looked at. */
+constexpr duration RelayInterval = std::chrono::milliseconds{25};
 /** A node is not ready for this long after the leader could not be reached. */
 constexpr duration UnreachablePause = std::chrono::milliseconds{1500};
 /** Tells whether a node leads, and as which process. */
@@ -44,11 +44,14 @@
 constexpr tail_settings RegistrationTailSettings{
     job::topic::Registrations, 700, std::chrono::milliseconds{150}};
 
+std::string ownAddress(const settings &Settings) {
+  return Settings.Peers.Host + ":" + std::to_string(Settings.Peers.Port);
+}
+
 job::election_settings electionSettings(const settings &Settings) {
   job::election_settings Election;
   Election.Node = Settings.Name + "@" + std::to_string(wallNow());
-  Election.Address =
-      Settings.Peers.Host + ":" + std::to_string(Settings.Peers.Port);
+  Election.Address = ownAddress(Settings);
   Election.StartedAt = boot_clock::now();
   Election.Stagger = job::claimDelay(
       Settings.ProcessorShare * Settings.ProcessorSpeed, hash64(Election.Node));
@@ -77,14 +80,6 @@
   return Options;
 }
 
-job::caller_reply refusal(std::string Reason) {
-  job::caller_reply Reply;
-  Reply.Verdict = verdict::Refused;
-  Reply.RetryAfterMs = NoLeaderRetryMs;
-  Reply.Reason = std::move(Reason);
-  return Reply;
-}
-
 job::caller_reply unknown(std::string Reason) {
   job::caller_reply Reply;
   Reply.Verdict = verdict::Unknown;
@@ -147,6 +142,12 @@
            electionSettings(this->Settings),
            {[this](const std::uint64_t Epoch) { elected(Epoch); },
             [this] { deposed(); },
+            [this](const job::leadership &Leader) {
+              Relay.leaderChanged(Leader.Released
+                                      ? relay_target{}
+                                      : relay_target{Leader.Epoch, Leader.Node,
+                                                     Leader.Address});
+            },
             [this](const job::leadership &Leader,
                    std::function<void(probe_answer)> Answer) {
               probe(Leader, std::move(Answer));
@@ -155,7 +156,13 @@
           Loop,
           {},
           [this](http::exchange Exchange) { fromPeer(std::move(Exchange)); }},
-      PeerClient{Loop, peerOptions()} {}
+      PeerClient{Loop, peerOptions()},
+      Relay{{[] { return boot_clock::now(); },
+             [this](const relay_target &To, const caller_call &Call,
+                    const time_point AnswerBy,
+                    std::function<void(relay_answer)> Callback) {
+               pass(To, Call, AnswerBy, std::move(Callback));
+             }}} {}
 
 node::~node() = default;
 
@@ -323,11 +330,12 @@
     Metrics.answered(Kind, Result.Verdict, boot_clock::now() - From);
     Reply(Result);
   };
-  auto Once = withDeadline(Loop, replyBy(Call.Deadline), std::move(Counted));
-  if (Controller)
-    serveHere(Call, std::move(Once));
-  else
-    forward(Call, std::move(Once));
+  const time_point ReplyBy = replyBy(Call.Deadline);
+  auto Once = withDeadline(Loop, ReplyBy, std::move(Counted));
+  caller_call Passed = Call;
+  Passed.Deadline = ReplyBy;
+  Relay.call(Passed, std::move(Once));
+  watchRelay();
 }
 
 void node::serveHere(const caller_call &Call, job::reply_function Reply) {
@@ -348,46 +356,54 @@
   scheduleSettle();
 }
 
-void node::forward(const caller_call &Call, job::reply_function Reply) {
-  const auto &Leader = Seat.current();
-  const bool Own = Leader.Address == Settings.Peers.Host + ":" +
-                                         std::to_string(Settings.Peers.Port);
-  if (Leader.Epoch == 0 || Leader.Released || Own) {
-    Reply(refusal("no leader"));
+void node::pass(const relay_target &To, const caller_call &Call,
+                const time_point AnswerBy,
+                std::function<void(relay_answer)> Callback) {
+  if (To.Address == ownAddress(Settings)) {
+    Loop.post([this, Call, Callback = std::move(Callback)] {
+      if (Controller)
+        serveHere(Call, Callback);
+      else
+        Callback(relay_failure::NotTaken);
+    });
     return;
   }
   const auto Address = tryOr(
-      [&]() -> result<http::address> {
-        return http::parseAddress(Leader.Address);
-      },
+      [&]() -> result<http::address> { return http::parseAddress(To.Address); },
       [](const error &) { return http::address{}; });
   PeerClient.send(
-      Address, toRequest(Call), replyBy(Call.Deadline),
-      [this, Kind = Call.Kind, Id = Call.Job, Node = Leader.Node,
-       Reply = std::move(Reply)](const http::answer &Answer) {
-        if (const auto *Response = std::get_if<http::response>(&Answer)) {
-          if (const auto Parsed = parseReply(Response->Body)) {
-            ForwardFailedAt = NoDeadline;
-            Reply(*Parsed);
-            return;
-          }
-        }
-        ForwardFailedAt = boot_clock::now();
-        const auto *Failure = std::get_if<http::failure>(&Answer);
-        const bool NotSent =
-            Failure != nullptr && Failure->Delivery == http::delivery::NotSent;
-        Log.warning("leader not reached",
-                    {{"job", Id},
-                     {"call", std::string{nameOf(CallKindNames, Kind)}},
-                     {"leader", Node},
-                     {"why", Failure == nullptr ? "unreadable answer"
-                                                : Failure->Error.Message}});
-        Reply(NotSent || Kind == call_kind::Query || Kind == call_kind::Pending
-                  ? refusal("the leader can't be reached")
-                  : unknown("no answer of the leader"));
+      Address, toRequest(Call), AnswerBy,
+      [this, Callback = std::move(Callback)](const http::answer &Answer) {
+        Callback(takePeerAnswer(Answer));
       });
 }
 
+relay_answer node::takePeerAnswer(const http::answer &Answer) {
+  if (const auto *Response = std::get_if<http::response>(&Answer)) {
+    if (const auto Reply = parseReply(Response->Body)) {
+      if (Reply->Verdict == verdict::NotLeading)
+        return relay_failure::NotTaken;
+      ForwardFailedAt = NoDeadline;
+      return *Reply;
+    }
+  }
+  ForwardFailedAt = boot_clock::now();
+  const auto *Failure = std::get_if<http::failure>(&Answer);
+  const bool NotSent =
+      Failure != nullptr && Failure->Delivery == http::delivery::NotSent;
+  return NotSent ? relay_failure::NotTaken : relay_failure::Unknown;
+}
+
+void node::watchRelay() {
+  if (RelayTimer.pending())
+    return;
+  RelayTimer = Loop.every(RelayInterval, [this] {
+    Relay.tick();
+    if (Relay.idle())
+      RelayTimer.cancel();
+  });
+}
+
 void node::probe(const job::leadership &Leader,
                  std::function<void(probe_answer)> Answer) {
   http::request Request;
@@ -431,7 +447,9 @@
     Shared->reply(200, {}, toBody(Reply));
   };
   if (!Controller) {
-    Answer(refusal("this node does not lead"));
+    job::caller_reply Reply;
+    Reply.Verdict = verdict::NotLeading;
+    Answer(Reply);
     return;
   }
   serveHere(*Call, withDeadline(Loop, Call->Deadline, Answer));
--- a/src/galenalink/job_node/node.hpp
+++ b/src/galenalink/job_node/node.hpp
@@ -4,7 +4,7 @@
 #include "galenalink/http/client.hpp"
 #include "galenalink/http/server.hpp"
 #include "galenalink/job/controller.hpp"
-#include "galenalink/job_node/caller_call.hpp"
+#include "galenalink/job_node/caller_relay.hpp"
 #include "galenalink/job_node/fleet_view.hpp"
 #include "galenalink/job_node/keyed_tail.hpp"
 #include "galenalink/job_node/leader_seat.hpp"
@@ -52,7 +52,10 @@
   void tick();
   void listVms();
   void serveHere(const caller_call &Call, job::reply_function Reply);
-  void forward(const caller_call &Call, job::reply_function Reply);
+  void pass(const relay_target &To, const caller_call &Call,
+            time_point AnswerBy, std::function<void(relay_answer)> Callback);
+  relay_answer takePeerAnswer(const http::answer &Answer);
+  void watchRelay();
   void fromPeer(http::exchange Exchange);
   void probe(const job::leadership &Leader,
              std::function<void(probe_answer)> Answer);
@@ -66,6 +69,8 @@
   leader_seat Seat;
   http::server PeerServer;
   http::client PeerClient;
+  caller_relay Relay;
+  http::timer RelayTimer;
   std::unique_ptr<job::controller> Controller;
   /** Epoch that is being recovered; 0 if none is. */
   std::uint64_t Recovering{0};
--- a/test/galenalink/job_node/leader_seat.cpp
+++ b/test/galenalink/job_node/leader_seat.cpp
@@ -59,7 +59,7 @@
         Loop,
         Ports,
         Settings,
-        {[](std::uint64_t) {}, [] {},
+        {[](std::uint64_t) {}, [] {}, [](const leadership &) {},
          [this](const leadership &, std::function<void(probe_answer)> Done) {
            ++Probes;
            answer(1, [this, Done = std::move(Done)] {
