Leave only the state of jobs that have ended

Change: the constant part of an ended job is removed from the store and from memory once its end is stored; learnt durations are written with it; in the first second of a lead an unknown room is no lack of room.

--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -16,6 +16,8 @@
 /** Jobs that are kept; more are refused until some are forgotten. */
 constexpr std::size_t MaxJobs = 200000;
 constexpr std::uint32_t BusyRetryMs = 1000;
+/** A new leader knows its backend servers after this time. */
+constexpr duration ServersHeardOf = std::chrono::milliseconds{1000};
 
 caller_reply refused(std::string Reason, const std::uint32_t RetryAfterMs) {
   caller_reply Reply;
@@ -52,7 +54,15 @@
     Leader.Demand[Rule.Pool].arrived(Leader.Now(), Request.Work);
     Leader.Forecast.arrived(Rule.Pool, Request.Work, Leader.Wall());
   }
-  return admit(loadOf(Leader, Rule.Pool), Request);
+  const pool_load Load = loadOf(Leader, Rule.Pool);
+  // A new leader has not heard of its backend servers yet; that is no lack of
+  // room.
+  if (Load.Capacity <= 0 && Leader.Now() < Leader.LedSince + ServersHeardOf) {
+    admission Accepted;
+    Accepted.Verdict = admission_verdict::InTime;
+    return Accepted;
+  }
+  return admit(Load, Request);
 }
 
 void accept(leader &Leader, const queue_rule &Rule, const std::string &Id,
--- a/src/galenalink/job/controller.cpp
+++ b/src/galenalink/job/controller.cpp
@@ -13,6 +13,9 @@
 
 /** Interval of duties that need no quick reaction. */
 constexpr duration SlowDutyInterval = std::chrono::milliseconds{200};
+/** Interval at which ended jobs are compacted; their records ride along with
+ * others. */
+constexpr duration CompactInterval = std::chrono::milliseconds{1500};
 
 } // namespace
 
@@ -89,6 +92,10 @@
     resizePools(*Leader);
     forgetEnded(*Leader);
   }
+  if (Now >= NextCompaction) {
+    NextCompaction = Now + CompactInterval;
+    compactEnded(*Leader);
+  }
   settle();
 }
 
--- a/src/galenalink/job/controller.hpp
+++ b/src/galenalink/job/controller.hpp
@@ -40,6 +40,7 @@
 
   std::unique_ptr<leader> Leader;
   time_point NextSlowDuty;
+  time_point NextCompaction;
 };
 
 } // namespace galenalink::job
--- a/src/galenalink/job/job.cpp
+++ b/src/galenalink/job/job.cpp
@@ -114,6 +114,11 @@
   return end_effect::JobFailed;
 }
 
+void job::dropWork() noexcept {
+  Spec = {};
+  Open.clear();
+}
+
 bool job::cancel() noexcept {
   if (ended())
     return false;
--- a/src/galenalink/job/job.hpp
+++ b/src/galenalink/job/job.hpp
@@ -99,6 +99,8 @@
   /** @return Whether the job was still open. */
   bool cancel() noexcept;
 
+  /** @brief Drops what is of no use once the job has ended. */
+  void dropWork() noexcept;
   /** @brief Progress as a record for the store. */
   [[nodiscard]] std::string progress() const;
   /** @return Whether the record could be read. */
@@ -122,6 +124,10 @@
 /** @return The job without progress; nothing if the record can't be read. */
 [[nodiscard]] std::optional<job> parseJob(const std::string &Id,
                                           std::string_view Record);
+/** @return A job that has ended, from its progress alone; nothing if it has
+ * not ended or the record can't be read. */
+[[nodiscard]] std::optional<job> parseEnded(const std::string &Id,
+                                            std::string_view Progress);
 
 } // namespace galenalink::job
 
--- a/src/galenalink/job/job_record.cpp
+++ b/src/galenalink/job/job_record.cpp
@@ -137,6 +137,25 @@
   }
 }
 
+std::string toRecord(const run_times &Times) {
+  json Rows = json::array();
+  for (const auto &[Queue, Each] : Times.entries())
+    Rows.push_back({Queue, Each.Count, Each.MeanMs, Each.LogRatio});
+  return toText(Rows);
+}
+
+bool restoreTimes(const std::string_view Record, run_times &Out) {
+  try {
+    std::map<std::string, run_times::entry> Entries;
+    for (const auto &Each : json::from_cbor(Record))
+      Entries[Each.at(0)] = {Each.at(1), Each.at(2), Each.at(3)};
+    Out.restore(std::move(Entries));
+    return true;
+  } catch (const json::exception &) {
+    return false;
+  }
+}
+
 std::string toRecord(const std::vector<turn> &Turns) {
   json Rows = json::array();
   for (const auto &Each : Turns)
@@ -159,6 +178,9 @@
 
 std::string job::progress() const {
   json Occurrences = json::array();
+  if (ended())
+    return toText(json::array(
+        {static_cast<std::uint32_t>(State), Opened, Occurrences, Queue}));
   for (const auto &Each : Open) {
     json Steps = json::array();
     for (const auto &Step : Each.Steps)
@@ -169,6 +191,19 @@
       json::array({static_cast<std::uint32_t>(State), Opened, Occurrences}));
 }
 
+std::optional<job> parseEnded(const std::string &Id,
+                              const std::string_view Progress) {
+  try {
+    const json From = json::from_cbor(Progress);
+    job Job{Id, From.at(3), "", {}, 0};
+    if (Job.restore(Progress) && Job.ended())
+      return Job;
+  } catch (const json::exception &) {
+    // Progress of a job that is open names no queue.
+  }
+  return std::nullopt;
+}
+
 bool job::restore(const std::string_view Progress) {
   try {
     const json From = json::from_cbor(Progress);
--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -126,6 +126,24 @@
   });
 }
 
+void compactEnded(leader &Leader) {
+  bool Any = false;
+  for (auto &[Id, Entry] : Leader.Jobs) {
+    // The end must be stored before the rest is removed.
+    const bool Ends = Entry->Job.ended() && !Entry->Compact &&
+                      Entry->Shown == Entry->Job.state();
+    if (!Ends)
+      continue;
+    Any = true;
+    Entry->Compact = true;
+    Entry->Job.dropWork();
+    Leader.Journal.put("j" + Id, [] { return std::optional<std::string>{}; });
+  }
+  if (Any)
+    Leader.Journal.put(
+        "l", [&Leader] { return std::optional{toRecord(Leader.Times)}; });
+}
+
 void forgetEnded(leader &Leader) {
   const time_point Oldest = Leader.Now() - Leader.Settings.KeepEnded;
   std::erase_if(Leader.Jobs, [&](const auto &Each) {
@@ -133,7 +151,8 @@
     if (!Entry.Job.ended() || Entry.EndedAt > Oldest)
       return false;
     const auto Remove = [] { return std::optional<std::string>{}; };
-    Leader.Journal.put("j" + Each.first, Remove);
+    if (!Entry.Compact)
+      Leader.Journal.put("j" + Each.first, Remove);
     Leader.Journal.put("p" + Each.first, Remove);
     return true;
   });
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -122,6 +122,8 @@
   time_point EndedAt;
   /** Admitted to run in room that work in time leaves. */
   bool Deferred{false};
+  /** It has ended, and only its state is kept. */
+  bool Compact{false};
   std::vector<reply_function> OnStored;
 };
 
@@ -229,6 +231,13 @@
 [[nodiscard]] std::vector<turn> parseTurns(std::string_view Record);
 /** @brief Removes jobs that ended long ago, also from the store. */
 void forgetEnded(leader &Leader);
+/** @brief Keeps only the state of jobs that have ended, so that a successor has
+ * little to read, and has learnt durations written. */
+void compactEnded(leader &Leader);
+/** @brief Learnt durations as a record for the store. */
+[[nodiscard]] std::string toRecord(const run_times &Times);
+/** @return Whether the record could be read. */
+[[nodiscard]] bool restoreTimes(std::string_view Record, run_times &Out);
 
 } // namespace galenalink::job
 
--- a/src/galenalink/job/maintenance.cpp
+++ b/src/galenalink/job/maintenance.cpp
@@ -76,8 +76,10 @@
   std::vector<run_id> Saving;
   for (const auto &[Id, Run] : Server.Runs) {
     const job_entry *Entry = Leader.findJob(Id.Task.Job);
-    if (!Run.Lasts && Run.State == run_state::Running && Entry != nullptr &&
-        Entry->Job.specOf(Id.Task)->SavesProgress)
+    const step_spec *Step =
+        Entry == nullptr ? nullptr : Entry->Job.specOf(Id.Task);
+    if (!Run.Lasts && Run.State == run_state::Running && Step != nullptr &&
+        Step->SavesProgress)
       Saving.push_back(Id);
   }
   for (const auto &Id : Saving)
--- a/src/galenalink/job/recovery.cpp
+++ b/src/galenalink/job/recovery.cpp
@@ -16,6 +16,7 @@
 constexpr char HomeSizesKey = 'h';
 constexpr char WaveKey = 'w';
 constexpr char TurnsKey = 't';
+constexpr char RunTimesKey = 'l';
 constexpr char VmOrderKey = 'v';
 
 /** Orders that are older than this by the time of day, which may differ between
@@ -46,6 +47,12 @@
   Leader.Forecast.restore(std::move(Turns));
 }
 
+void recoverRunTimes(leader &Leader, const std::string & /*Id*/,
+                     const std::string &Record) {
+  if (!restoreTimes(Record, Leader.Times))
+    Log.error("record of learnt durations can't be read");
+}
+
 void recoverVmOrder(leader &Leader, const std::string &Vm,
                     const std::string &Record) {
   wall_ms OrderedMs = 0;
@@ -73,6 +80,14 @@
 void recoverProgress(leader &Leader, const std::string &Id,
                      const std::string &Record) {
   job_entry *Entry = Leader.findJob(Id);
+  if (Entry == nullptr) {
+    // The constant part of a job that has ended is removed.
+    if (auto Ended = parseEnded(Id, Record)) {
+      Entry = &addJob(Leader, std::move(*Ended));
+      Entry->Stored = true;
+      Entry->Compact = true;
+    }
+  }
   if (Entry == nullptr || !Entry->Job.restore(Record)) {
     Log.error("progress of a job can't be read", {{"job", Id}});
     return;
@@ -99,6 +114,7 @@
   EachOf(HomeSizesKey, recoverSizes);
   EachOf(WaveKey, recoverWave);
   EachOf(TurnsKey, recoverTurns);
+  EachOf(RunTimesKey, recoverRunTimes);
   EachOf(VmOrderKey, recoverVmOrder);
   for (auto &[Id, Entry] : Leader.Open) {
     setObjectives(Leader, *Entry);
--- a/src/galenalink/job/run_times.hpp
+++ b/src/galenalink/job/run_times.hpp
@@ -39,15 +39,22 @@
     return std::sqrt(Scaled * std::max(Found->second.MeanMs, 1.0));
   }
 
-private:
-  /** Assumed for a task without an estimate in a queue without history. */
-  static constexpr double UnknownMs = 1000;
-
   struct entry {
     double Count{0};
     double MeanMs{0};
     double LogRatio{0};
+
+    [[nodiscard]] bool operator==(const entry &) const = default;
   };
+  [[nodiscard]] const std::map<std::string, entry> &entries() const noexcept {
+    return Queues;
+  }
+  void restore(std::map<std::string, entry> Seen) { Queues = std::move(Seen); }
+
+private:
+  /** Assumed for a task without an estimate in a queue without history. */
+  static constexpr double UnknownMs = 1000;
+
   std::map<std::string, entry> Queues;
 };
 
--- a/test/galenalink/job/leader_test.cpp
+++ b/test/galenalink/job/leader_test.cpp
@@ -145,6 +145,34 @@
   BOOST_TEST(Successor.findJob("a")->Job.find({"a", 0, 0, 0})->Failures == 1U);
 }
 
+// A successor read the whole of every job that had ended, which took most of
+// the time without a leader; the state must still be known to it.
+BOOST_AUTO_TEST_CASE(ended_jobs_leave_their_state_only) {
+  one_pool Platform;
+  Platform.submit("press", "a", jobOf({makeStep(2, 1000, 300)}));
+  Platform.advance(4 * Second);
+  BOOST_TEST(!Platform.Stored.contains("ja"));
+  const double Learnt = Platform.Leader->state().Times.predictMs("press", 900);
+  Platform.elect();
+  BOOST_CHECK(Platform.stateOf("a") == job_state::Completed);
+  BOOST_TEST(Platform.Leader->state().Times.predictMs("press", 900) == Learnt);
+  const auto Again = Platform.submit("press", "a", jobOf({makeStep(2, 1, 1)}));
+  BOOST_REQUIRE(Again);
+  Platform.advance(Second);
+  BOOST_TEST(Platform.Starts == 2U);
+}
+
+// A new leader refused for want of room before it had heard of its backend
+// servers.
+BOOST_AUTO_TEST_CASE(new_leader_does_not_lack_room) {
+  one_pool Platform;
+  Platform.elect();
+  const auto Reply =
+      Platform.submit("press", "a", jobOf({makeStep(2, 1000, 300)}));
+  BOOST_REQUIRE(Reply);
+  BOOST_CHECK(Reply->Verdict == caller_reply::verdict::Ok);
+}
+
 // Tasks of a backend server that falls silent start elsewhere only after its
 // lease has passed, since they may still run there.
 BOOST_AUTO_TEST_CASE(silent_server_keeps_its_tasks_for_its_lease) {
--- a/test/galenalink/job/simulated_platform.cpp
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -265,9 +265,10 @@
   room Used;
   for (const auto &[Each, State] : Server.Running) {
     const auto *Other = Leader->state().findJob(Each.Task.Job);
-    if (Other != nullptr)
-      Used += server::charged(Other->Job.specOf(Each.Task)->Size,
-                              Other->Job.specOf(Each.Task)->Fills);
+    const step_spec *Charged =
+        Other == nullptr ? nullptr : Other->Job.specOf(Each.Task);
+    if (Charged != nullptr)
+      Used += server::charged(Charged->Size, Charged->Fills);
   }
   if (!Used.fits(Server.Entry.Capacity))
     Broken.push_back("above its room: " + Server.Entry.Id);
