Run advised queues with tickets, and pace tasks that fill

Cause: starts of advised queues carried no ticket, so that their tasks never ran on a deployment that has such queues; tasks that fill were placed apart from tasks that serve, but never slowed down where both stand together.

Change: two modules without network. advice asks the service for a step that could not be placed, one call at a time, keeps what it said of each incarnation and renews tickets; the chain of a job counts the time. pacing cuts the share of tasks that fill before the tail of a serving task passes its bound, and gives it back slowly; a successor sets shares that it does not know. The platform folder has a client of the service.

--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -90,7 +90,7 @@
 
 /** @brief Properties of the job's steps that bind its placement. */
 std::string traitsOf(const queue_rule &Rule, const job_spec &Spec) {
-  std::string Traits = Rule.Advised ? "advised " : "";
+  std::string Traits = Rule.Advice ? "advised " : "";
   const auto Add = [&](const std::string_view Name, const auto &Has) {
     if (std::ranges::any_of(Spec.Steps, Has))
       Traits += std::string{Name} + " ";
--- a/src/galenalink/job/controller.cpp
+++ b/src/galenalink/job/controller.cpp
@@ -2,6 +2,7 @@
 #include "galenalink/job/callers.hpp"
 #include "galenalink/job/dispatch.hpp"
 #include "galenalink/job/maintenance.hpp"
+#include "galenalink/job/pacing.hpp"
 #include "galenalink/job/pool_sizes.hpp"
 #include "galenalink/job/recovery.hpp"
 #include "galenalink/job/server_watch.hpp"
@@ -89,6 +90,7 @@
     mendStragglers(*Leader);
     promoteDeferred(*Leader);
     maintain(*Leader);
+    paceFillers(*Leader);
     resizePools(*Leader);
     forgetEnded(*Leader);
   }
--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -136,8 +136,7 @@
             {"urgency", std::string{nameOf(UrgencyNames, Candidate.Urgency)}}});
 }
 
-/** @return Whether all waiting tasks of the step were started. */
-bool startTasks(leader &Leader, const candidate &Candidate,
+void startTasks(leader &Leader, const candidate &Candidate,
                 const std::vector<server *> &Servers) {
   job_entry &Entry = *Candidate.Entry;
   const step_spec &Spec = Entry.Job.spec().Steps[Candidate.Step];
@@ -151,12 +150,11 @@
                     Candidate.Step, I};
     server *Server = choose(Servers, Request);
     if (Server == nullptr)
-      return false;
+      return;
     const auto Number = nextRun(Leader, Tasks[I]);
     logStart(Request.Task, *Server, Candidate, Number);
     startRun(Leader, *Server, Entry, Request.Task, Number);
   }
-  return true;
 }
 
 /** @brief Room that a gang would take, tried out on copies of the servers. */
@@ -226,6 +224,37 @@
   }
 }
 
+std::size_t waitingTasks(const leader &Leader, const candidate &Candidate) {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      Candidate.Occurrence->Steps[Candidate.Step].Tasks,
+      [&](const task &Each) { return waiting(Each, Leader.Now()); }));
+}
+
+/** @brief Starts what it can of a step on the backend servers that may run it.
+ */
+void startStep(leader &Leader, const candidate &Candidate,
+               const std::vector<server *> &Servers) {
+  const job_entry &Entry = *Candidate.Entry;
+  const step_spec &Spec = Entry.Job.spec().Steps[Candidate.Step];
+  const queue_rule *Rule = Leader.Rules.queue(Entry.Job.queue());
+  const bool Advised = Rule != nullptr && Rule->Advice;
+  const task_id Step{Entry.Job.id(), Candidate.Occurrence->Number,
+                     Candidate.Step, 0};
+  std::vector<server *> Licensed;
+  if (Advised)
+    Licensed = withTickets(Leader, Step, Servers);
+  const auto &Allowed = Advised ? Licensed : Servers;
+  if (Spec.Gang)
+    startGang(Leader, Candidate, Allowed);
+  else
+    startTasks(Leader, Candidate, Allowed);
+  if (!Advised)
+    return;
+  const std::size_t Waiting = waitingTasks(Leader, Candidate);
+  if (Waiting > 0)
+    askAdvice(Leader, Step, Spec, Waiting, Servers);
+}
+
 void dispatchPool(leader &Leader, const std::string &Pool) {
   auto Servers = workersOf(Leader, Pool);
   if (Servers.empty())
@@ -235,10 +264,7 @@
         Each.Urgency == urgency::Worthless && loadOf(Servers) > WorthlessLoad;
     if (Full)
       break;
-    if (Each.Entry->Job.spec().Steps[Each.Step].Gang)
-      startGang(Leader, Each, Servers);
-    else
-      startTasks(Leader, Each, Servers);
+    startStep(Leader, Each, Servers);
   }
 }
 
@@ -264,7 +290,11 @@
   Request.Step = Step;
   Request.Task = Id;
   Request.Excluded.push_back(&Slow);
-  server *Server = choose(workersOf(Leader, Entry->Job.pool()), Request);
+  const queue_rule *Rule = Leader.Rules.queue(Entry->Job.queue());
+  auto Servers = workersOf(Leader, Entry->Job.pool());
+  if (Rule != nullptr && Rule->Advice)
+    Servers = withTickets(Leader, stepOf(Id), Servers);
+  server *Server = choose(Servers, Request);
   if (Server == nullptr)
     return;
   const auto Number = nextRun(Leader, *Task);
--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -63,6 +63,7 @@
 void endJob(leader &Leader, job_entry &Entry) {
   Entry.EndedAt = Leader.Now();
   Leader.Open.erase(Entry.Job.id());
+  Leader.Advice.forget(Entry.Job.id());
   Leader.Dirty = true;
   stopRunsOf(Leader, Entry.Job.id());
 }
@@ -105,8 +106,9 @@
 
 double chainMs(const leader &Leader, const std::string &Queue,
                const job_spec &Spec) {
+  const double AdviceMs = adviceMs(Leader.Rules.queue(Queue));
   return longestChain(Spec, [&](const std::size_t I) {
-    return Leader.Times.predictMs(Queue, Spec.Steps[I].EstimateMs);
+    return AdviceMs + Leader.Times.predictMs(Queue, Spec.Steps[I].EstimateMs);
   });
 }
 
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -1,6 +1,7 @@
 #ifndef GALENALINK_JOB_LEADER_HPP
 #define GALENALINK_JOB_LEADER_HPP
 
+#include "galenalink/job/advice.hpp"
 #include "galenalink/job/demand.hpp"
 #include "galenalink/job/job.hpp"
 #include "galenalink/job/journal.hpp"
@@ -151,6 +152,10 @@
   /** By id of the incarnation. */
   std::map<std::string, std::unique_ptr<server>> Servers;
   run_times Times;
+  advice_book Advice;
+  /** A question is on its way; the next one is not sent before the time. */
+  bool AdviceAsked{false};
+  time_point NextAdvice;
   /** Outlives the leader, so that counts only grow. */
   std::shared_ptr<counters> Counts{std::make_shared<counters>()};
   /** Newest list of VMs, and when it was asked for; empty before the first. */
--- /dev/null
+++ b/src/galenalink/job/pacing.cpp
@@ -0,0 +1,87 @@
+#include "galenalink/job/pacing.hpp"
+#include "galenalink/job/leader.hpp"
+#include "galenalink/telemetry/log.hpp"
+#include <optional>
+
+namespace galenalink::job {
+
+namespace {
+
+constexpr telemetry::logger Log{"pacing"};
+
+/** From a change of the share until the tails show it: they are figures of the
+ * last half second. */
+constexpr duration SettleTime = std::chrono::milliseconds{650};
+
+/** @return Worst tail of a serving task against its bound; nothing if none
+ * serves there. */
+std::optional<double> worstTail(const server &Server) {
+  std::optional<double> Worst;
+  for (const auto &[Id, Run] : Server.Runs) {
+    if (Run.TargetMs == 0 || Run.Fills)
+      continue;
+    const double Share = static_cast<double>(Run.Gauge) / Run.TargetMs;
+    Worst = std::max(Worst.value_or(0), Share);
+  }
+  return Worst;
+}
+
+void sendPace(leader &Leader, server &Server, const run_id &Id, run &Run,
+              const std::uint32_t Percent) {
+  Run.PaceSent = true;
+  Leader.Ports.Pace({Server.target(), Leader.Epoch, Id, Percent},
+                    Leader.guarded([&Leader, ServerId = Server.Entry.Id, Id,
+                                    Percent](const order_result &Result) {
+                      if (Result.Outcome == call_outcome::Fenced) {
+                        Leader.OnFenced();
+                        return;
+                      }
+                      const auto Found = Leader.Servers.find(ServerId);
+                      if (Found == Leader.Servers.end())
+                        return;
+                      const auto Each = Found->second->Runs.find(Id);
+                      if (Each == Found->second->Runs.end())
+                        return;
+                      Each->second.PaceSent = false;
+                      // Without an answer the order is sent again with the next
+                      // look.
+                      Each->second.PaceKnown =
+                          Result.Outcome == call_outcome::Done;
+                      if (Each->second.PaceKnown)
+                        Each->second.Pace = Percent;
+                    }));
+}
+
+void paceServer(leader &Leader, server &Server) {
+  const bool Fills = std::ranges::any_of(
+      Server.Runs, [](const auto &Each) { return Each.second.Fills; });
+  if (!Fills || Server.ListedAt < Server.PacedAt + SettleTime)
+    return;
+  const auto Tail = worstTail(Server);
+  for (auto &[Id, Run] : Server.Runs) {
+    if (!Run.Fills || Run.PaceSent || Run.State != run_state::Running)
+      continue;
+    const std::uint32_t Next = Tail ? nextPace(Run.Pace, *Tail) : 100;
+    if (Next == Run.Pace && Run.PaceKnown)
+      continue;
+    Log.info("pace", {{"job", Id.Task.Job},
+                      {"index", Id.Task.Index},
+                      {"server", Server.Entry.Id},
+                      {"tail_share", std::to_string(Tail.value_or(0))},
+                      {"before", Run.Pace},
+                      {"percent", Next}});
+    Server.PacedAt = Leader.Now();
+    sendPace(Leader, Server, Id, Run, Next);
+  }
+}
+
+} // namespace
+
+void paceFillers(leader &Leader) {
+  for (auto &[Id, Server] : Leader.Servers) {
+    if (Server->Usable && Server->HoldFailures == 0)
+      paceServer(Leader, *Server);
+  }
+}
+
+} // namespace galenalink::job
--- a/src/galenalink/job/ports.hpp
+++ b/src/galenalink/job/ports.hpp
@@ -194,6 +194,26 @@
   std::uint32_t Percent{100};
 };
 
+/** @brief A question to the service that advises on a queue. */
+struct advice_order {
+  /** The step, as its task with index 0. */
+  task_id Step;
+  /** Ids of backend servers. */
+  std::vector<std::string> Servers;
+  time_point AnswerBy;
+};
+
+/** @brief A backend server that may run the step. */
+struct advice_row {
+  std::string Server;
+  std::string Ticket;
+};
+
+struct advice_result {
+  call_outcome Outcome{call_outcome::Unknown};
+  std::vector<advice_row> Good;
+};
+
 /** @brief A backend server as it registered itself. */
 struct registration {
   std::string Id;
@@ -293,6 +313,8 @@
   std::function<void(const stop_order &, callback<order_result>)> Stop;
   std::function<void(const pace_order &, callback<order_result>)> Pace;
 
+  std::function<void(const advice_order &, callback<advice_result>)> Advise;
+
   std::function<void(callback<vms_result>)> ListVms;
   /** Moves a VM, or starts its maintenance if no pool is named. */
   std::function<void(const vm_order &, callback<vm_result>)> OrderVm;
--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -43,6 +43,8 @@
     Server.Health.refused(Now);
   if (Result.Why != start_refusal::Busy)
     Server.HoldDue = Now;
+  if (Result.Why == start_refusal::Ticket)
+    Leader.Advice.drop(stepOf(Run.Task), Server.Entry.Id);
   run &Found = Server.Runs.at(Run);
   // An earlier send of the order may have been carried out: the list of runs
   // tells once it shows neither the run nor its end.
@@ -98,6 +100,9 @@
   Order.Run = RunId;
   Order.Spec = Entry.Job.spec().Spec;
   Order.Saved = Server.Runs.at(RunId).StartedFrom;
+  if (const std::string *Ticket =
+          Leader.Advice.ticket(stepOf(RunId.Task), Server.Entry, Now))
+    Order.Ticket = *Ticket;
   Leader.Ports.Start(Order, Leader.guarded([&Leader, Id = Server.Entry.Id,
                                             RunId](const order_result &Result) {
     startAnswered(Leader, Id, RunId, Result);
--- a/src/galenalink/job/server.hpp
+++ b/src/galenalink/job/server.hpp
@@ -51,11 +51,12 @@
   time_point ProgressAt;
   /** A serving task: its tail, ms; any other: its processor use. */
   std::uint32_t Gauge{0};
-  /** Share of the time in which it was told to work. */
+  /** Share of the time in which it was told to work, percent. */
   std::uint32_t Pace{100};
+  /** The backend server has confirmed that share; a start has all of it. */
+  bool PaceKnown{true};
   /** A pace order is on its way. */
   bool PaceSent{false};
-  time_point OverTargetSince{NoDeadline};
 };
 
 /** @brief One incarnation of a backend server as the leader sees it. */
@@ -83,6 +84,9 @@
   bool HoldOpen{false};
   time_point HoldSentAt;
   time_point HoldDue;
+  /** When its runs were last listed, and when shares there were last set. */
+  time_point ListedAt;
+  time_point PacedAt;
   std::uint32_t HoldFailures{0};
 
   room Used;
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -99,6 +99,8 @@
     Run.Fills = Step->Fills;
     Run.TargetMs = Step->TargetMs;
   }
+  // The leader before may have set any share.
+  Run.PaceKnown = !Run.Fills;
   Server.addRun(Listed.Run, Run);
   const bool Wanted = Entry != nullptr && Entry->Job.wants(Listed.Run.Task);
   task *Task = Wanted ? Entry->Job.find(Listed.Run.Task) : nullptr;
@@ -186,6 +188,7 @@
     Log.info("backend server answers again",
              {{"server", Server.Entry.Id}, {"failures", Server.HoldFailures}});
   Server.HoldFailures = 0;
+  Server.ListedAt = Leader.Now();
   Server.Lease.sample(Result.ClockMs, Leader.Now());
   takeEnds(Leader, Server, Result);
   takeRunning(Leader, Server, Result);
--- a/src/galenalink/job/types.hpp
+++ b/src/galenalink/job/types.hpp
@@ -5,6 +5,7 @@
 #include "galenalink/core/fwd.hpp"
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -152,6 +153,17 @@
     {job_state::Cancelled, "cancelled"},
 }};
 
+/** @brief How a service decides which backend servers may run a step. */
+struct advice_rule {
+  /** Time of one decision, and of each backend server named, ms. */
+  std::uint32_t DecisionMs{0};
+  std::uint32_t PeriodMs{0};
+  /** How long a ticket is valid, ms. */
+  std::uint32_t ValidityMs{0};
+
+  [[nodiscard]] bool operator==(const advice_rule &) const = default;
+};
+
 /** @brief A queue and the pool that runs its jobs. */
 struct queue_rule {
   std::string Name;
@@ -169,9 +181,9 @@
   std::uint32_t SlackMs{0};
   /** Longest time for the answer to a call, ms. */
   std::uint32_t TimeoutMs{0};
-  /** Whether only some backend servers may run a step, and a service says
+  /** Set if only some backend servers may run a step, and a service says
    * which. */
-  bool Advised{false};
+  std::optional<advice_rule> Advice;
 
   [[nodiscard]] bool operator==(const queue_rule &) const = default;
 };
--- a/test/galenalink/job/simulated_platform.cpp
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -54,6 +54,7 @@
   connectStore();
   connectServers();
   connectVms();
+  connectAdvice();
 }
 
 void simulated_platform::after(const duration Delay,
@@ -127,8 +128,11 @@
     }
     after(Latency, [this, Order, Callback] { Callback(stop(Order)); });
   };
-  Ports.Pace = [this](const pace_order &, const auto &Callback) {
-    after(Latency, [Callback] {
+  Ports.Pace = [this](const pace_order &Order, const auto &Callback) {
+    after(Latency, [this, Order, Callback] {
+      const auto Server = Servers.find(Order.Server.Id);
+      if (Server != Servers.end() && Server->second.Running.contains(Order.Run))
+        Server->second.Running.at(Order.Run).Pace = Order.Percent;
       Callback(order_result{call_outcome::Done, start_refusal::None, 0});
     });
   };
@@ -145,6 +149,53 @@
   };
 }
 
+void simulated_platform::connectAdvice() {
+  Ports.Advise = [this](const advice_order &Order, const auto &Callback) {
+    ++AdviceCalls;
+    const auto &Rule = *Rules.Queues.front().Advice;
+    const duration Takes = std::chrono::milliseconds{
+        Rule.DecisionMs + Rule.PeriodMs * Order.Servers.size()};
+    after(Takes, [this, Order, Callback, Validity = Rule.ValidityMs] {
+      advice_result Result;
+      Result.Outcome = call_outcome::Done;
+      for (const auto &Id : Order.Servers) {
+        if (!MayRun(Order.Step, Id))
+          continue;
+        const std::string Ticket = "ticket-" + Order.Step.Job + "-" + Id;
+        Tickets[Ticket] = Now + std::chrono::milliseconds{Validity};
+        Result.Good.push_back({Id, Ticket});
+      }
+      Callback(Result);
+    });
+  };
+}
+
+bool simulated_platform::ticketHolds(const start_order &Order) const {
+  if (!Rules.Queues.front().Advice)
+    return true;
+  const auto Found = Tickets.find(Order.Ticket);
+  return Found != Tickets.end() && Now < Found->second &&
+         Order.Ticket.ends_with("-" + Order.Server.Id);
+}
+
+std::uint32_t simulated_platform::gaugeOf(const simulated_server &Server,
+                                          const run_id &Run) const {
+  const auto SpecOf = [&](const run_id &Id) {
+    const auto *Entry = Leader->state().findJob(Id.Task.Job);
+    return Entry == nullptr ? nullptr : Entry->Job.specOf(Id.Task);
+  };
+  const step_spec *Step = SpecOf(Run);
+  if (Step == nullptr || Step->TargetMs == 0)
+    return 0;
+  double Share = 1.0 / 3;
+  for (const auto &[Id, State] : Server.Running) {
+    const step_spec *Other = SpecOf(Id);
+    if (Other != nullptr && Other->Fills)
+      Share += (DisturbedTail - Share) * State.Pace / 100;
+  }
+  return static_cast<std::uint32_t>(Share * Step->TargetMs);
+}
+
 vm_result simulated_platform::orderVm(const vm_order &Order) {
   const auto Found = std::ranges::find(Vms, Order.Vm, &vm::Name);
   if (Found != Vms.end() && Order.Pool.empty() &&
@@ -293,6 +344,10 @@
   const auto Closed = Server.Closed.find(Order.Run.Task);
   if (Closed != Server.Closed.end() && Order.Run.Number <= Closed->second)
     return {call_outcome::Refused, start_refusal::Old, 0};
+  if (!ticketHolds(Order)) {
+    ++TicketsRefused;
+    return {call_outcome::Refused, start_refusal::Ticket, 0};
+  }
   begin(Server, Order);
   return {call_outcome::Done, start_refusal::None, 0};
 }
@@ -338,8 +393,9 @@
   Result.ClockMs = toMs(Now);
   Result.BornMs = Server.Entry.BornMs;
   for (const auto &[Run, State] : Server.Running)
-    Result.Running.push_back(
-        {Run, State.Saved, Now >= State.StartedAt + StartUp ? 100U : 0U, 0});
+    Result.Running.push_back({Run, State.Saved,
+                              Now >= State.StartedAt + StartUp ? 100U : 0U,
+                              gaugeOf(Server, Run)});
   Result.Ends = Server.Listed;
   return Result;
 }
--- a/test/galenalink/job/simulated_platform.hpp
+++ b/test/galenalink/job/simulated_platform.hpp
@@ -15,6 +15,8 @@
   time_point EndsAt;
   std::string Saved;
   bool StandsStill{false};
+  /** Share of the time in which it works, percent. */
+  std::uint32_t Pace{100};
 };
 
 /** @brief A backend server that runs tasks under leases as the platform's
@@ -65,6 +67,13 @@
   /** Real duration of a task, ms, by its queue's declared estimate. */
   std::function<double(const job::task_id &, std::uint32_t EstimateMs)>
       Duration;
+  /** Which backend servers may run a step of an advised queue. */
+  std::function<bool(const job::task_id &, const std::string &Server)> MayRun;
+  std::uint32_t AdviceCalls{0};
+  std::uint32_t TicketsRefused{0};
+  /** Tail of a serving task against its bound while tasks that fill work beside
+   * it with all of their time; without them it is a third of the bound. */
+  double DisturbedTail{0};
   /** Broken rules, for a person. */
   std::vector<std::string> Broken;
   std::uint64_t Starts{0};
@@ -109,11 +118,17 @@
   void connectServers();
   void connectVms();
   job::vm_result orderVm(const job::vm_order &Order);
+  void connectAdvice();
+  bool ticketHolds(const job::start_order &Order) const;
+  std::uint32_t gaugeOf(const simulated_server &Server,
+                        const job::run_id &Run) const;
 
   std::multimap<time_point, std::function<void()>> Events;
   std::map<std::string, std::uint64_t> Sequences;
   std::uint64_t StoreEpoch{0};
   std::set<job::task_id> DoneNoted;
+  /** Ends of tickets, by their text. */
+  std::map<std::string, time_point> Tickets;
   std::uint32_t NextVm{0};
 };
 
--- a/test/platform/codec.cpp
+++ b/test/platform/codec.cpp
@@ -110,4 +110,29 @@
   BOOST_TEST(!parseVmPage("{}"));
 }
 
+// Advice names backend servers with their tickets, and the step without an
+// index.
+BOOST_AUTO_TEST_CASE(advice_rows) {
+  const auto Good = parseAdvice(R"({"good":[["i-1","t1"],["i-2","t2"]]})");
+  BOOST_REQUIRE(Good);
+  BOOST_REQUIRE(Good->size() == 2U);
+  BOOST_TEST(Good->at(1).Ticket == "t2");
+  BOOST_TEST(!parseAdvice(R"({"good":3})"));
+  job::advice_order Order;
+  Order.Step = {"ab", 1, 2, 0};
+  Order.Servers = {"i-1"};
+  BOOST_TEST(toBody(Order) == R"({"step":"ab.1.2","workers":["i-1"]})");
+}
+
+// A queue that is advised says how long decisions take and tickets hold.
+BOOST_AUTO_TEST_CASE(advised_queue) {
+  const auto Record = parseOperatorRecord(
+      {"config", R"({"version":1,"services":[],"routes":[{"name":"q",
+      "host":"h","pathPrefix":"/q/","service":"s","advice":{"decisionMs":30,
+      "periodMs":4,"validityMs":900}}]})"});
+  const auto &Rules = std::get<job::fleet_rules>(Record);
+  BOOST_REQUIRE(Rules.Queues.at(0).Advice);
+  BOOST_TEST(Rules.Queues.at(0).Advice->PeriodMs == 4U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
