Soak the nodes on a stand-in of the users' platform

Cause: nothing tested whole nodes on the users' platform without the bench; the simulated platform covers single faults of the leader's decisions.

--- /dev/null
+++ b/test/soak/store_standin.cpp
@@ -0,0 +1,230 @@
+#include "soak/store_standin.hpp"
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <nlohmann/json.hpp>
+
+namespace galenalink::soak {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t LengthBytes = 4;
+constexpr std::size_t PageSize = 500;
+constexpr std::size_t AnswersKept = 5;
+
+void appendNumber(std::string &Out, const std::uint64_t Value,
+                  const unsigned Bytes) {
+  for (unsigned I = Bytes; I-- > 0;)
+    Out.push_back(static_cast<char>(Value >> (8 * I)));
+}
+
+std::vector<std::string> splitRecords(std::string_view Body) {
+  std::vector<std::string> Records;
+  while (Body.size() >= LengthBytes) {
+    std::size_t Size = 0;
+    for (std::size_t I = 0; I < LengthBytes; ++I)
+      Size = Size << 8U | static_cast<std::uint8_t>(Body[I]);
+    Records.emplace_back(Body.substr(LengthBytes, Size));
+    Body.remove_prefix(std::min(LengthBytes + Size, Body.size()));
+  }
+  return Records;
+}
+
+std::string encodeBase64(const std::string &Bytes) {
+  namespace iterators = boost::archive::iterators;
+  using encoder = iterators::base64_from_binary<
+      iterators::transform_width<std::string::const_iterator, 6, 8>>;
+  std::string Text{encoder{Bytes.begin()}, encoder{Bytes.end()}};
+  Text.append((3 - Bytes.size() % 3) % 3, '=');
+  return Text;
+}
+
+std::map<std::string, std::pair<std::uint64_t, std::string>>
+newestOf(const std::vector<std::string> &Records) {
+  std::map<std::string, std::pair<std::uint64_t, std::string>> Newest;
+  for (std::size_t I = 0; I < Records.size(); ++I) {
+    const auto Size = static_cast<std::uint8_t>(Records[I].front());
+    const std::string Key = Records[I].substr(1, Size);
+    const std::string Value = Records[I].substr(1 + Size);
+    if (Value.empty())
+      Newest.erase(Key);
+    else
+      Newest[Key] = {I, Value};
+  }
+  return Newest;
+}
+
+std::uint64_t number(const http::exchange &Exchange, const char *Name) {
+  const auto Text = Exchange.query(Name);
+  return Text ? std::stoull(*Text) : 0;
+}
+
+} // namespace
+
+store_standin::store_standin(http::loop &Loop)
+    : Loop{Loop}, Server{Loop, {}, [this](http::exchange Exchange) {
+                           handle(std::move(Exchange));
+                         }} {
+  static_cast<void>(Server.listen("127.0.0.1", 0));
+  Timer = Loop.every(std::chrono::milliseconds{5}, [this] { answerReads(); });
+}
+
+http::address store_standin::address() const {
+  return {"127.0.0.1", Server.port()};
+}
+
+void store_standin::put(const std::string &Topic, const std::string &Key,
+                        const std::optional<std::string> &Value) {
+  std::string Record{static_cast<char>(Key.size())};
+  Record += Key;
+  Record += Value.value_or("");
+  Topics[Topic].Records.push_back(std::move(Record));
+}
+
+std::optional<std::string> store_standin::newest(const std::string &Topic,
+                                                 const std::string &Key) const {
+  const auto Found = Topics.find(Topic);
+  if (Found == Topics.end())
+    return std::nullopt;
+  const auto Newest = newestOf(Found->second.Records);
+  const auto Each = Newest.find(Key);
+  return Each == Newest.end() ? std::nullopt
+                              : std::optional{Each->second.second};
+}
+
+void store_standin::reply(http::exchange &Exchange, const int Status,
+                          const std::string &Body) {
+  Exchange.reply(Status, {{"Content-Type", "application/json"}}, Body);
+}
+
+void store_standin::handle(http::exchange Exchange) {
+  if (Fault_ == store_fault::Silent) {
+    Unanswered.push_back(std::move(Exchange));
+    return;
+  }
+  if (Exchange.path() == "/log-append")
+    append(Exchange);
+  else if (Exchange.path() == "/log-read")
+    read(std::move(Exchange));
+  else if (Exchange.path() == "/log-newest")
+    newestPage(Exchange);
+  else
+    reply(Exchange, 404, "{}");
+}
+
+std::optional<std::string>
+store_standin::checkProducer(http::exchange &Exchange, topic &Topic,
+                             const bool Empty) {
+  const auto Name = Exchange.query("producer");
+  if (!Name)
+    return std::nullopt;
+  producer &Producer = Topic.Producers[*Name];
+  const std::uint64_t Epoch = number(Exchange, "epoch");
+  const std::uint64_t Sequence = number(Exchange, "seq");
+  if (Epoch < Producer.Epoch)
+    return R"({"reason":"fenced"})";
+  if (Epoch > Producer.Epoch)
+    Producer = {Epoch, Sequence, {}};
+  if (!Empty && Sequence != Producer.NextSequence)
+    return R"({"reason":"seq"})";
+  return std::nullopt;
+}
+
+void store_standin::append(http::exchange &Exchange) {
+  const std::string Name = Exchange.query("topic").value_or("");
+  topic &Topic = Topics[Name];
+  const auto Records = splitRecords(Exchange.body());
+  const auto At = Exchange.query("at");
+  const std::size_t End = Topic.Records.size();
+  if (At && std::stoull(*At) != End) {
+    reply(Exchange, 412, json{{"end", End}}.dump());
+    return;
+  }
+  const auto ProducerName = Exchange.query("producer");
+  if (ProducerName) {
+    producer &Producer = Topic.Producers[*ProducerName];
+    for (const auto &[Sequence, Answer] : Producer.Answers) {
+      if (Sequence == number(Exchange, "seq") &&
+          Producer.Epoch == number(Exchange, "epoch") && !Records.empty()) {
+        reply(Exchange, 200, Answer);
+        return;
+      }
+    }
+  }
+  if (const auto Refusal = checkProducer(Exchange, Topic, Records.empty())) {
+    reply(Exchange, 409, *Refusal);
+    return;
+  }
+  Topic.Records.insert(Topic.Records.end(), Records.begin(), Records.end());
+  const std::string Answer =
+      json{{"offset", End}, {"end", Topic.Records.size()}}.dump();
+  if (ProducerName && !Records.empty()) {
+    producer &Producer = Topic.Producers[*ProducerName];
+    Producer.Answers.emplace_back(Producer.NextSequence++, Answer);
+    if (Producer.Answers.size() > AnswersKept)
+      Producer.Answers.pop_front();
+  }
+  if (Fault_ == store_fault::LosesAnswers)
+    Exchange.abort();
+  else
+    reply(Exchange, 200, Answer);
+}
+
+void store_standin::read(http::exchange Exchange) {
+  waiting_read Read{std::move(Exchange), "", 0, {}};
+  Read.Topic = Read.Exchange.query("topic").value_or("");
+  Read.From = number(Read.Exchange, "from");
+  Read.Until = boot_clock::now() +
+               std::chrono::milliseconds{number(Read.Exchange, "waitMs")};
+  Reads.push_back(std::move(Read));
+  answerReads();
+}
+
+void store_standin::answerRead(waiting_read &Read) {
+  const auto &Records = Topics[Read.Topic].Records;
+  std::string Body;
+  appendNumber(Body, Records.size(), 8);
+  appendNumber(Body, 0, 8);
+  for (std::size_t I = Read.From; I < Records.size(); ++I) {
+    appendNumber(Body, Records[I].size(), LengthBytes);
+    Body += Records[I];
+  }
+  Read.Exchange.reply(200, {}, Body);
+}
+
+void store_standin::answerReads() {
+  if (Fault_ == store_fault::Silent)
+    return;
+  const time_point Now = boot_clock::now();
+  std::erase_if(Reads, [&](waiting_read &Each) {
+    const bool Ready =
+        Topics[Each.Topic].Records.size() > Each.From || Now >= Each.Until;
+    if (Ready)
+      answerRead(Each);
+    return Ready;
+  });
+}
+
+void store_standin::newestPage(http::exchange &Exchange) {
+  const auto &Records = Topics[Exchange.query("topic").value_or("")].Records;
+  // The next page follows the key that this parameter names.
+  const std::string After = Exchange.query("dependsOn").value_or("");
+  json Items = json::array();
+  bool More = false;
+  for (const auto &[Key, Each] : newestOf(Records)) {
+    if (!After.empty() && Key <= After)
+      continue;
+    More = Items.size() >= PageSize;
+    if (More)
+      break;
+    Items.push_back({{"key", Key},
+                     {"value", encodeBase64(Each.second)},
+                     {"offset", Each.first}});
+  }
+  reply(Exchange, 200,
+        json{{"items", Items}, {"hasMore", More}, {"end", Records.size()}}
+            .dump());
+}
+
+} // namespace galenalink::soak
--- /dev/null
+++ b/test/soak/store_standin.hpp
@@ -0,0 +1,78 @@
+#ifndef GALENALINK_TEST_SOAK_STORE_STANDIN_HPP
+#define GALENALINK_TEST_SOAK_STORE_STANDIN_HPP
+
+#include "galenalink/http/address.hpp"
+#include "galenalink/http/loop.hpp"
+#include "galenalink/http/server.hpp"
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace galenalink::soak {
+
+/** @brief What the store does with calls. */
+enum class store_fault : std::uint8_t {
+  None,
+  /** Calls are not carried out and have no answer. */
+  Silent,
+  /** Appends are carried out and have no answer. */
+  LosesAnswers,
+};
+
+/** @brief Stand-in of the platform's store: one partition for each topic. */
+class store_standin {
+public:
+  explicit store_standin(http::loop &Loop);
+
+  [[nodiscard]] http::address address() const;
+  /** @brief Writes a record of a topic with keys; no value removes the key. */
+  void put(const std::string &Topic, const std::string &Key,
+           const std::optional<std::string> &Value);
+  /** @return Newest value of a key. */
+  [[nodiscard]] std::optional<std::string> newest(const std::string &Topic,
+                                                  const std::string &Key) const;
+  void set(store_fault Fault) { Fault_ = Fault; }
+
+private:
+  struct producer {
+    std::uint64_t Epoch{0};
+    std::uint64_t NextSequence{0};
+    /** Answers to the last appends, by sequence number. */
+    std::deque<std::pair<std::uint64_t, std::string>> Answers;
+  };
+  struct topic {
+    std::vector<std::string> Records;
+    std::map<std::string, producer> Producers;
+  };
+  struct waiting_read {
+    http::exchange Exchange;
+    std::string Topic;
+    std::uint64_t From{0};
+    time_point Until;
+  };
+
+  void handle(http::exchange Exchange);
+  void append(http::exchange &Exchange);
+  [[nodiscard]] std::optional<std::string>
+  checkProducer(http::exchange &Exchange, topic &Topic, bool Empty);
+  void read(http::exchange Exchange);
+  void newestPage(http::exchange &Exchange);
+  void answerRead(waiting_read &Read);
+  void answerReads();
+  void reply(http::exchange &Exchange, int Status, const std::string &Body);
+
+  http::loop &Loop;
+  http::server Server;
+  http::timer Timer;
+  std::map<std::string, topic> Topics;
+  std::vector<waiting_read> Reads;
+  /** Calls without an answer; kept, since dropping them would answer 500. */
+  std::vector<http::exchange> Unanswered;
+  store_fault Fault_{store_fault::None};
+};
+
+} // namespace galenalink::soak
+
+#endif
