Count runs of unknown size as filling their backend server

Ruled out: starts on their way when the leader was killed.

Change: such a run takes more room than any backend server has until it has ended. The new test failed before.

--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -21,6 +21,9 @@
 constexpr duration UnrecordedPause = std::chrono::milliseconds{400};
 /** Pause after a hold without an answer. */
 constexpr duration FailurePause = std::chrono::milliseconds{200};
+/** Taken by a run of unknown size: more than any backend server has, whose
+ * capacity may not be known yet either. */
+constexpr room UnknownSize{std::int64_t{1} << 30, std::int64_t{1} << 30, 0};
 /** Slowest clock allowed, as the real time of a millisecond on it. */
 constexpr double SlowestClock = 1.0 / 0.98;
 
@@ -98,6 +101,10 @@
     Run.Lasts = Step->Lasts;
     Run.Fills = Step->Fills;
     Run.TargetMs = Step->TargetMs;
+  } else {
+    // The job has ended and its tasks' sizes are not kept: while the run is
+    // being stopped nothing else fits beside it for sure.
+    Run.Size = UnknownSize;
   }
   // The leader before may have set any share.
   Run.PaceKnown = !Run.Fills;
--- a/test/galenalink/job/leader_test.cpp
+++ b/test/galenalink/job/leader_test.cpp
@@ -162,6 +162,25 @@
   BOOST_TEST(Platform.Starts == 2U);
 }
 
+// A successor finds runs of a job that had ended and was compacted; while they
+// are being stopped they take room of unknown size.
+BOOST_AUTO_TEST_CASE(run_of_unknown_size_fills_its_server) {
+  one_pool Platform{1};
+  auto &Server = Platform.Servers.at("s0");
+  Server.IgnoresStops = true;
+  simulated_run Run;
+  Run.StartedAt = Platform.Now;
+  Run.EndsAt = time_point::max();
+  Server.Running[{{"gone", 0, 0, 0}, 1}] = Run;
+  Platform.advance(Second / 5);
+  Platform.submit("press", "a", jobOf({makeStep(1, 1000, 300)}));
+  Platform.advance(Second / 5);
+  BOOST_TEST(Platform.Starts == 0U);
+  Server.IgnoresStops = false;
+  Platform.advance(3 * Second);
+  BOOST_CHECK(Platform.stateOf("a") == job_state::Completed);
+}
+
 // A new leader refused for want of room before it had heard of its backend
 // servers.
 BOOST_AUTO_TEST_CASE(new_leader_does_not_lack_room) {
--- a/test/galenalink/job/simulated_platform.cpp
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -122,7 +122,8 @@
   };
   Ports.Stop = [this](const stop_order &Order, const auto &Callback) {
     const auto Found = Servers.find(Order.Server.Id);
-    if (Found == Servers.end() || Found->second.Silent) {
+    if (Found == Servers.end() || Found->second.Silent ||
+        Found->second.IgnoresStops) {
       after(Order.AnswerBy - Now, [Callback] { Callback(order_result{}); });
       return;
     }
--- a/test/galenalink/job/simulated_platform.hpp
+++ b/test/galenalink/job/simulated_platform.hpp
@@ -38,6 +38,8 @@
   /** Everything that is started fails at once. */
   bool FailsAll{false};
   bool RefusesStarts{false};
+  /** Stops are not carried out and get no answer. */
+  bool IgnoresStops{false};
   std::uint64_t Epoch{0};
   std::int64_t LeaseEndMs{0};
   std::uint64_t Ends{0};
