Let a node that is behind at an outage of the log catch up from peers

Heartbeats of peers lend authority only once their offset is folded here. A node that had not read the newest records when the log went down could never fold them, so that no answer counted. The nodes' log lines of the outage show offsets that differ by one.

Change: during an outage a node that hears of a higher offset asks its peers for their state, as a new node does.

Ruled out: a slow election or loss of heartbeats (the peers answered all the while).

--- a/src/galenalink/node/incarnation.cpp
+++ b/src/galenalink/node/incarnation.cpp
@@ -336,9 +336,15 @@
 }
 
 void incarnation::heard(const node_id Peer, const log_offset Folded) {
-  Barrier.acknowledged(Peer, Folded, boot_clock::now());
-  if (Folded > State.Offset)
-    Log.hurry();
+  const auto Now = boot_clock::now();
+  Barrier.acknowledged(Peer, Folded, Now);
+  if (Folded <= State.Offset)
+    return;
+  Log.hurry();
+  // A node that was behind when the log went down can't catch up from it, and
+  // has no authority until it has folded what its peers have.
+  if (!Log.available())
+    Recovery.askPeers(Now);
 }
 
 wire::heartbeat incarnation::heartbeat() const {
