--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -186,6 +186,11 @@
     const auto Found = Jobs.find(Id);
     return Found == Jobs.end() ? nullptr : Found->second.get();
   }
+  /** @return Null for an incarnation that is not known (any more). */
+  [[nodiscard]] server *findServer(const std::string &Id) const {
+    const auto Found = Servers.find(Id);
+    return Found == Servers.end() ? nullptr : Found->second.get();
+  }
   /** Called after each answer of a hook, which may have made work. */
   std::function<void()> AfterEvent;
 
--- a/src/galenalink/job/pacing.cpp
+++ b/src/galenalink/job/pacing.cpp
@@ -36,19 +36,17 @@
                         Leader.OnFenced();
                         return;
                       }
-                      const auto Found = Leader.Servers.find(ServerId);
-                      if (Found == Leader.Servers.end())
+                      server *Found = Leader.findServer(ServerId);
+                      struct run *Paced =
+                          Found == nullptr ? nullptr : Found->findRun(Id);
+                      if (Paced == nullptr)
                         return;
-                      const auto Each = Found->second->Runs.find(Id);
-                      if (Each == Found->second->Runs.end())
-                        return;
-                      Each->second.PaceSent = false;
+                      Paced->PaceSent = false;
                       // Without an answer the order is sent again with the next
                       // look.
-                      Each->second.PaceKnown =
-                          Result.Outcome == call_outcome::Done;
-                      if (Each->second.PaceKnown)
-                        Each->second.Pace = Percent;
+                      Paced->PaceKnown = Result.Outcome == call_outcome::Done;
+                      if (Paced->PaceKnown)
+                        Paced->Pace = Percent;
                     }));
 }
 
--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -120,20 +120,18 @@
     Leader.OnFenced();
     return;
   }
-  const auto Found = Leader.Servers.find(ServerId);
-  if (Found == Leader.Servers.end())
-    return;
-  server &Server = *Found->second;
-  const auto Each = Server.Runs.find(Run);
-  if (Each == Server.Runs.end())
+  server *Found = Leader.findServer(ServerId);
+  struct run *Started = Found == nullptr ? nullptr : Found->findRun(Run);
+  if (Started == nullptr)
     return; // its end was listed before the answer came
+  server &Server = *Found;
   if (Result.Outcome != call_outcome::Unknown)
     Server.Health.answered();
   switch (Result.Outcome) {
   case call_outcome::Done:
-    Each->second.StartConfirmedAt = Leader.Now();
-    if (Each->second.State == run_state::Starting)
-      Each->second.State = run_state::Running;
+    Started->StartConfirmedAt = Leader.Now();
+    if (Started->State == run_state::Starting)
+      Started->State = run_state::Running;
     break;
   case call_outcome::Refused:
     startRefused(Leader, Server, Run, Result);
@@ -154,20 +152,20 @@
     Leader.OnFenced();
     return;
   }
-  const auto Found = Leader.Servers.find(ServerId);
-  if (Found == Leader.Servers.end())
+  server *Found = Leader.findServer(ServerId);
+  if (Found == nullptr)
     return;
-  server &Server = *Found->second;
+  server &Server = *Found;
   if (Result.Outcome == call_outcome::Replaced) {
     loseServer(Leader, Server, "another incarnation at its address");
     return;
   }
-  const auto Each = Server.Runs.find(Run);
-  if (Each == Server.Runs.end())
+  struct run *Stopped = Server.findRun(Run);
+  if (Stopped == nullptr)
     return;
-  Each->second.StopSent = false;
+  Stopped->StopSent = false;
   if (Result.Outcome == call_outcome::Done) {
-    Each->second.StopConfirmedAt = Leader.Now();
+    Stopped->StopConfirmedAt = Leader.Now();
     Server.HoldDue = std::min(Server.HoldDue, Leader.Now());
   }
 }
--- a/src/galenalink/job/server.hpp
+++ b/src/galenalink/job/server.hpp
@@ -109,6 +109,11 @@
     return Fills ? room{0, Size.Memory, Size.Gpu} : Size;
   }
 
+  /** @return Null for a run that has ended or was never there. */
+  [[nodiscard]] run *findRun(const run_id &Id) {
+    const auto Found = Runs.find(Id);
+    return Found == Runs.end() ? nullptr : &Found->second;
+  }
   run &addRun(const run_id &Id, const run &Run) {
     Used += charged(Run.Size, Run.Fills);
     return Runs.insert_or_assign(Id, Run).first->second;
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -45,10 +45,10 @@
       serverKey(Server.Entry.Id),
       [Text = toRecord(Server.Entry)] { return std::optional{Text}; });
   Leader.Journal.whenStored([&Leader, Id = Server.Entry.Id] {
-    const auto Found = Leader.Servers.find(Id);
-    if (Found == Leader.Servers.end())
+    server *Found = Leader.findServer(Id);
+    if (Found == nullptr)
       return;
-    Found->second->Recorded = true;
+    Found->Recorded = true;
     Leader.Dirty = true;
   });
 }
@@ -179,15 +179,15 @@
     return;
   // The backend server forgets an end once it is told; the store must know
   // what the end did before that.
-  Leader.Journal.whenStored([&Leader, Id = Server.Entry.Id, Newest,
-                             Born = Server.Entry.BornMs] {
-    const auto Found = Leader.Servers.find(Id);
-    if (Found == Leader.Servers.end() || Found->second->Entry.BornMs != Born)
-      return;
-    server &Stored = *Found->second;
-    Stored.RecordedEnds = std::max(Stored.RecordedEnds, Newest);
-    Stored.HoldDue = Leader.Now();
-  });
+  Leader.Journal.whenStored(
+      [&Leader, Id = Server.Entry.Id, Newest, Born = Server.Entry.BornMs] {
+        server *Found = Leader.findServer(Id);
+        if (Found == nullptr || Found->Entry.BornMs != Born)
+          return;
+        server &Stored = *Found;
+        Stored.RecordedEnds = std::max(Stored.RecordedEnds, Newest);
+        Stored.HoldDue = Leader.Now();
+      });
 }
 
 void takeAnswer(leader &Leader, server &Server, const hold_result &Result) {
@@ -216,10 +216,10 @@
 
 void holdAnswered(leader &Leader, const std::string &Id,
                   const std::int64_t Born, const hold_result &Result) {
-  const auto Found = Leader.Servers.find(Id);
-  if (Found == Leader.Servers.end() || Found->second->Entry.BornMs != Born)
+  server *Found = Leader.findServer(Id);
+  if (Found == nullptr || Found->Entry.BornMs != Born)
     return;
-  server &Server = *Found->second;
+  server &Server = *Found;
   Server.HoldOpen = false;
   const bool Reborn = Result.BornMs != 0 && Born != 0 && Result.BornMs != Born;
   if (Result.Outcome == call_outcome::Fenced) {
--- a/src/galenalink/job_node/peer_api.cpp
+++ b/src/galenalink/job_node/peer_api.cpp
@@ -52,6 +52,20 @@
   return Request;
 }
 
+std::optional<call_kind> kindOf(const http::method Method) noexcept {
+  switch (Method) {
+  case http::method::Get:
+    return call_kind::Query;
+  case http::method::Delete:
+    return call_kind::Cancel;
+  case http::method::Post:
+    return call_kind::Submit;
+  case http::method::Put:
+    break;
+  }
+  return std::nullopt;
+}
+
 std::optional<caller_call> parseCall(const http::exchange &Exchange) {
   caller_call Call;
   Call.Deadline = deadlineOf(Exchange);
@@ -69,18 +83,12 @@
     return std::nullopt;
   Call.Queue = http::decodeSegment(Path.substr(0, Slash));
   Call.Job = http::decodeSegment(Path.substr(Slash + 1));
-  switch (Exchange.method()) {
-  case http::method::Get:
-    Call.Kind = call_kind::Query;
-    return Call;
-  case http::method::Delete:
-    Call.Kind = call_kind::Cancel;
+  const auto Kind = kindOf(Exchange.method());
+  if (!Kind)
+    return std::nullopt;
+  Call.Kind = *Kind;
+  if (Call.Kind != call_kind::Submit)
     return Call;
-  case http::method::Post:
-  case http::method::Put:
-    break;
-  }
-  Call.Kind = call_kind::Submit;
   const auto Job = job::parseJob(Call.Job, Exchange.body());
   if (!Job)
     return std::nullopt;
--- a/src/galenalink/job_node/peer_api.hpp
+++ b/src/galenalink/job_node/peer_api.hpp
@@ -11,6 +11,8 @@
  * `/v1/jobs/QUEUE/ID`, `GET` on `/v1/queues/QUEUE`. A job and a reply are CBOR.
  */
 [[nodiscard]] http::request toRequest(const caller_call &Call);
+/** @return What a method asks of a job; nothing for one that asks nothing. */
+[[nodiscard]] std::optional<call_kind> kindOf(http::method Method) noexcept;
 /** @return Nothing if the request is no call. */
 [[nodiscard]] std::optional<caller_call>
 parseCall(const http::exchange &Exchange);
--- a/test/galenalink/job/leader_test.cpp
+++ b/test/galenalink/job/leader_test.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr duration Second = std::chrono::seconds{1};
+constexpr duration Millisecond = std::chrono::milliseconds{1};
 
 job_spec jobOf(const std::vector<step_spec> &Steps) {
   job_spec Spec;
@@ -35,6 +36,21 @@
   }
 };
 
+/** @brief Lets time pass.
+ * @return Fewest tasks of the first step of job `a` that ran at any time. */
+std::size_t leastRunning(simulated_platform &Platform,
+                         const std::uint32_t Count, const duration Time) {
+  std::size_t Least = Count;
+  for (const time_point End = Platform.Now + Time; Platform.Now < End;) {
+    Platform.advance(20 * Millisecond);
+    std::size_t Running = 0;
+    for (std::uint32_t Index = 0; Index < Count; ++Index)
+      Running += Platform.running({"a", 0, 0, Index});
+    Least = std::min(Least, Running);
+  }
+  return Least;
+}
+
 void checkNothingBroken(const simulated_platform &Platform) {
   for (const auto &Each : Platform.Broken)
     BOOST_ERROR(Each);
@@ -286,16 +302,8 @@
   wave Wave{1, {}, 8, 4};
   for (const auto &Each : Platform.Vms)
     Wave.Vms.push_back(Each.Name);
-  std::size_t Least = 4;
   Platform.Leader->setWaves({{1, Wave}});
-  for (int I = 0; I < 600; ++I) {
-    Platform.advance(std::chrono::milliseconds{20});
-    std::size_t Running = 0;
-    for (std::uint32_t Index = 0; Index < 4; ++Index)
-      Running += Platform.running({"a", 0, 0, Index});
-    Least = std::min(Least, Running);
-  }
-  BOOST_TEST(Least >= 3U);
+  BOOST_TEST(leastRunning(Platform, 4, 12000 * Millisecond) >= 3U);
   BOOST_TEST(Platform.VmOrders.size() == 4U);
 }
 
@@ -308,15 +316,7 @@
   Platform.advance(5 * Second);
   wave Wave{1, {"vm-s0"}, 20, 1};
   Platform.Leader->setWaves({{1, Wave}});
-  std::size_t Least = 6;
-  for (int I = 0; I < 300; ++I) {
-    Platform.advance(std::chrono::milliseconds{20});
-    std::size_t Running = 0;
-    for (std::uint32_t Index = 0; Index < 6; ++Index)
-      Running += Platform.running({"a", 0, 0, Index});
-    Least = std::min(Least, Running);
-  }
-  BOOST_TEST(Least >= 5U);
+  BOOST_TEST(leastRunning(Platform, 6, 6000 * Millisecond) >= 5U);
 }
 
 // A task that had just been moved off one VM was ended on the next one while it
@@ -346,15 +346,7 @@
   Platform.Servers.at("s0").Unregistered = true;
   Platform.advance(Second / 2);
   Platform.Leader->setWaves({{1, wave{1, {"vm-s0"}, 20, 1}}});
-  std::size_t Least = 6;
-  for (int I = 0; I < 300; ++I) {
-    Platform.advance(std::chrono::milliseconds{20});
-    std::size_t Running = 0;
-    for (std::uint32_t Index = 0; Index < 6; ++Index)
-      Running += Platform.running({"a", 0, 0, Index});
-    Least = std::min(Least, Running);
-  }
-  BOOST_TEST(Least >= 5U);
+  BOOST_TEST(leastRunning(Platform, 6, 6000 * Millisecond) >= 5U);
 }
 
 // A successor asked again for a maintenance that was done before; what ran on
