--- a/src/galenalink/job/turn_forecast.cpp
+++ b/src/galenalink/job/turn_forecast.cpp
@@ -1,6 +1,7 @@
 #include "galenalink/job/turn_forecast.hpp"
 #include <algorithm>
 #include <cmath>
+#include <ranges>
 
 namespace galenalink::job {
 
@@ -183,13 +184,13 @@
 double turn_forecast::rateOf(const std::string &Pool) const {
   double Share = 0;
   std::size_t Seen = 0;
-  for (auto Each = Turns.rbegin(); Each != Turns.rend(); ++Each) {
-    const auto Room = Rooms.find(Each->Pool);
-    if (!complete(*Each) || Room == Rooms.end() || Room->second <= 0)
+  for (const turn &Each : std::views::reverse(Turns)) {
+    const auto Room = Rooms.find(Each.Pool);
+    if (!complete(Each) || Room == Rooms.end() || Room->second <= 0)
       continue;
-    if (Each->Pool == Pool)
-      return rate(*Each, lengthMs(*Each));
-    Share += rate(*Each, lengthMs(*Each)) / Room->second;
+    if (Each.Pool == Pool)
+      return rate(Each, lengthMs(Each));
+    Share += rate(Each, lengthMs(Each)) / Room->second;
     ++Seen;
   }
   const auto Own = Rooms.find(Pool);
--- a/test/soak/store_standin.cpp
+++ b/test/soak/store_standin.cpp
@@ -99,7 +99,7 @@
 }
 
 void store_standin::handle(http::exchange Exchange) {
-  if (Fault_ == store_fault::Silent) {
+  if (Mode == store_fault::Silent) {
     Unanswered.push_back(std::move(Exchange));
     return;
   }
@@ -165,7 +165,7 @@
     if (Producer.Answers.size() > AnswersKept)
       Producer.Answers.pop_front();
   }
-  if (Fault_ == store_fault::LosesAnswers)
+  if (Mode == store_fault::LosesAnswers)
     Exchange.abort();
   else
     reply(Exchange, 200, Answer);
@@ -194,7 +194,7 @@
 }
 
 void store_standin::answerReads() {
-  if (Fault_ == store_fault::Silent)
+  if (Mode == store_fault::Silent)
     return;
   const time_point Now = boot_clock::now();
   std::erase_if(Reads, [&](waiting_read &Each) {
--- a/test/soak/store_standin.hpp
+++ b/test/soak/store_standin.hpp
@@ -33,7 +33,7 @@
   /** @return Newest value of a key. */
   [[nodiscard]] std::optional<std::string> newest(const std::string &Topic,
                                                   const std::string &Key) const;
-  void set(store_fault Fault) { Fault_ = Fault; }
+  void set(store_fault Fault) { Mode = Fault; }
 
 private:
   struct producer {
@@ -70,7 +70,7 @@
   std::vector<waiting_read> Reads;
   /** Calls without an answer; kept, since dropping them would answer 500. */
   std::vector<http::exchange> Unanswered;
-  store_fault Fault_{store_fault::None};
+  store_fault Mode{store_fault::None};
 };
 
 } // namespace galenalink::soak
