Split the replies' deadlines and the simulated sharing into files

Change: reply_deadline has the time by which an answer leaves, and simulated_sharing the simulated advice and tails. No change of behaviour.

--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -240,10 +240,10 @@
   const bool Advised = Rule != nullptr && Rule->Advice;
   const task_id Step{Entry.Job.id(), Candidate.Occurrence->Number,
                      Candidate.Step, 0};
-  std::vector<server *> Licensed;
+  std::vector<server *> WithTicket;
   if (Advised)
-    Licensed = withTickets(Leader, Step, Servers);
-  const auto &Allowed = Advised ? Licensed : Servers;
+    WithTicket = withTickets(Leader, Step, Servers);
+  const auto &Allowed = Advised ? WithTicket : Servers;
   if (Spec.Gang)
     startGang(Leader, Candidate, Allowed);
   else
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -1,6 +1,7 @@
 #include "galenalink/job_node/node.hpp"
 #include "galenalink/core/hash.hpp"
 #include "galenalink/job_node/peer_api.hpp"
+#include "galenalink/job_node/reply_deadline.hpp"
 #include "galenalink/telemetry/log.hpp"
 
 namespace galenalink::job_node {
@@ -32,13 +33,6 @@
 /** Tells whether a node leads, and as which process. */
 constexpr std::string_view LeaderPath = "/v1/leader";
 constexpr duration ProbeTimeout = std::chrono::milliseconds{400};
-/** The answer leaves this long before the caller stops to wait, or in three
- * quarters of a shorter time. */
-constexpr duration ReplyMargin = std::chrono::milliseconds{150};
-/** Longest time that a call waits for the store before its outcome is called
- * unknown. */
-constexpr duration LongestCall = std::chrono::milliseconds{2000};
-
 constexpr tail_settings OperatorTailSettings{job::topic::Operator, 700,
                                              duration{0}};
 constexpr tail_settings RegistrationTailSettings{
@@ -80,41 +74,6 @@
   return Options;
 }
 
-job::caller_reply unknown(std::string Reason) {
-  job::caller_reply Reply;
-  Reply.Verdict = verdict::Unknown;
-  Reply.Reason = std::move(Reason);
-  return Reply;
-}
-
-/** @return When an answer must leave at the latest. */
-time_point replyBy(const time_point Deadline) {
-  const time_point Now = boot_clock::now();
-  const duration Left = std::max(Deadline - Now, duration{0});
-  return Now +
-         std::min(std::max(Left - ReplyMargin, Left * 3 / 4), LongestCall);
-}
-
-/** @brief Passes on the first reply, or `unknown` at the deadline. */
-job::reply_function withDeadline(http::loop &Loop, const time_point Deadline,
-                                 job::reply_function Reply) {
-  struct state {
-    job::reply_function Reply;
-    http::timer Timer;
-  };
-  auto State = std::make_shared<state>();
-  State->Reply = std::move(Reply);
-  State->Timer = Loop.at(Deadline, [State] {
-    if (const auto Call = std::exchange(State->Reply, {}))
-      Call(unknown("no outcome in time"));
-  });
-  return [State](const job::caller_reply &Result) {
-    State->Timer.cancel();
-    if (const auto Call = std::exchange(State->Reply, {}))
-      Call(Result);
-  };
-}
-
 } // namespace
 
 node::node(http::loop &Loop, const job::ports &Ports, settings Settings)
--- a/test/galenalink/job/simulated_platform.cpp
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -150,53 +150,6 @@
   };
 }
 
-void simulated_platform::connectAdvice() {
-  Ports.Advise = [this](const advice_order &Order, const auto &Callback) {
-    ++AdviceCalls;
-    const auto &Rule = *Rules.Queues.front().Advice;
-    const duration Takes = std::chrono::milliseconds{
-        Rule.DecisionMs + Rule.PeriodMs * Order.Servers.size()};
-    after(Takes, [this, Order, Callback, Validity = Rule.ValidityMs] {
-      advice_result Result;
-      Result.Outcome = call_outcome::Done;
-      for (const auto &Id : Order.Servers) {
-        if (!MayRun(Order.Step, Id))
-          continue;
-        const std::string Ticket = "ticket-" + Order.Step.Job + "-" + Id;
-        Tickets[Ticket] = Now + std::chrono::milliseconds{Validity};
-        Result.Good.push_back({Id, Ticket});
-      }
-      Callback(Result);
-    });
-  };
-}
-
-bool simulated_platform::ticketHolds(const start_order &Order) const {
-  if (!Rules.Queues.front().Advice)
-    return true;
-  const auto Found = Tickets.find(Order.Ticket);
-  return Found != Tickets.end() && Now < Found->second &&
-         Order.Ticket.ends_with("-" + Order.Server.Id);
-}
-
-std::uint32_t simulated_platform::gaugeOf(const simulated_server &Server,
-                                          const run_id &Run) const {
-  const auto SpecOf = [&](const run_id &Id) {
-    const auto *Entry = Leader->state().findJob(Id.Task.Job);
-    return Entry == nullptr ? nullptr : Entry->Job.specOf(Id.Task);
-  };
-  const step_spec *Step = SpecOf(Run);
-  if (Step == nullptr || Step->TargetMs == 0)
-    return 0;
-  double Share = 1.0 / 3;
-  for (const auto &[Id, State] : Server.Running) {
-    const step_spec *Other = SpecOf(Id);
-    if (Other != nullptr && Other->Fills)
-      Share += (DisturbedTail - Share) * State.Pace / 100;
-  }
-  return static_cast<std::uint32_t>(Share * Step->TargetMs);
-}
-
 vm_result simulated_platform::orderVm(const vm_order &Order) {
   const auto Found = std::ranges::find(Vms, Order.Vm, &vm::Name);
   if (Found != Vms.end() && Order.Pool.empty() &&
