--- a/src/galenalink/job/turn_forecast.cpp
+++ b/src/galenalink/job/turn_forecast.cpp
@@ -1,7 +1,6 @@
 #include "galenalink/job/turn_forecast.hpp"
 #include <algorithm>
 #include <cmath>
-#include <ranges>
 
 namespace galenalink::job {
 
@@ -184,7 +183,8 @@
 double turn_forecast::rateOf(const std::string &Pool) const {
   double Share = 0;
   std::size_t Seen = 0;
-  for (const turn &Each : std::views::reverse(Turns)) {
+  for (std::size_t I = Turns.size(); I-- > 0;) {
+    const turn &Each = Turns[I];
     const auto Room = Rooms.find(Each.Pool);
     if (!complete(Each) || Room == Rooms.end() || Room->second <= 0)
       continue;
