Check the forecast at the moment that the test had before

Cause: with the forecast by the middle of arrivals the test of the next turn was moved by 200 ms without a reason; no trace asked for it. The replaced test of the first cycle no longer looked just before the end of a turn. Change: the next turn must be known at the moment of the earlier test again, and nothing may be forecast at the end of the second turn.

--- a/test/galenalink/job/turn_forecast.cpp
+++ b/test/galenalink/job/turn_forecast.cpp
@@ -47,6 +47,11 @@
   BOOST_TEST(!Forecast.regular());
   for (const auto &Each : {"a", "b", "d"})
     BOOST_TEST(Forecast.expected(Each, 3 * Turn - Lead, Lead) == 0);
+  forecast Early;
+  play(Early, 0, 2 * Turn - JobGap);
+  BOOST_TEST(!Early.regular());
+  for (const auto &Each : {"a", "c", "d"})
+    BOOST_TEST(Early.expected(Each, 2 * Turn - JobGap, Lead) == 0);
 }
 
 // The pool that is the last one without a turn comes next.
@@ -69,9 +74,9 @@
 // The next turn must be known early enough to move VMs, and not sooner.
 BOOST_AUTO_TEST_CASE(next_turn_is_known_in_time) {
   forecast Forecast;
-  play(Forecast, 0, 4 * Turn - Lead + 200);
+  play(Forecast, 0, 4 * Turn - Lead);
   BOOST_TEST(Forecast.regular());
-  BOOST_TEST(Forecast.expected("a", 4 * Turn - Lead + 200, Lead) > 0.9 * Peak);
+  BOOST_TEST(Forecast.expected("a", 4 * Turn - Lead, Lead) > 0.9 * Peak);
   BOOST_TEST(Forecast.expected("a", 4 * Turn - 2 * Lead, Lead) == 0);
   BOOST_TEST(Forecast.expected("b", 4 * Turn - Lead, Lead) == 0);
 }
