Promise nothing when an earlier send may still reach the leader

Cause: found by reading. A submit without an answer is sent again to the same leader; if the repeat was refused, the caller was told that the job does not run, although the first send could still arrive and be accepted.

Change: the relay remembers the leader to which a send was lost, and answers unknown in place of a refusal by the same one. A refusal by its successor holds: the one before can't store any more.

--- a/src/galenalink/job_node/caller_relay.cpp
+++ b/src/galenalink/job_node/caller_relay.cpp
@@ -30,6 +30,13 @@
   return Reply;
 }
 
+job::caller_reply unknown() {
+  job::caller_reply Reply;
+  Reply.Verdict = job::caller_reply::verdict::Unknown;
+  Reply.Reason = "an earlier send may still be taken";
+  return Reply;
+}
+
 } // namespace
 
 void caller_relay::call(const caller_call &Call, job::reply_function Reply) {
@@ -70,8 +77,12 @@
     // jobs; what it accepted holds.
     const bool Holds =
         Send == Call.Sent || Reply->Verdict == job::caller_reply::verdict::Ok;
-    if (Holds)
-      finish(Each, *Reply);
+    if (!Holds)
+      return;
+    const bool MayStillArrive =
+        Reply->Verdict != job::caller_reply::verdict::Ok &&
+        Call.LostAtEpoch != 0 && Call.LostAtEpoch == Leader.Epoch;
+    finish(Each, MayStillArrive ? unknown() : *Reply);
     return;
   }
   const auto Failure = std::get<relay_failure>(Answer);
@@ -82,7 +93,9 @@
                {"why", std::string{nameOf(RelayFailureNames, Failure)}}});
   Call.MaybeTaken = Call.MaybeTaken || Failure == relay_failure::Unknown;
   if (Send != Call.Sent)
-    return;
+    return; // it went to a leader before the present one
+  if (Failure == relay_failure::Unknown)
+    Call.LostAtEpoch = Leader.Epoch;
   Call.Sent = 0;
   Call.RetryAt = Hooks.Now() + RetryPause;
 }
--- a/src/galenalink/job_node/caller_relay.hpp
+++ b/src/galenalink/job_node/caller_relay.hpp
@@ -73,6 +73,9 @@
     std::uint64_t Sent{0};
     /** A leader may have taken it. */
     bool MaybeTaken{false};
+    /** Leader that a send without an answer went to; that send may still
+     * arrive there. 0 for none. */
+    std::uint64_t LostAtEpoch{0};
   };
   using calls = std::map<std::uint64_t, open_call>;
 
--- a/test/galenalink/job_node/caller_relay.cpp
+++ b/test/galenalink/job_node/caller_relay.cpp
@@ -108,6 +108,34 @@
   BOOST_TEST(Relay.Relay.idle());
 }
 
+// A send that had no answer may reach the same leader after a repeat was
+// refused there, and be accepted: the refusal does not hold for both.
+BOOST_AUTO_TEST_CASE(refusal_after_a_lost_send_promises_nothing) {
+  relay Relay;
+  Relay.Relay.leaderChanged(First);
+  Relay.submit();
+  Relay.Sent[0].Answer(relay_failure::Unknown);
+  Relay.advance(100);
+  BOOST_REQUIRE(Relay.Sent.size() == 2U);
+  Relay.Sent[1].Answer(replyOf(verdict::Refused));
+  BOOST_REQUIRE(Relay.Replies.size() == 1U);
+  BOOST_CHECK(Relay.Replies[0].Verdict == verdict::Unknown);
+}
+
+// What a successor refuses can't be accepted by the leader before it any more,
+// since nothing of that one is stored.
+BOOST_AUTO_TEST_CASE(refusal_of_the_successor_holds) {
+  relay Relay;
+  Relay.Relay.leaderChanged(First);
+  Relay.submit();
+  Relay.Sent[0].Answer(relay_failure::Unknown);
+  Relay.Relay.leaderChanged(Second);
+  BOOST_REQUIRE(Relay.Sent.size() == 2U);
+  Relay.Sent[1].Answer(replyOf(verdict::Refused));
+  BOOST_REQUIRE(Relay.Replies.size() == 1U);
+  BOOST_CHECK(Relay.Replies[0].Verdict == verdict::Refused);
+}
+
 // A node that is elected takes calls only once it has recovered.
 BOOST_AUTO_TEST_CASE(call_that_was_not_taken_is_sent_again) {
   relay Relay;
