Wait longer for a page of newest records

A page of 1 MB takes over a second on its link of 10 Mbit/s, and the wait was 1 s, while its signs of life kept others from claiming.

--- a/test/platform/store.cpp
+++ b/test/platform/store.cpp
@@ -18,11 +18,16 @@
   std::vector<std::string> Paths;
   std::vector<std::string> Bodies;
   bool Breaks{false};
+  /** Time until an answer leaves. */
+  duration Delay{0};
+  std::vector<http::timer> Timers;
   http::server Server{Loop, {}, [this](http::exchange Exchange) {
                         Paths.push_back(Exchange.received().Path);
                         Bodies.push_back(Exchange.body());
                         if (Breaks)
                           Exchange.abort();
+                        else if (Delay.count() > 0)
+                          answerLater(std::move(Exchange));
                         else
                           Exchange.reply(Status, {}, Body);
                       }};
@@ -31,6 +36,13 @@
                            [](const error &) { return std::uint16_t{0}; })};
   users_platform::store Store{Client, {"127.0.0.1", Port}};
 
+  void answerLater(http::exchange Exchange) {
+    auto Shared = std::make_shared<http::exchange>(std::move(Exchange));
+    Timers.push_back(Loop.at(boot_clock::now() + Delay, [this, Shared] {
+      Shared->reply(Status, {}, Body);
+    }));
+  }
+
   template <typename Result, typename Call> Result await(const Call &Start) {
     std::optional<Result> Got;
     Start([&](const Result &Answer) { Got = Answer; });
@@ -129,4 +141,15 @@
   BOOST_CHECK(Result.Outcome == call_outcome::Unknown);
 }
 
+// A node with a slow link never got a page of 1 MB in time, and led without
+// having recovered.
+BOOST_AUTO_TEST_CASE(large_page_on_a_slow_link) {
+  stand_in Stand;
+  Stand.Body = R"({"items":[],"hasMore":false,"end":4})";
+  Stand.Delay = std::chrono::milliseconds{1300};
+  const auto Result = Stand.await<newest_result>(
+      [&](auto Callback) { Stand.Store.newest(topic::Jobs, Callback); });
+  BOOST_CHECK(Result.Outcome == call_outcome::Done);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
