--- a/src/galenalink/job/journal.cpp
+++ b/src/galenalink/job/journal.cpp
@@ -30,7 +30,7 @@
 }
 
 void journal::whenStored(callback Callback) {
-  StoredCallbacks.push_back(std::move(Callback));
+  StoredCallbacks.push_back({std::move(Callback), Hooks.Now()});
 }
 
 void journal::flush() {
@@ -43,13 +43,26 @@
     collect();
 }
 
+journal::load journal::currentLoad() const {
+  load Load;
+  Load.Records = Batch.size() + PendingPuts.size();
+  Load.BatchBytes = Batch.empty() ? 0 : BatchBytes;
+  Load.Callbacks = BatchCallbacks.size() + StoredCallbacks.size();
+  // Callbacks of the append in flight are older than those that wait.
+  if (!BatchCallbacks.empty())
+    Load.OldestAt = BatchCallbacks.front().AddedAt;
+  else if (!StoredCallbacks.empty())
+    Load.OldestAt = StoredCallbacks.front().AddedAt;
+  return Load;
+}
+
 void journal::collect() {
-  std::size_t Bytes = 0;
-  while (!PendingPuts.empty() && Bytes < MaxBatchBytes) {
+  BatchBytes = 0;
+  while (!PendingPuts.empty() && BatchBytes < MaxBatchBytes) {
     const auto First = PendingPuts.begin();
     Batch.push_back({First->first, First->second()});
     const keyed_record &Record = Batch.back();
-    Bytes += Record.Key.size() + (Record.Value ? Record.Value->size() : 0);
+    BatchBytes += Record.Key.size() + (Record.Value ? Record.Value->size() : 0);
     PendingPuts.erase(First);
   }
   if (PendingPuts.empty())
@@ -92,7 +105,7 @@
     ++Sequence;
   Batch.clear();
   for (const auto &Callback : std::exchange(BatchCallbacks, {}))
-    Callback();
+    Callback.Function();
   flush();
 }
 
--- a/src/galenalink/job/journal.hpp
+++ b/src/galenalink/job/journal.hpp
@@ -5,6 +5,7 @@
 #include "galenalink/job/ports.hpp"
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace galenalink::job {
 
@@ -15,6 +16,18 @@
  */
 class journal {
 public:
+  /** @brief Queue lengths, for metrics and the log. */
+  struct load {
+    /** Records of the append in flight and of those after it. */
+    std::size_t Records{0};
+    /** Size of the append in flight, bytes. */
+    std::size_t BatchBytes{0};
+    /** Callbacks that wait for an append. */
+    std::size_t Callbacks{0};
+    /** When the oldest of the callbacks was added; unset if there is none. */
+    std::optional<time_point> OldestAt;
+  };
+
   /** Returns the value to write; `nullopt` deletes the key. */
   using value_function = std::function<std::optional<std::string>()>;
   using callback = std::function<void()>;
@@ -44,7 +57,14 @@
     return !InFlight && PendingPuts.empty() && StoredCallbacks.empty();
   }
 
+  [[nodiscard]] load currentLoad() const;
+
 private:
+  struct pending_callback {
+    callback Function;
+    time_point AddedAt;
+  };
+
   void collect();
   void send();
   void onAppendResult(const append_result &Result);
@@ -53,10 +73,11 @@
   std::uint64_t Epoch;
   std::uint64_t Sequence{0};
   std::map<std::string, value_function> PendingPuts;
-  std::vector<callback> StoredCallbacks;
+  std::vector<pending_callback> StoredCallbacks;
   /** The append in flight, kept for a retry. */
   std::vector<keyed_record> Batch;
-  std::vector<callback> BatchCallbacks;
+  std::vector<pending_callback> BatchCallbacks;
+  std::size_t BatchBytes{0};
   bool InFlight{false};
   bool Sent{false};
   std::uint32_t Failures{0};
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -36,6 +36,10 @@
  * Its body names the process that the node knows as the leader. */
 constexpr std::string_view LeaderPath = "/v1/leader";
 constexpr duration ProbeTimeout = std::chrono::milliseconds{400};
+/** Interval of the log line with the leader's queue lengths. */
+constexpr duration LoadLogInterval = std::chrono::milliseconds{1000};
+/** Neither a shorter delay of the loop nor a younger journal is logged. */
+constexpr duration MinLoggedDelay = std::chrono::milliseconds{100};
 constexpr log_reader_settings OperatorReaderSettings{job::topic::Operator, 700,
                                                      duration{0}};
 constexpr log_reader_settings RegistrationReaderSettings{
@@ -59,6 +63,10 @@
   return duration{static_cast<std::int64_t>(Seconds * 1e6)};
 }
 
+double toSeconds(const duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
 job::leader_settings leaderSettings(const settings &Settings) {
   job::leader_settings Leader;
   Leader.Node = Settings.Name;
@@ -127,7 +135,8 @@
                         const time_point RespondBy,
                         std::function<void(forward_result)> Callback) {
                    forwardRequest(To, Request, RespondBy, std::move(Callback));
-                 }}} {}
+                 }}},
+      LoopDelay{TickInterval, LoadLogInterval} {}
 
 node::~node() = default;
 
@@ -229,6 +238,7 @@
   Controller->setRegistrations(View.registrations());
   Controller->setWaves(View.waves());
   NextVmListAt = boot_clock::now();
+  LoopDelay = loop_delay{TickInterval, LoadLogInterval};
   TickTimer = Loop.every(TickInterval, [this] { tick(); });
 }
 
@@ -255,11 +265,30 @@
 void node::tick() {
   if (!Controller)
     return;
+  if (LoopDelay.record(boot_clock::now()))
+    logLoad();
   Controller->tick();
   if (boot_clock::now() >= NextVmListAt && !ListingVms)
     listVms();
 }
 
+void node::logLoad() const {
+  const auto Journal = Controller->state().Journal.currentLoad();
+  const time_point Now = boot_clock::now();
+  const duration Age = Now - Journal.OldestAt.value_or(Now);
+  if (std::max(Age, LoopDelay.longest()) < MinLoggedDelay)
+    return;
+  const auto Ms = [](const duration Value) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+  };
+  Log.info("leader is behind", {{"loop_delay_ms", Ms(LoopDelay.longest())},
+                                {"journal_age_ms", Ms(Age)},
+                                {"journal_records", Journal.Records},
+                                {"journal_batch_bytes", Journal.BatchBytes},
+                                {"journal_callbacks", Journal.Callbacks},
+                                {"forwarded", Forwarder.size()}});
+}
+
 void node::listVms() {
   ListingVms = true;
   const time_point RequestedAt = boot_clock::now();
@@ -285,9 +314,15 @@
   Gauges.Leads = leads();
   Gauges.Epoch = Elector.current().Epoch;
   Gauges.RulesVersion = View.rules().Version;
+  Gauges.ForwardedRequests = Forwarder.size();
   if (Controller) {
     Gauges.OpenJobs = Controller->state().OpenJobs.size();
     Gauges.Servers = Controller->state().Servers.size();
+    const auto Journal = Controller->state().Journal.currentLoad();
+    const time_point Now = boot_clock::now();
+    Gauges.LoopDelayS = toSeconds(LoopDelay.longest());
+    Gauges.JournalRecords = Journal.Records;
+    Gauges.JournalAgeS = toSeconds(Now - Journal.OldestAt.value_or(Now));
   }
   return Metrics.render(*Counts, Gauges);
 }
--- a/src/galenalink/job_node/node.hpp
+++ b/src/galenalink/job_node/node.hpp
@@ -7,6 +7,7 @@
 #include "galenalink/job_node/fleet_view.hpp"
 #include "galenalink/job_node/keyed_log_reader.hpp"
 #include "galenalink/job_node/leader_elector.hpp"
+#include "galenalink/job_node/loop_delay.hpp"
 #include "galenalink/job_node/node_metrics.hpp"
 #include "galenalink/job_node/request_forwarder.hpp"
 #include "galenalink/job_node/settings.hpp"
@@ -52,6 +53,7 @@
   void stopLeading();
   void scheduleDispatch();
   void tick();
+  void logLoad() const;
   void listVms();
   void serveLocally(const caller_request &Request, job::reply_function Reply);
   void forwardRequest(const forward_target &To, const caller_request &Request,
@@ -86,6 +88,7 @@
   time_point ForwardFailedAt{NoDeadline};
   /** Retries recovery, then calls `tick()` while this node leads. */
   http::timer TickTimer;
+  loop_delay LoopDelay;
   node_metrics Metrics;
   std::shared_ptr<job::counters> Counts{std::make_shared<job::counters>()};
   std::shared_ptr<bool> LifetimeToken{std::make_shared<bool>(true)};
--- a/src/galenalink/job_node/node_metrics.cpp
+++ b/src/galenalink/job_node/node_metrics.cpp
@@ -79,6 +79,17 @@
       Gauges.OpenJobs);
   Set("galenalink_servers", "Backend servers known; leader only.",
       Gauges.Servers);
+  Set("galenalink_loop_delay_seconds",
+      "Longest delay of the leader's periodic work in the last second.",
+      Gauges.LoopDelayS);
+  Set("galenalink_journal_records", "Records not stored yet; leader only.",
+      Gauges.JournalRecords);
+  Set("galenalink_journal_age_seconds",
+      "Age of the oldest reply that waits for the journal; leader only.",
+      Gauges.JournalAgeS);
+  Set("galenalink_forwarded_requests",
+      "Requests of callers that wait for the leader's reply.",
+      Gauges.ForwardedRequests);
   return Metrics.render();
 }
 
--- a/src/galenalink/job_node/node_metrics.hpp
+++ b/src/galenalink/job_node/node_metrics.hpp
@@ -14,6 +14,12 @@
   std::uint64_t RulesVersion{0};
   std::size_t OpenJobs{0};
   std::size_t Servers{0};
+  /** Longest delay of the leader's periodic work in the last second, s. */
+  double LoopDelayS{0};
+  std::size_t JournalRecords{0};
+  /** Age of the oldest reply that waits for the journal, s. */
+  double JournalAgeS{0};
+  std::size_t ForwardedRequests{0};
 };
 
 /** @brief Metrics of one node. */
--- a/test/galenalink/job/journal.cpp
+++ b/test/galenalink/job/journal.cpp
@@ -96,6 +96,32 @@
   BOOST_TEST(!Journal.healthy());
 }
 
+// Guards against a stalled journal that neither metrics nor log show: the age
+// of the oldest waiting reply must count from when it was added, also while the
+// append that it waits for is retried.
+BOOST_AUTO_TEST_CASE(load_shows_the_oldest_waiting_reply) {
+  manual_store Store;
+  journal Journal = Store.makeJournal();
+  BOOST_TEST(!Journal.currentLoad().OldestAt.has_value());
+  const time_point Begin = Store.Now;
+  Journal.put("a", valueOf("12345"));
+  Journal.whenStored([] {});
+  Journal.flush();
+  Store.Now += 400 * Ms;
+  Store.Respond({call_outcome::Unknown, ""});
+  Journal.put("b", valueOf("1"));
+  Journal.whenStored([] {});
+  const journal::load Load = Journal.currentLoad();
+  BOOST_TEST(Load.Records == 2U);
+  BOOST_TEST(Load.BatchBytes == 6U);
+  BOOST_TEST(Load.Callbacks == 2U);
+  BOOST_TEST((Load.OldestAt == Begin));
+  Store.Now += 400 * Ms;
+  Journal.flush();
+  Store.Respond({call_outcome::Done, ""});
+  BOOST_TEST((Journal.currentLoad().OldestAt == Begin + 400 * Ms));
+}
+
 // A fenced leader must be notified and must not report records as stored.
 BOOST_AUTO_TEST_CASE(fenced_leader_is_notified) {
   manual_store Store;
