Read and write connections to the store ahead of other events

Cause: libevent writes 16 KB and reads 4 KB of a connection for each event, and a turn of the loop handles all other ready connections in between. On a busy leader a turn takes 46 to 245 ms, so an append of 94 to 235 KB took longer than its timeout of 1.2 s and was sent again from its first byte, seven times in a row; reads of configurations likewise. Change: http::client has the option BeforeOtherEvents, which the connections to the store use: their events have the higher priority, the loop looks for such events every 5 ms, and a write takes up to 1 MB.

--- a/src/galenalink/http/client.cpp
+++ b/src/galenalink/http/client.cpp
@@ -22,6 +22,10 @@
 /** evhttp's own inactivity limit; each request has its own deadline. */
 constexpr int NoTimeoutSeconds = 7 * 24 * 3600;
 
+/** Bytes written at once by a connection with `BeforeOtherEvents`, so that an
+ * append of the journal needs one event. */
+constexpr std::size_t MaxUrgentWriteBytes = std::size_t{1} << 20U;
+
 /** Interval at which unused connections are looked for. */
 constexpr duration SweepInterval = std::chrono::seconds{1};
 
@@ -195,6 +199,10 @@
       Loop.native(), nullptr, nullptr, Pool.Address.Host.c_str(),
       Pool.Address.Port);
   GALENALINK_ASSERT(Connection->Http != nullptr, "no connection");
+  if (Options.BeforeOtherEvents)
+    bufferevent_set_max_single_write(
+        evhttp_connection_get_bufferevent(Connection->Http),
+        MaxUrgentWriteBytes);
   // A repeated request might run twice.
   evhttp_connection_set_retries(Connection->Http, 0);
   evhttp_connection_set_timeout(Connection->Http, NoTimeoutSeconds);
@@ -233,6 +241,10 @@
                           From.Path.c_str()) != 0 &&
       Connection.Current)
     done(Connection, nullptr);
+  // Connecting a bufferevent resets its priority.
+  if (Options.BeforeOtherEvents)
+    bufferevent_priority_set(evhttp_connection_get_bufferevent(Connection.Http),
+                             UrgentPriority);
 }
 
 void client::impl::done(connection &Connection, evhttp_request *Request) {
--- a/src/galenalink/http/client.hpp
+++ b/src/galenalink/http/client.hpp
@@ -24,6 +24,12 @@
    * unknown outcome.
    */
   duration IdleTimeout{std::chrono::seconds{5}};
+  /**
+   * Bytes of these connections are read and written ahead of other events. It
+   * is meant for few connections whose timeouts must hold while the loop is
+   * busy; callbacks keep their turn.
+   */
+  bool BeforeOtherEvents{false};
 };
 
 /** @brief Handle of a request in progress; destroying it cancels nothing. */
--- a/src/galenalink/http/loop.cpp
+++ b/src/galenalink/http/loop.cpp
@@ -12,7 +12,9 @@
 
 /** Events have the lower priority unless stated. */
 constexpr int PriorityLevels = 2;
-constexpr int UrgentPriority = 0;
+/** Handling of other events is interrupted after this time to look for urgent
+ * ones, us. */
+constexpr suseconds_t UrgentPollMicros = 5000;
 
 timeval toTimeval(const duration Delay) noexcept {
   const auto Micros = std::max<std::int64_t>(Delay.count(), 0);
@@ -110,7 +112,13 @@
     if (Severity >= EVENT_LOG_ERR)
       std::fprintf(stderr, "loop: %s\n", Message);
   });
-  Impl->Base = event_base_new();
+  const std::unique_ptr<event_config, decltype(&event_config_free)> Config{
+      event_config_new(), &event_config_free};
+  GALENALINK_ASSERT(Config != nullptr, "no event configuration");
+  const timeval UrgentPollInterval{0, UrgentPollMicros};
+  event_config_set_max_dispatch_interval(Config.get(), &UrgentPollInterval, -1,
+                                         UrgentPriority + 1);
+  Impl->Base = event_base_new_with_config(Config.get());
   GALENALINK_ASSERT(Impl->Base != nullptr, "no event base");
   event_base_priority_init(Impl->Base, PriorityLevels);
   Impl->PostEvent = event_new(
--- a/src/galenalink/http/loop.hpp
+++ b/src/galenalink/http/loop.hpp
@@ -32,6 +32,9 @@
   std::shared_ptr<state> State;
 };
 
+/** Priority of libevent for events that are handled ahead of others. */
+inline constexpr int UrgentPriority = 0;
+
 /**
  * @brief The event loop of one thread. All members are to be called on that
  * thread. The first loop sets SIGPIPE to be ignored.
--- a/test/galenalink/http/client.cpp
+++ b/test/galenalink/http/client.cpp
@@ -1,6 +1,7 @@
 #include "galenalink/http/client.hpp"
 #include "fixture.hpp"
 #include <deque>
+#include <optional>
 #include <thread>
 
 using namespace galenalink;
@@ -60,6 +61,46 @@
   return Count;
 }
 
+/** @brief Server in a thread of its own: reads one request and writes one
+ * response with bodies of the given size. */
+class bulk_server {
+public:
+  explicit bulk_server(const std::size_t BodyBytes)
+      : Thread{[this, BodyBytes] { serve(BodyBytes); }} {}
+  ~bulk_server() { Thread.join(); }
+  bulk_server(const bulk_server &) = delete;
+  bulk_server &operator=(const bulk_server &) = delete;
+
+  [[nodiscard]] std::uint16_t port() const noexcept { return Listener.Port; }
+
+private:
+  void serve(const std::size_t BodyBytes) const {
+    std::unique_ptr<raw_socket> Socket;
+    while ((Socket = Listener.next()) == nullptr)
+      std::this_thread::sleep_for(1ms);
+    const auto HasBody = [&] {
+      const auto Head = Socket->Read.find("\r\n\r\n");
+      return Head != std::string::npos &&
+             Socket->Read.size() == Head + 4 + BodyBytes;
+    };
+    while (!HasBody() && !Socket->Ended) {
+      Socket->poll();
+      std::this_thread::sleep_for(1ms);
+    }
+    std::string Response =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(BodyBytes) +
+        "\r\n\r\n" + std::string(BodyBytes, 'x');
+    while (!Response.empty() && !Socket->Ended) {
+      Response.erase(0, Socket->writeSome(Response));
+      Socket->poll();
+      std::this_thread::sleep_for(1ms);
+    }
+  }
+
+  raw_listener Listener;
+  std::thread Thread;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(client)
@@ -93,6 +134,33 @@
   }
 }
 
+// Guards against large transfers that stall on a busy node: if a turn of the
+// loop moves only a few KB, an append or a page of the store exceeds its
+// timeout and starts again from its first byte for as long as the load lasts.
+BOOST_AUTO_TEST_CASE(large_transfers_finish_within_few_turns_of_a_busy_loop) {
+  constexpr std::size_t BodyBytes = std::size_t{512} << 10U;
+  loop Loop;
+  galenalink::http::client Client{Loop, {.BeforeOtherEvents = true}};
+  const bulk_server Server{BodyBytes};
+  std::optional<answer> Answer;
+  int Turns = 0;
+  const auto Work = Loop.every(1ms, [&] {
+    ++Turns;
+    std::this_thread::sleep_for(20ms);
+  });
+  const call Call =
+      Client.send({Loopback, Server.port()},
+                  {method::Post, "/append", {}, std::string(BodyBytes, 'x')},
+                  boot_clock::now() + 20s,
+                  [&](answer Result) { Answer = std::move(Result); });
+  BOOST_REQUIRE(wait(Loop, [&] { return Answer.has_value(); }));
+  const auto *Response = std::get_if<response>(&*Answer);
+  BOOST_REQUIRE(Response != nullptr);
+  BOOST_TEST(Response->Body.size() == BodyBytes);
+  // 16 KB written and 4 KB read in a turn would take 160 turns.
+  BOOST_TEST(Turns < 40);
+}
+
 BOOST_AUTO_TEST_CASE(complete_responses_are_delivered_and_reuse_a_connection) {
   scripted Test;
   Test.send("/run");
--- a/test/galenalink/http/fixture.hpp
+++ b/test/galenalink/http/fixture.hpp
@@ -46,6 +46,12 @@
   void write(const std::string &Text) const {
     (void)send(Descriptor, Text.data(), Text.size(), MSG_NOSIGNAL);
   }
+  /** @return Bytes written; 0 if the peer reads too slowly. */
+  [[nodiscard]] std::size_t writeSome(const std::string &Text) const {
+    const ssize_t Sent =
+        send(Descriptor, Text.data(), Text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    return Sent < 0 ? 0 : static_cast<std::size_t>(Sent);
+  }
   /** @brief Reads what is there; sets `Ended` at the end of the stream. */
   void poll() {
     char Buffer[4096];
