--- a/bench/fleet_fold.cpp
+++ b/bench/fleet_fold.cpp
@@ -38,7 +38,7 @@
 std::vector<config::diagnostic> parsePools(std::string_view /*Name*/,
                                            const std::string_view Text,
                                            config::service_file &Out) {
-  Out.Member = "halloran";
+  Out.Customer = "halloran";
   const auto Count = std::stoul(std::string{Text});
   for (std::uint32_t Number = 0; Number < Count; ++Number)
     Out.Pools.push_back({poolName(Number), 4, 1, false});
--- a/bench/plan_driver.hpp
+++ b/bench/plan_driver.hpp
@@ -135,7 +135,7 @@
     for (std::size_t I = 0; I < PoolCount; ++I) {
       plan::pool_view Pool;
       Pool.Spare = I >= QueueCount;
-      Pool.Member = static_cast<plan::customer_index>(
+      Pool.Customer = static_cast<plan::customer_index>(
           Pool.Spare ? I - QueueCount : I / PoolsPerCustomer);
       if (!Pool.Spare) {
         // The budget includes the reserve, so that maintenance cannot use it.
@@ -174,7 +174,7 @@
       Vm.View.Pool = InitialPools[I];
       Vm.View.Rack =
           static_cast<plan::rack_index>(Customer * 1'000) + I / VmsPerRack;
-      Vm.View.Place = Vm.View.Rack % DataCentreCount;
+      Vm.View.DataCentre = Vm.View.Rack % DataCentreCount;
       Vm.View.PoolSinceMs = -DayMs;
       Vm.View.MaintainedMs = RolloutStartMs - 48 * DayMs;
       Vms.push_back(Vm);
@@ -230,7 +230,7 @@
       View.PoolSinceMs = Now;
       ++View.Epoch;
       ++Result.Moves;
-      Result.Lent += PoolViews[View.Pool].Member != View.Owner ? 1 : 0;
+      Result.Lent += PoolViews[View.Pool].Customer != View.Owner ? 1 : 0;
     }
     if (View.Maintenance == plan::maintenance::Permitted &&
         Vm.MaintenancePhaseEndMs <= Now && Vm.LongJobEndMs == 0) {
@@ -262,7 +262,7 @@
       std::vector<vm *> Candidates;
       for (auto &Vm : Vms) {
         if (Vm.View.Pool == Pool && Vm.canServe(Now) &&
-            Vm.View.Owner == PoolViews[Pool].Member)
+            Vm.View.Owner == PoolViews[Pool].Customer)
           Candidates.push_back(&Vm);
       }
       if (Candidates.empty())
@@ -286,7 +286,7 @@
         Result.Arrived[I] += Jobs;
       }
       const auto Slack =
-          static_cast<std::size_t>(SlackMs[PoolViews[I].Member] / TickMs);
+          static_cast<std::size_t>(SlackMs[PoolViews[I].Customer] / TickMs);
       while (!Queue.empty() && Tick - Queue.front().Tick > Slack) {
         Result.Missed[I] += Queue.front().Jobs;
         Queue.pop_front();
@@ -315,7 +315,7 @@
     std::array<std::uint32_t, PoolCount> PlannedDown{};
     for (const auto &Vm : Vms) {
       const auto Pool = Vm.View.Pool;
-      if (Vm.View.Owner != PoolViews[Pool].Member)
+      if (Vm.View.Owner != PoolViews[Pool].Customer)
         continue;
       Up[Pool] += Vm.canServe(Now) ? 1 : 0;
       PlannedDown[Pool] += !Vm.View.isUp() && !Vm.isDown(Now) ? 1 : 0;
@@ -359,7 +359,7 @@
       Demand[I].QueuedSlotMs =
           QueueHistory[I]
                       [static_cast<std::size_t>(ObservedAtMs / PlanIntervalMs)];
-      Demand[I].SlackMs = SlackMs[PoolViews[I].Member];
+      Demand[I].SlackMs = SlackMs[PoolViews[I].Customer];
     }
     const std::array<plan::lending_quota, 2> Quotas{{{0, 1, 4}, {1, 0, 4}}};
     auto Plan =
--- a/bench/plan_maintenance.hpp
+++ b/bench/plan_maintenance.hpp
@@ -53,7 +53,7 @@
   for (std::uint32_t I = 0; I < VmCount; ++I) {
     Vms[I].Pool = I % 5;
     Vms[I].Rack = I / 4;
-    Vms[I].Place = Vms[I].Rack % 4;
+    Vms[I].DataCentre = Vms[I].Rack % 4;
     // Maintenance ages are spread over 42 days, so that no VM is due before the
     // simulation starts.
     Vms[I].MaintainedMs = -static_cast<wall_ms>(Random() % (42 * Day));
--- a/bench/plan_policy.cpp
+++ b/bench/plan_policy.cpp
@@ -80,19 +80,19 @@
     return false;
   };
   for (plan::pool_index To = 0; To < QueueCount; ++To) {
-    const auto Customer = Input.Pools[To].Member;
+    const auto Customer = Input.Pools[To].Customer;
     const auto Spare = static_cast<plan::pool_index>(QueueCount + Customer);
     bool Found = true;
     while (Excess[To] < 0 && Found) {
       Found = TryMove(Spare, To, plan::move_reason::Peak);
       for (plan::pool_index From = 0; From < QueueCount && !Found; ++From)
-        Found = Input.Pools[From].Member == Customer && Excess[From] > 0 &&
+        Found = Input.Pools[From].Customer == Customer && Excess[From] > 0 &&
                 TryMove(From, To, plan::move_reason::Peak);
     }
   }
   for (plan::pool_index From = 0; From < QueueCount; ++From) {
     const auto Spare =
-        static_cast<plan::pool_index>(QueueCount + Input.Pools[From].Member);
+        static_cast<plan::pool_index>(QueueCount + Input.Pools[From].Customer);
     while (Excess[From] > 0 &&
            TryMove(From, Spare, plan::move_reason::Return)) {
     }
--- a/src/galenalink/account/fwd.hpp
+++ b/src/galenalink/account/fwd.hpp
@@ -9,7 +9,7 @@
 struct work_counts;
 struct totals;
 struct row;
-struct member_state;
+struct customer_state;
 struct ledger_state;
 class ledger;
 
--- a/src/galenalink/account/ledger.cpp
+++ b/src/galenalink/account/ledger.cpp
@@ -30,8 +30,8 @@
 ledger::ledger(const ledger_state &State, const std::size_t KeepPeriods)
     : ledger(KeepPeriods) {
   NowMs = State.NowMs;
-  for (const auto &Member : State.Members)
-    Members.emplace(Member.Member, Member);
+  for (const auto &Customer : State.Customers)
+    Customers.emplace(Customer.Customer, Customer);
 }
 
 wall_ms ledger::clamp(const wall_ms At) {
@@ -39,16 +39,16 @@
   return NowMs;
 }
 
-totals &ledger::open(member_state &Account, const std::int64_t Period) const {
+totals &ledger::open(customer_state &Account, const std::int64_t Period) const {
   if (Account.Periods.empty() || Account.Periods.back().Period != Period) {
     if (Account.Periods.size() >= KeepPeriods)
       Account.Periods.erase(Account.Periods.begin());
-    Account.Periods.push_back({Account.Member, Period, {}});
+    Account.Periods.push_back({Account.Customer, Period, {}});
   }
   return Account.Periods.back().Totals;
 }
 
-void ledger::accrue(member_state &Account, const wall_ms At) const {
+void ledger::accrue(customer_state &Account, const wall_ms At) const {
   while (Account.ThroughMs < At) {
     const auto Period = periodOf(Account.ThroughMs);
     const auto Until = std::min(At, (Period + 1) * PeriodMs);
@@ -71,13 +71,14 @@
   }
 }
 
-member_state &ledger::through(const wall_ms At, const std::string_view Member) {
-  auto Found = Members.find(Member);
-  if (Found == Members.end()) {
-    member_state Fresh;
-    Fresh.Member = std::string{Member};
+customer_state &ledger::through(const wall_ms At,
+                                const std::string_view Customer) {
+  auto Found = Customers.find(Customer);
+  if (Found == Customers.end()) {
+    customer_state Fresh;
+    Fresh.Customer = std::string{Customer};
     Fresh.ThroughMs = At;
-    Found = Members.emplace(Fresh.Member, std::move(Fresh)).first;
+    Found = Customers.emplace(Fresh.Customer, std::move(Fresh)).first;
   }
   accrue(Found->second, At);
   return Found->second;
@@ -104,47 +105,47 @@
     add(Now, *After, 1);
 }
 
-void ledger::countMove(const wall_ms At, const std::string_view Member) {
+void ledger::countMove(const wall_ms At, const std::string_view Customer) {
   const auto Now = clamp(At);
-  ++open(through(Now, Member), periodOf(Now)).Moves;
+  ++open(through(Now, Customer), periodOf(Now)).Moves;
 }
 
-void ledger::countWork(const wall_ms At, const std::string_view Member,
+void ledger::countWork(const wall_ms At, const std::string_view Customer,
                        const work_counts &Work) {
   const auto Now = clamp(At);
-  auto &Counts = open(through(Now, Member), periodOf(Now)).Work;
+  auto &Counts = open(through(Now, Customer), periodOf(Now)).Work;
   Counts.Placed += Work.Placed;
   Counts.Refused += Work.Refused;
   Counts.Late += Work.Late;
 }
 
-void ledger::requireVms(const wall_ms At, const std::string_view Member,
+void ledger::requireVms(const wall_ms At, const std::string_view Customer,
                         const std::uint64_t Vms) {
-  through(clamp(At), Member).RequiredVms = Vms;
+  through(clamp(At), Customer).RequiredVms = Vms;
 }
 
 void ledger::advance(const wall_ms At) {
   const auto Now = clamp(At);
-  for (auto &[Name, Account] : Members)
+  for (auto &[Name, Account] : Customers)
     accrue(Account, Now);
 }
 
 ledger_state ledger::state() const {
   ledger_state State{NowMs, {}};
-  State.Members.reserve(Members.size());
-  for (const auto &[Name, Account] : Members)
-    State.Members.push_back(Account);
-  std::ranges::sort(State.Members, {}, &member_state::Member);
+  State.Customers.reserve(Customers.size());
+  for (const auto &[Name, Account] : Customers)
+    State.Customers.push_back(Account);
+  std::ranges::sort(State.Customers, {}, &customer_state::Customer);
   return State;
 }
 
 std::vector<row> ledger::rows() const {
   std::vector<row> Rows;
-  for (const auto &[Name, Account] : Members)
+  for (const auto &[Name, Account] : Customers)
     Rows.insert(Rows.end(), Account.Periods.begin(), Account.Periods.end());
   std::ranges::sort(Rows, [](const row &Left, const row &Right) {
     return Left.Period != Right.Period ? Left.Period < Right.Period
-                                       : Left.Member < Right.Member;
+                                       : Left.Customer < Right.Customer;
   });
   return Rows;
 }
--- a/src/galenalink/account/ledger.hpp
+++ b/src/galenalink/account/ledger.hpp
@@ -15,9 +15,9 @@
 /** @brief Length of a period; periods are days in UTC. */
 inline constexpr wall_ms PeriodMs = 86'400'000;
 
-/** @brief Account of one member as it is kept in a snapshot. */
-struct member_state {
-  std::string Member;
+/** @brief Account of one customer as it is kept in a snapshot. */
+struct customer_state {
+  std::string Customer;
   /** Time through which the totals are complete. */
   wall_ms ThroughMs{0};
   std::uint64_t Owned{0};
@@ -25,24 +25,24 @@
   std::uint64_t Borrowed{0};
   /** VMs held now, indexed by `use`. */
   std::array<std::uint64_t, UseCount> Held{};
-  /** VMs that the member's budgets require. */
+  /** VMs that the customer's budgets require. */
   std::uint64_t RequiredVms{0};
   /** Oldest first; the last one is still open. */
   std::vector<row> Periods;
 
-  [[nodiscard]] bool operator==(const member_state &) const = default;
+  [[nodiscard]] bool operator==(const customer_state &) const = default;
 };
 
-/** @brief The whole ledger as plain values, members in order of name. */
+/** @brief The whole ledger as plain values, customers in order of name. */
 struct ledger_state {
   wall_ms NowMs{0};
-  std::vector<member_state> Members;
+  std::vector<customer_state> Customers;
 
   [[nodiscard]] bool operator==(const ledger_state &) const = default;
 };
 
 /**
- * @brief Account of VM time and work by member and period.
+ * @brief Account of VM time and work by customer and period.
  *
  * Only the number of VMs in each use is kept, and time is added as
  * `VMs * elapsed` when a number changes. An event therefore touches at most
@@ -51,7 +51,7 @@
  */
 class ledger {
 public:
-  /** @param KeepPeriods Periods kept for each member; older ones are dropped.
+  /** @param KeepPeriods Periods kept for each customer; older ones are dropped.
    */
   explicit ledger(std::size_t KeepPeriods = 60);
   ledger(const ledger_state &State, std::size_t KeepPeriods = 60);
@@ -63,19 +63,20 @@
    */
   void changeUse(wall_ms At, const std::optional<vm_use> &Before,
                  const std::optional<vm_use> &After);
-  /** @brief A move ended in a pool of the member. */
-  void countMove(wall_ms At, std::string_view Member);
+  /** @brief A move ended in a pool of the customer. */
+  void countMove(wall_ms At, std::string_view Customer);
   /** @brief Adds work that was placed, refused or late. */
-  void countWork(wall_ms At, std::string_view Member, const work_counts &Work);
+  void countWork(wall_ms At, std::string_view Customer,
+                 const work_counts &Work);
   /**
-   * @brief Sets the VMs that the budgets of the member's pools require: the
+   * @brief Sets the VMs that the budgets of the customer's pools require: the
    * sum of `min_up` plus the largest rack of each pool.
    */
-  void requireVms(wall_ms At, std::string_view Member, std::uint64_t Vms);
-  /** @brief Completes all totals through a time. O(members). */
+  void requireVms(wall_ms At, std::string_view Customer, std::uint64_t Vms);
+  /** @brief Completes all totals through a time. O(customers). */
   void advance(wall_ms At);
 
-  /** @brief Rows by period, then member, complete through `advance`. */
+  /** @brief Rows by period, then customer, complete through `advance`. */
   [[nodiscard]] std::vector<row> rows() const;
   [[nodiscard]] ledger_state state() const;
 
@@ -85,17 +86,17 @@
     [[nodiscard]] std::size_t operator()(std::string_view Name) const noexcept;
   };
 
-  /** @brief The member's account, complete through `At`. */
-  member_state &through(wall_ms At, std::string_view Member);
+  /** @brief The customer's account, complete through `At`. */
+  customer_state &through(wall_ms At, std::string_view Customer);
   void add(wall_ms At, const vm_use &Use, std::int64_t Count);
-  void accrue(member_state &Account, wall_ms At) const;
-  totals &open(member_state &Account, std::int64_t Period) const;
+  void accrue(customer_state &Account, wall_ms At) const;
+  totals &open(customer_state &Account, std::int64_t Period) const;
   [[nodiscard]] wall_ms clamp(wall_ms At);
 
   std::size_t KeepPeriods;
   wall_ms NowMs{0};
-  std::unordered_map<std::string, member_state, name_hash, std::equal_to<>>
-      Members;
+  std::unordered_map<std::string, customer_state, name_hash, std::equal_to<>>
+      Customers;
 };
 
 } // namespace galenalink::account
--- a/src/galenalink/account/render.cpp
+++ b/src/galenalink/account/render.cpp
@@ -15,18 +15,18 @@
   std::int64_t (*Value)(const totals &);
 };
 
-template <std::uint64_t totals::*Member>
+template <std::uint64_t totals::*Field>
 std::int64_t get(const totals &Totals) noexcept {
-  return static_cast<std::int64_t>(Totals.*Member);
+  return static_cast<std::int64_t>(Totals.*Field);
 }
 
 template <use Use> std::int64_t getUse(const totals &Totals) noexcept {
   return static_cast<std::int64_t>(Totals.useMs(Use));
 }
 
-template <std::uint64_t work_counts::*Member>
+template <std::uint64_t work_counts::*Field>
 std::int64_t getWork(const totals &Totals) noexcept {
-  return static_cast<std::int64_t>(Totals.Work.*Member);
+  return static_cast<std::int64_t>(Totals.Work.*Field);
 }
 
 template <std::uint64_t (totals::*Function)() const noexcept>
@@ -87,7 +87,7 @@
   for (const auto &Row : Rows) {
     auto &Line = Cells.emplace_back();
     Line.push_back(dayOf(Row.Period));
-    Line.push_back(Row.Member);
+    Line.push_back(Row.Customer);
     for (const auto &Column : Columns) {
       const auto Value = Column.Value(Row.Totals);
       Line.push_back(std::to_string(Column.IsTime ? Value / HourMs : Value));
@@ -116,7 +116,7 @@
   for (const auto &Row : Rows) {
     nlohmann::ordered_json Object;
     Object["day"] = dayOf(Row.Period);
-    Object["member"] = Row.Member;
+    Object["member"] = Row.Customer;
     for (const auto &Column : Columns)
       Object[keyOf(Column)] = Column.Value(Row.Totals);
     Array.push_back(std::move(Object));
@@ -130,7 +130,7 @@
     Out += ',' + keyOf(Column);
   Out += "\r\n";
   for (const auto &Row : Rows) {
-    Out += dayOf(Row.Period) + ',' + quoted(Row.Member);
+    Out += dayOf(Row.Period) + ',' + quoted(Row.Customer);
     for (const auto &Column : Columns)
       Out += ',' + std::to_string(Column.Value(Row.Totals));
     Out += "\r\n";
--- a/src/galenalink/account/totals.hpp
+++ b/src/galenalink/account/totals.hpp
@@ -8,7 +8,7 @@
 
 namespace galenalink::account {
 
-/** @brief What the member that holds a VM does with it. */
+/** @brief What the customer that holds a VM does with it. */
 enum class use : std::uint8_t {
   /** In a serving pool and able to take work. */
   InUse,
@@ -47,7 +47,7 @@
 };
 
 /**
- * @brief Totals of one member in one period. Times are VM-milliseconds.
+ * @brief Totals of one customer in one period. Times are VM-milliseconds.
  *
  * Time by use is charged to the holder, so that
  * `sum(UseMs) == OwnedMs - LentMs + BorrowedMs`.
@@ -58,10 +58,10 @@
   std::uint64_t BorrowedMs{0};
   /** Indexed by `use`. */
   std::array<std::uint64_t, UseCount> UseMs{};
-  /** Moves that ended in a pool of this member. */
+  /** Moves that ended in a pool of this customer. */
   std::uint64_t Moves{0};
   work_counts Work;
-  /** Time since the member was first seen in this period. */
+  /** Time since the customer was first seen in this period. */
   std::uint64_t ElapsedMs{0};
   /**
    * Most VMs needed at one time: the larger of those held outside the spare
@@ -74,9 +74,9 @@
   }
 
   /**
-   * @brief VM time that the member would have had to own without sharing.
+   * @brief VM time that the customer would have had to own without sharing.
    *
-   * `AloneMs = PeakVms * ElapsedMs`. A member that cannot borrow must own its
+   * `AloneMs = PeakVms * ElapsedMs`. A customer that cannot borrow must own its
    * own highest concurrent need for the whole period, because owned VMs cannot
    * be acquired for the seconds of a peak. The difference to what is owned in
    * a shared fleet is the pooling effect of Eppen, "Effects of centralization
@@ -87,12 +87,12 @@
     return PeakVms * ElapsedMs;
   }
 
-  /** @brief VM time that sharing spared the member from owning. */
+  /** @brief VM time that sharing spared the customer from owning. */
   [[nodiscard]] std::uint64_t savedMs() const noexcept {
     return aloneMs() > OwnedMs ? aloneMs() - OwnedMs : 0;
   }
 
-  /** @brief VM time of its own that the member gave to others. */
+  /** @brief VM time of its own that the customer gave to others. */
   [[nodiscard]] std::uint64_t costMs() const noexcept { return LentMs; }
 
   /** @brief What sharing saved less what it cost; negative is a loss. */
@@ -104,9 +104,9 @@
   [[nodiscard]] bool operator==(const totals &) const = default;
 };
 
-/** @brief Totals of one member in one period, as reported. */
+/** @brief Totals of one customer in one period, as reported. */
 struct row {
-  std::string Member;
+  std::string Customer;
   /** Days since the Unix epoch, UTC. */
   std::int64_t Period{0};
   totals Totals;
--- a/src/galenalink/cli/views.hpp
+++ b/src/galenalink/cli/views.hpp
@@ -22,7 +22,7 @@
 [[nodiscard]] result<exit_code> show(connection &Node, const std::string &View,
                                      output Output);
 
-/** @brief Prints the members' account as `text`, `json` or `csv`. */
+/** @brief Prints the customers' account as `text`, `json` or `csv`. */
 [[nodiscard]] result<exit_code> showAccount(connection &Node,
                                             const std::string &Format);
 
--- a/src/galenalink/config/service_file.cpp
+++ b/src/galenalink/config/service_file.cpp
@@ -114,7 +114,7 @@
   if (!Json)
     return std::move(Report.Diagnostics);
   reader Reader{*Json, "", Report};
-  readName(Reader, "member", Out.Member);
+  readName(Reader, "member", Out.Customer);
   Reader
       .array(
           "pools",
--- a/src/galenalink/config/service_file.hpp
+++ b/src/galenalink/config/service_file.hpp
@@ -33,7 +33,7 @@
   std::uint32_t Shards{1};
   /** VMs that must be up. */
   std::uint32_t MinUp{0};
-  /** The member's pool of spare VMs. */
+  /** The customer's pool of spare VMs. */
   bool Spare{false};
 
   [[nodiscard]] bool operator==(const pool &) const = default;
@@ -88,7 +88,7 @@
   [[nodiscard]] bool operator==(const maintenance &) const = default;
 };
 
-/** @brief VMs that may be lent to another member at a time. */
+/** @brief VMs that may be lent to another customer at a time. */
 struct lending {
   std::string To;
   std::uint32_t MaxVms{0};
@@ -98,7 +98,7 @@
 
 /** @brief One document published by an operator. */
 struct service_file {
-  std::string Member;
+  std::string Customer;
   std::vector<pool> Pools;
   std::vector<service> Services;
   std::optional<maintenance> Maintenance;
--- a/src/galenalink/config/settings.cpp
+++ b/src/galenalink/config/settings.cpp
@@ -27,8 +27,8 @@
       .array("vms", [&](reader &Nested) {
         auto &Vm = Platform.Vms.emplace_back();
         Nested.text("vm", Vm.Vm, true)
-            .text("member", Vm.Member, true)
-            .text("place", Vm.Place, true)
+            .text("member", Vm.Customer, true)
+            .text("place", Vm.DataCentre, true)
             .text("rack", Vm.Rack, true)
             .text("address", Vm.Address, true)
             .text("pool", Vm.Pool, true);
@@ -60,8 +60,8 @@
     return std::move(Report.Diagnostics);
   reader Reader{*Json, "", Report};
   Reader.text("name", Out.Name, true)
-      .text("place", Out.Place, true)
-      .text("member", Out.Member, true)
+      .text("place", Out.DataCentre, true)
+      .text("member", Out.Customer, true)
       .object("callers",
               [&](reader &Nested) { readListener(Nested, Out.Callers); })
       .object("operators",
--- a/src/galenalink/config/settings.hpp
+++ b/src/galenalink/config/settings.hpp
@@ -44,8 +44,8 @@
 /** @brief A VM that the embedded platform lists. */
 struct listed_vm {
   std::string Vm;
-  std::string Member;
-  std::string Place;
+  std::string Customer;
+  std::string DataCentre;
   std::string Rack;
   std::string Address;
   std::string Pool;
@@ -61,8 +61,8 @@
 /** @brief Settings of one entry node, read once at start. */
 struct settings {
   std::string Name;
-  std::string Place;
-  std::string Member;
+  std::string DataCentre;
+  std::string Customer;
   listener Callers;
   listener Operators;
   listener Peers;
--- a/src/galenalink/fleet/apply_config.cpp
+++ b/src/galenalink/fleet/apply_config.cpp
@@ -11,7 +11,7 @@
 struct draft {
   struct pool_change {
     std::string Document;
-    std::string Member;
+    std::string Customer;
     const config::pool *Pool;
   };
   struct service_change {
@@ -96,19 +96,19 @@
           Draft.OldPools.insert(Pool.Name);
         for (const auto &Service : Found->second.File->Services)
           Draft.OldServices.insert(
-              serviceKey(Found->second.File->Member, Service.Name));
+              serviceKey(Found->second.File->Customer, Service.Name));
       }
       if (!File)
         continue;
       for (const auto &Pool : File->Pools) {
         if (!Draft.Pools
                  .try_emplace(Pool.Name,
-                              draft::pool_change{Name, File->Member, &Pool})
+                              draft::pool_change{Name, File->Customer, &Pool})
                  .second)
           return reject(rejection::NameTaken, "pool " + Pool.Name);
       }
       for (const auto &Service : File->Services) {
-        const auto Key = serviceKey(File->Member, Service.Name);
+        const auto Key = serviceKey(File->Customer, Service.Name);
         if (!Draft.Services
                  .try_emplace(Key, draft::service_change{Name, &Service})
                  .second)
@@ -128,7 +128,8 @@
       const pool &Known = State.Vms.poolAt(*Index);
       if (Known.configured() && !Draft.Files.contains(Known.Document))
         return reject(rejection::NameTaken, "pool " + Name);
-      if (Known.Shards != Change.Pool->Shards || Known.Member != Change.Member)
+      if (Known.Shards != Change.Pool->Shards ||
+          Known.Customer != Change.Customer)
         return reject(rejection::FixedProperty, "pool " + Name);
     }
     return true;
@@ -218,7 +219,7 @@
 void addNew(state &State, const draft &Draft) {
   for (const auto &[Name, Change] : Draft.Pools) {
     auto &Pool = State.Vms.editPool(
-        State.Vms.addPool(Name, Change.Member, Change.Pool->Shards));
+        State.Vms.addPool(Name, Change.Customer, Change.Pool->Shards));
     Pool.Document = Change.Document;
     Pool.MinUp = Change.Pool->MinUp;
     Pool.Spare = Change.Pool->Spare;
--- a/src/galenalink/fleet/apply_vm.cpp
+++ b/src/galenalink/fleet/apply_vm.cpp
@@ -31,12 +31,12 @@
     return rejection::WrongState;
   if (Vm.usable() && From.Counts.Usable <= From.Budget)
     return rejection::Budget;
-  if (Target.MemberHash != Vm.MemberHash &&
-      Target.MemberHash != From.MemberHash) {
+  if (Target.CustomerHash != Vm.CustomerHash &&
+      Target.CustomerHash != From.CustomerHash) {
     const auto &Lending = State.Config.Lending;
-    const auto Quota = Lending.find({Vm.Member, Target.Member});
+    const auto Quota = Lending.find({Vm.Customer, Target.Customer});
     if (Quota == Lending.end() ||
-        State.Vms.lent(Vm.Member, Target.Member) >= Quota->second)
+        State.Vms.lent(Vm.Customer, Target.Customer) >= Quota->second)
       return rejection::LendingQuota;
   }
   return rejection::None;
@@ -72,8 +72,8 @@
     return rejection::Full;
   vm Vm;
   Vm.Name = Add.vm();
-  Vm.Member = Add.member();
-  Vm.Place = Add.place();
+  Vm.Customer = Add.member();
+  Vm.DataCentre = Add.place();
   Vm.Rack = Add.rack();
   Vm.Address = Add.address();
   Vm.Pool = *Pool;
--- a/src/galenalink/fleet/configuration.cpp
+++ b/src/galenalink/fleet/configuration.cpp
@@ -6,7 +6,7 @@
 void configuration::countLending(const config::service_file &File,
                                  const bool Add) {
   for (const auto &Each : File.Lending) {
-    const std::pair Key{File.Member, Each.To};
+    const std::pair Key{File.Customer, Each.To};
     auto &Quota = Lending[Key];
     Quota += Add ? Each.MaxVms : 0U - Each.MaxVms;
     if (Quota == 0)
--- a/src/galenalink/fleet/configuration.hpp
+++ b/src/galenalink/fleet/configuration.hpp
@@ -69,7 +69,7 @@
   std::deque<std::string> Removed;
   /** By "member/service". */
   std::map<std::string, service_entry, std::less<>> Services;
-  /** VMs that the first member may lend to the second. */
+  /** VMs that the first customer may lend to the second. */
   std::map<std::pair<std::string, std::string>, std::uint32_t> Lending;
   /** Newest results, oldest first. */
   std::deque<change_result> Results;
@@ -82,9 +82,9 @@
 };
 
 /** @brief Key of a service in configuration::Services. */
-[[nodiscard]] inline std::string serviceKey(const std::string &Member,
+[[nodiscard]] inline std::string serviceKey(const std::string &Customer,
                                             const std::string &Service) {
-  return Member + '/' + Service;
+  return Customer + '/' + Service;
 }
 
 } // namespace galenalink::fleet
--- a/src/galenalink/fleet/pool.hpp
+++ b/src/galenalink/fleet/pool.hpp
@@ -29,9 +29,9 @@
 /** @brief A pool of VMs; stays known by name after it was removed. */
 struct pool {
   std::string Name;
-  std::string Member;
-  /** Hash of Member; set by the table. */
-  std::uint64_t MemberHash{0};
+  std::string Customer;
+  /** Hash of Customer; set by the table. */
+  std::uint64_t CustomerHash{0};
   /** Fixed for the life of the name. */
   std::uint32_t Shards{1};
   std::uint32_t MinUp{0};
--- a/src/galenalink/fleet/roster.hpp
+++ b/src/galenalink/fleet/roster.hpp
@@ -14,8 +14,8 @@
 struct node_info {
   node_id Id{};
   std::string Name;
-  std::string Place;
-  std::string Member;
+  std::string DataCentre;
+  std::string Customer;
   std::string PeerAddress;
   std::string CallerAddress;
   log_offset JoinedAt{0};
--- a/src/galenalink/fleet/save.cpp
+++ b/src/galenalink/fleet/save.cpp
@@ -47,8 +47,8 @@
 
 void saveVm(const vm &From, wire::saved_vm &To) {
   To.set_name(From.Name);
-  To.set_member(From.Member);
-  To.set_place(From.Place);
+  To.set_member(From.Customer);
+  To.set_place(From.DataCentre);
   To.set_rack(From.Rack);
   To.set_address(From.Address);
   To.set_pool(From.Pool);
@@ -72,8 +72,8 @@
 [[nodiscard]] vm loadVm(const wire::saved_vm &From) {
   vm To;
   To.Name = From.name();
-  To.Member = From.member();
-  To.Place = From.place();
+  To.Customer = From.member();
+  To.DataCentre = From.place();
   To.Rack = From.rack();
   To.Address = From.address();
   To.Pool = From.pool();
@@ -111,8 +111,8 @@
     auto &Saved = *To.add_nodes();
     Saved.set_node(number(Id));
     Saved.set_name(Node->Name);
-    Saved.set_place(Node->Place);
-    Saved.set_member(Node->Member);
+    Saved.set_place(Node->DataCentre);
+    Saved.set_member(Node->Customer);
     Saved.set_peer_address(Node->PeerAddress);
     Saved.set_caller_address(Node->CallerAddress);
     Saved.set_joined_at(Node->JoinedAt);
@@ -201,7 +201,7 @@
   for (const auto &Pool : From.pools()) {
     auto &Saved = *To.add_pools();
     Saved.set_name(Pool.Name);
-    Saved.set_member(Pool.Member);
+    Saved.set_member(Pool.Customer);
     Saved.set_shards(Pool.Shards);
     Saved.set_min_up(Pool.MinUp);
     Saved.set_spare(Pool.Spare);
@@ -229,7 +229,7 @@
   for (const auto &Each : From.pools()) {
     auto &Pool = Pools.emplace_back();
     Pool.Name = Each.name();
-    Pool.Member = Each.member();
+    Pool.Customer = Each.member();
     Pool.Shards = Each.shards();
     Pool.MinUp = Each.min_up();
     Pool.Spare = Each.spare();
--- a/src/galenalink/fleet/shard_map.cpp
+++ b/src/galenalink/fleet/shard_map.cpp
@@ -22,19 +22,20 @@
                                  return static_cast<std::uint64_t>(Node->Id);
                                });
   std::stable_partition(Nodes.begin(), Nodes.end(), [&](const node_ref &Node) {
-    return Node->Member == Pool.Member;
+    return Node->Customer == Pool.Customer;
   });
   shard_seats Seats;
-  std::vector<std::string_view> Places;
+  std::vector<std::string_view> DataCentres;
   for (const auto &Node : Nodes) {
-    if (std::find(Places.begin(), Places.end(), Node->Place) != Places.end())
+    if (std::find(DataCentres.begin(), DataCentres.end(), Node->DataCentre) !=
+        DataCentres.end())
       continue;
     const shard_seat Seat{Node->Id, Roster.Version};
     if (!Seats.Home)
       Seats.Home = Seat;
     else if (Seats.Replicas.size() < Replicas)
       Seats.Replicas.push_back(Seat);
-    Places.emplace_back(Node->Place);
+    DataCentres.emplace_back(Node->DataCentre);
   }
   return Seats;
 }
--- a/src/galenalink/fleet/shard_map.hpp
+++ b/src/galenalink/fleet/shard_map.hpp
@@ -29,7 +29,7 @@
 
 /**
  * @brief Seats of a shard by rendezvous hashing over one roster version.
- * Nodes of the pool's member come before all others.
+ * Nodes of the pool's customer come before all others.
  * @param Replicas Number of replicas wanted; fewer if places are missing.
  */
 [[nodiscard]] shard_seats assignShard(const roster_version &Roster,
--- a/src/galenalink/fleet/vm.hpp
+++ b/src/galenalink/fleet/vm.hpp
@@ -59,8 +59,8 @@
   pool_index ToPool{0};
   /** Number of the rack in the table; set by the table. */
   std::uint32_t RackNumber{0};
-  /** Hash of Member; set by the table. */
-  std::uint64_t MemberHash{0};
+  /** Hash of Customer; set by the table. */
+  std::uint64_t CustomerHash{0};
   /** Identifier of the reboot of the present or last maintenance. */
   std::uint64_t Action{0};
   /** Offset of the newest release or drained record of the present move. */
@@ -74,11 +74,11 @@
   wall_ms ConditionSince{0};
   /** Log time of the last take, or of vm_add. */
   wall_ms OwnedSince{0};
-  /** Owner; the pool may belong to another member. */
-  std::string Member;
+  /** Owner; the pool may belong to another customer. */
+  std::string Customer;
   /** Reason of the move in progress. */
   std::string MoveReason;
-  std::string Place;
+  std::string DataCentre;
   std::string Rack;
   std::string Address;
 
--- a/src/galenalink/fleet/vm_table.cpp
+++ b/src/galenalink/fleet/vm_table.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 [[nodiscard]] std::string rackKey(const vm &Vm) {
-  return Vm.Place + '/' + Vm.Rack;
+  return Vm.DataCentre + '/' + Vm.Rack;
 }
 
 } // namespace
@@ -52,7 +52,8 @@
   Free.push_back(Index);
 }
 
-pool_index vm_table::addPool(const std::string &Name, const std::string &Member,
+pool_index vm_table::addPool(const std::string &Name,
+                             const std::string &Customer,
                              const std::uint32_t Shards) {
   if (const auto Known = findPool(Name))
     return *Known;
@@ -60,8 +61,8 @@
   PoolByName.insert(hash64(Name), Index);
   pool &Pool = Pools.emplace_back();
   Pool.Name = Name;
-  Pool.Member = Member;
-  Pool.MemberHash = hash64(Member);
+  Pool.Customer = Customer;
+  Pool.CustomerHash = hash64(Customer);
   Pool.Shards = Shards;
   Pool.ShardVms.resize(Shards);
   return Index;
@@ -74,7 +75,7 @@
   for (pool_index Index = 0; Index < Pools.size(); ++Index) {
     pool &Pool = Pools[Index];
     PoolByName.insert(hash64(Pool.Name), Index);
-    Pool.MemberHash = hash64(Pool.Member);
+    Pool.CustomerHash = hash64(Pool.Customer);
     Pool.Counts = {};
     Pool.ShardVms.assign(Pool.Shards, 0);
     Pool.RackUsable.clear();
@@ -93,7 +94,7 @@
   vm &Vm = Vms[Index];
   VmByName.insert(hash64(Vm.Name), Index);
   Vm.RackNumber = holdRack(Vm);
-  Vm.MemberHash = hash64(Vm.Member);
+  Vm.CustomerHash = hash64(Vm.Customer);
   count(Vm, true);
 }
 
@@ -138,8 +139,8 @@
   }
   pool &Target = Moving ? Pools.at(Vm.ToPool) : Pool;
   Step(Target.Counts.Incoming, Moving);
-  if (Target.MemberHash != Vm.MemberHash)
-    Step(LentByPair[hashCombine(Vm.MemberHash, Target.MemberHash)], true);
+  if (Target.CustomerHash != Vm.CustomerHash)
+    Step(LentByPair[hashCombine(Vm.CustomerHash, Target.CustomerHash)], true);
 }
 
 } // namespace galenalink::fleet
--- a/src/galenalink/fleet/vm_table.hpp
+++ b/src/galenalink/fleet/vm_table.hpp
@@ -62,7 +62,7 @@
     count(Vm, true);
   }
   /** @brief The pool with this name, made if it is not known. */
-  pool_index addPool(const std::string &Name, const std::string &Member,
+  pool_index addPool(const std::string &Name, const std::string &Customer,
                      std::uint32_t Shards);
   /** @brief Access to the settings of a pool; its counts stay as they are. */
   [[nodiscard]] pool &editPool(const pool_index Index) {
--- a/src/galenalink/node/account_keeper.cpp
+++ b/src/galenalink/node/account_keeper.cpp
@@ -11,7 +11,7 @@
 
 /** Version of the encoding; the first item. */
 constexpr int Encoding = 1;
-constexpr std::size_t MemberItems = 8;
+constexpr std::size_t CustomerItems = 8;
 constexpr std::size_t RowItems = 10 + account::UseCount;
 
 [[nodiscard]] json encodeRow(const account::row &Row) {
@@ -55,34 +55,36 @@
   return true;
 }
 
-[[nodiscard]] bool decodeMember(const json &Json,
-                                account::member_state &Member) {
-  if (!Json.is_array() || Json.size() != MemberItems || !Json[0].is_string() ||
-      !isTime(Json[1]) || !isNumber(Json[2]) || !isNumber(Json[3]) ||
-      !isNumber(Json[4]) || !areNumbers(Json[5], account::UseCount) ||
-      !isNumber(Json[6]) || !Json[7].is_array())
+[[nodiscard]] bool decodeCustomer(const json &Json,
+                                  account::customer_state &Customer) {
+  if (!Json.is_array() || Json.size() != CustomerItems ||
+      !Json[0].is_string() || !isTime(Json[1]) || !isNumber(Json[2]) ||
+      !isNumber(Json[3]) || !isNumber(Json[4]) ||
+      !areNumbers(Json[5], account::UseCount) || !isNumber(Json[6]) ||
+      !Json[7].is_array())
     return false;
-  Member.Member = Json[0].get<std::string>();
-  Member.ThroughMs = Json[1].get<wall_ms>();
-  Member.Owned = Json[2].get<std::uint64_t>();
-  Member.Lent = Json[3].get<std::uint64_t>();
-  Member.Borrowed = Json[4].get<std::uint64_t>();
+  Customer.Customer = Json[0].get<std::string>();
+  Customer.ThroughMs = Json[1].get<wall_ms>();
+  Customer.Owned = Json[2].get<std::uint64_t>();
+  Customer.Lent = Json[3].get<std::uint64_t>();
+  Customer.Borrowed = Json[4].get<std::uint64_t>();
   for (std::size_t Use = 0; Use < account::UseCount; ++Use)
-    Member.Held[Use] = Json[5][Use].get<std::uint64_t>();
-  Member.RequiredVms = Json[6].get<std::uint64_t>();
+    Customer.Held[Use] = Json[5][Use].get<std::uint64_t>();
+  Customer.RequiredVms = Json[6].get<std::uint64_t>();
   for (const auto &Item : Json[7]) {
-    account::row Row{Member.Member, 0, {}};
-    if (!decodeRow(Item, Row) ||
-        (!Member.Periods.empty() && Member.Periods.back().Period >= Row.Period))
+    account::row Row{Customer.Customer, 0, {}};
+    if (!decodeRow(Item, Row) || (!Customer.Periods.empty() &&
+                                  Customer.Periods.back().Period >= Row.Period))
       return false;
-    Member.Periods.push_back(std::move(Row));
+    Customer.Periods.push_back(std::move(Row));
   }
   return true;
 }
 
 /** @brief VMs that the budget of a pool requires; see ledger::requireVms. */
 [[nodiscard]] std::uint64_t needOf(const fleet::pool &Pool) noexcept {
-  // A spare pool exists to be shared; alone, its member would need none of it.
+  // A spare pool exists to be shared; alone, its customer would need none of
+  // it.
   if (!Pool.configured() || Pool.Spare)
     return 0;
   return std::uint64_t{Pool.Budget} + Pool.Counts.LargestRack;
@@ -91,17 +93,17 @@
 } // namespace
 
 std::string encode(const account::ledger_state &State) {
-  json Members = json::array();
-  for (const auto &Member : State.Members) {
+  json Customers = json::array();
+  for (const auto &Customer : State.Customers) {
     json Rows = json::array();
-    for (const auto &Row : Member.Periods)
+    for (const auto &Row : Customer.Periods)
       Rows.push_back(encodeRow(Row));
-    Members.push_back(
-        json::array({Member.Member, Member.ThroughMs, Member.Owned, Member.Lent,
-                     Member.Borrowed, Member.Held, Member.RequiredVms, Rows}));
+    Customers.push_back(json::array(
+        {Customer.Customer, Customer.ThroughMs, Customer.Owned, Customer.Lent,
+         Customer.Borrowed, Customer.Held, Customer.RequiredVms, Rows}));
   }
   std::string Bytes;
-  json::to_cbor(json::array({Encoding, State.NowMs, Members}), Bytes);
+  json::to_cbor(json::array({Encoding, State.NowMs, Customers}), Bytes);
   return Bytes;
 }
 
@@ -112,13 +114,14 @@
     return fail(errc::Corrupt, "the saved account cannot be decoded");
   account::ledger_state State{Json[1].get<wall_ms>(), {}};
   for (const auto &Item : Json[2]) {
-    account::member_state Member;
-    const bool Valid =
-        decodeMember(Item, Member) && Member.ThroughMs <= State.NowMs &&
-        (State.Members.empty() || State.Members.back().Member < Member.Member);
+    account::customer_state Customer;
+    const bool Valid = decodeCustomer(Item, Customer) &&
+                       Customer.ThroughMs <= State.NowMs &&
+                       (State.Customers.empty() ||
+                        State.Customers.back().Customer < Customer.Customer);
     if (!Valid)
       return fail(errc::Corrupt, "a member of the saved account is malformed");
-    State.Members.push_back(std::move(Member));
+    State.Customers.push_back(std::move(Customer));
   }
   return State;
 }
@@ -134,7 +137,7 @@
                    : !Vm.usable() ? account::use::Unavailable
                    : Pool.Spare   ? account::use::Buffer
                                   : account::use::InUse;
-  return account::vm_use{Vm.Member, Pool.Member, Use};
+  return account::vm_use{Vm.Customer, Pool.Customer, Use};
 }
 
 void account_keeper::derive() {
@@ -147,16 +150,16 @@
   }
   Needs.clear();
   Required.clear();
-  Members.clear();
+  Customers.clear();
   for (const auto &Pool : State.Vms.pools()) {
     Needs.push_back(needOf(Pool));
-    Members.insert(Pool.Member);
+    Customers.insert(Pool.Customer);
     if (Needs.back() != 0)
-      Required[Pool.Member] += Needs.back();
+      Required[Pool.Customer] += Needs.back();
   }
   for (const auto &[Name, Document] : State.Config.Documents) {
     if (Document.File)
-      Members.insert(Document.File->Member);
+      Customers.insert(Document.File->Customer);
   }
 }
 
@@ -172,7 +175,7 @@
     countWork(Record);
   else if (Record.has_take() && Applied.Vm)
     Ledger.countMove(State.LogTime,
-                     State.Vms.poolAt(State.Vms.at(*Applied.Vm).Pool).Member);
+                     State.Vms.poolAt(State.Vms.at(*Applied.Vm).Pool).Customer);
 }
 
 void account_keeper::updateVm(const fleet::vm_index Index) {
@@ -200,12 +203,12 @@
   const auto Next = needOf(Pool);
   if (Need == Next)
     return;
-  auto &Sum = Required[Pool.Member];
+  auto &Sum = Required[Pool.Customer];
   Sum = Sum - Need + Next;
   Need = Next;
-  Ledger.requireVms(State.LogTime, Pool.Member, Sum);
+  Ledger.requireVms(State.LogTime, Pool.Customer, Sum);
   if (Sum == 0)
-    Required.erase(Pool.Member);
+    Required.erase(Pool.Customer);
 }
 
 // A change may make a pool spare, or remove it, and so change the use of all
@@ -218,27 +221,27 @@
     if (SlotsBefore[Slot].Use != Slots[Slot].Use)
       Ledger.changeUse(State.LogTime, SlotsBefore[Slot].Use, Slots[Slot].Use);
   }
-  for (const auto &[Member, Vms] : RequiredBefore) {
-    if (!Required.contains(Member))
-      Ledger.requireVms(State.LogTime, Member, 0);
+  for (const auto &[Customer, Vms] : RequiredBefore) {
+    if (!Required.contains(Customer))
+      Ledger.requireVms(State.LogTime, Customer, 0);
   }
-  for (const auto &[Member, Vms] : Required) {
-    const auto Before = RequiredBefore.find(Member);
+  for (const auto &[Customer, Vms] : Required) {
+    const auto Before = RequiredBefore.find(Customer);
     if (Before == RequiredBefore.end() || Before->second != Vms)
-      Ledger.requireVms(State.LogTime, Member, Vms);
+      Ledger.requireVms(State.LogTime, Customer, Vms);
   }
 }
 
 void account_keeper::countWork(const wire::record &Record) {
   for (const auto &Count : Record.work().counts()) {
-    if (Members.contains(Count.member()))
+    if (Customers.contains(Count.member()))
       Ledger.countWork(State.LogTime, Count.member(),
                        {Count.placed(), Count.refused(), Count.late()});
   }
 }
 
 bool account_keeper::consistent(const account::ledger_state &Saved) const {
-  std::map<std::string, account::member_state> Expected;
+  std::map<std::string, account::customer_state> Expected;
   for (const auto &[Use, Unused] : Slots) {
     if (!Use)
       continue;
@@ -249,16 +252,16 @@
       ++Expected[Use->Holder].Borrowed;
     }
   }
-  for (const auto &[Member, Vms] : Required)
-    Expected[Member].RequiredVms = Vms;
-  for (const auto &Member : Saved.Members) {
-    const auto Now = Expected[Member.Member];
-    if (Now.Owned != Member.Owned || Now.Lent != Member.Lent ||
-        Now.Borrowed != Member.Borrowed || Now.Held != Member.Held ||
-        Now.RequiredVms != Member.RequiredVms)
+  for (const auto &[Customer, Vms] : Required)
+    Expected[Customer].RequiredVms = Vms;
+  for (const auto &Customer : Saved.Customers) {
+    const auto Now = Expected[Customer.Customer];
+    if (Now.Owned != Customer.Owned || Now.Lent != Customer.Lent ||
+        Now.Borrowed != Customer.Borrowed || Now.Held != Customer.Held ||
+        Now.RequiredVms != Customer.RequiredVms)
       return false;
   }
-  return Expected.size() == Saved.Members.size() &&
+  return Expected.size() == Saved.Customers.size() &&
          Saved.NowMs <= State.LogTime;
 }
 
@@ -267,8 +270,8 @@
   Ledger = account::ledger{};
   for (const auto &Slot : Slots)
     Ledger.changeUse(State.LogTime, std::nullopt, Slot.Use);
-  for (const auto &[Member, Vms] : Required)
-    Ledger.requireVms(State.LogTime, Member, Vms);
+  for (const auto &[Customer, Vms] : Required)
+    Ledger.requireVms(State.LogTime, Customer, Vms);
   BOOST_LEAF_AUTO(Saved, decodeAccount(Bytes));
   if (!consistent(Saved))
     return fail(errc::Corrupt, "the saved account does not fit the state");
--- a/src/galenalink/node/account_keeper.hpp
+++ b/src/galenalink/node/account_keeper.hpp
@@ -22,7 +22,7 @@
 [[nodiscard]] result<account::ledger_state> decodeAccount(std::string_view);
 
 /**
- * @brief Account of the members, derived from the folded records alone, so
+ * @brief Account of the customers, derived from the folded records alone, so
  * that all nodes that folded the same records have the same figures.
  */
 class account_keeper {
@@ -43,7 +43,7 @@
 
   /** @brief The account at the folded offset. */
   [[nodiscard]] std::string serialize() const;
-  /** @brief Rows by period, then member, through the state's log time. */
+  /** @brief Rows by period, then customer, through the state's log time. */
   [[nodiscard]] std::vector<account::row> rows() const;
 
 private:
@@ -67,10 +67,10 @@
   std::vector<slot> Slots;
   /** VMs that each pool's budget requires. */
   std::vector<std::uint64_t> Needs;
-  /** Their sum for each member; members that need none are left out. */
+  /** Their sum for each customer; customers that need none are left out. */
   std::map<std::string, std::uint64_t> Required;
-  /** Members with a document or a pool; work of others is not counted. */
-  std::set<std::string, std::less<>> Members;
+  /** Customers with a document or a pool; work of others is not counted. */
+  std::set<std::string, std::less<>> Customers;
 };
 
 } // namespace galenalink::node
--- a/src/galenalink/node/application.cpp
+++ b/src/galenalink/node/application.cpp
@@ -167,8 +167,8 @@
   };
   node_description Self{Id,
                         Settings.Name,
-                        Settings.Place,
-                        Settings.Member,
+                        Settings.DataCentre,
+                        Settings.Customer,
                         Address(Settings.Peers.Host, PeerPort),
                         Address(Settings.Callers.Host, CallerPort)};
   DialedVersion = 0;
@@ -185,7 +185,8 @@
     return platform::makeHttpAdapter(Client, {PlatformAddress});
   std::vector<platform::vm> Vms;
   for (const auto &Vm : Settings.Platform.Vms)
-    Vms.push_back({Vm.Vm, Vm.Member, Vm.Place, Vm.Rack, Vm.Address, Vm.Pool});
+    Vms.push_back(
+        {Vm.Vm, Vm.Customer, Vm.DataCentre, Vm.Rack, Vm.Address, Vm.Pool});
   Embedded = std::make_unique<platform::embedded>(platform::store::options{},
                                                   std::move(Vms));
   return Embedded->makeAdapter([this](std::function<void()> Function) {
@@ -195,7 +196,7 @@
 
 void application::route(call Call, reply_hook Done) {
   const auto Started = boot_clock::now();
-  const std::string Service = Call.Member + '/' + Call.Service;
+  const std::string Service = Call.Customer + '/' + Call.Service;
   Current->router().route(std::move(Call), [this, Started, Service,
                                             Done =
                                                 std::move(Done)](reply Reply) {
@@ -215,7 +216,7 @@
 }
 
 std::optional<duration> application::defaultTimeout(const call &Call) const {
-  const auto *Service = Current->catalog().find(Call.Member, Call.Service);
+  const auto *Service = Current->catalog().find(Call.Customer, Call.Service);
   if (Service == nullptr)
     return std::nullopt;
   constexpr duration QueryTimeout = std::chrono::seconds{5};
--- a/src/galenalink/node/call.hpp
+++ b/src/galenalink/node/call.hpp
@@ -19,7 +19,7 @@
 /** @brief What a caller asks of the fleet. */
 struct call {
   operation Operation{operation::Submit};
-  std::string Member;
+  std::string Customer;
   std::string Service;
   /** Empty for a query or a cancel. */
   std::string Queue;
--- a/src/galenalink/node/caller_api.cpp
+++ b/src/galenalink/node/caller_api.cpp
@@ -65,7 +65,7 @@
                  .count())});
   }
   if (Reply.Outcome == outcome::Accepted)
-    Headers.push_back({"Location", "/v1/" + Call.Member + '/' + Call.Service +
+    Headers.push_back({"Location", "/v1/" + Call.Customer + '/' + Call.Service +
                                        "/requests/" + Call.Key});
   Headers.push_back({"Content-Type", "application/octet-stream"});
   std::string Body = Reply.Body;
@@ -165,7 +165,7 @@
                    "no such resource; see docs/api.md\n");
     return;
   }
-  Call.Member = Parts[1];
+  Call.Customer = Parts[1];
   Call.Service = Parts[2];
   if (Submit) {
     Call.Queue = Parts[3];
--- a/src/galenalink/node/catalog.cpp
+++ b/src/galenalink/node/catalog.cpp
@@ -20,25 +20,25 @@
   for (const auto &[Name, Document] : State.Config.Documents) {
     if (!Document.File)
       continue;
-    const std::string &Member = Document.File->Member;
+    const std::string &Customer = Document.File->Customer;
     for (const auto &Service : Document.File->Services) {
       const auto Pool = State.Vms.findPool(Service.Pool);
       if (!Pool)
         continue;
-      const std::string Owner = fleet::serviceKey(Member, Service.Name);
-      Services[Owner] = {Member, Service, State.Vms.poolAt(*Pool).Shards};
+      const std::string Owner = fleet::serviceKey(Customer, Service.Name);
+      Services[Owner] = {Customer, Service, State.Vms.poolAt(*Pool).Shards};
       auto &View = Pools[Service.Pool];
       for (const auto &Queue : Service.Queues)
-        View.Queues.push_back({Member, Service.Name, Queue});
+        View.Queues.push_back({Customer, Service.Name, Queue});
       for (const auto &Team : Service.Teams)
         View.Teams.emplace_back(Owner, Team);
     }
   }
 }
 
-const service_view *catalog::find(const std::string &Member,
+const service_view *catalog::find(const std::string &Customer,
                                   const std::string &Service) const {
-  const auto Found = Services.find(fleet::serviceKey(Member, Service));
+  const auto Found = Services.find(fleet::serviceKey(Customer, Service));
   return Found == Services.end() ? nullptr : &Found->second;
 }
 
--- a/src/galenalink/node/catalog.hpp
+++ b/src/galenalink/node/catalog.hpp
@@ -12,7 +12,7 @@
 
 /** @brief A service as requests find it. */
 struct service_view {
-  std::string Member;
+  std::string Customer;
   config::service Service;
   std::uint32_t Shards{1};
 
@@ -22,7 +22,7 @@
 /** @brief What runs on one pool. */
 struct pool_view {
   std::vector<shard_queue> Queues;
-  /** Teams by `member/service`. */
+  /** Teams by `customer/service`. */
   std::vector<std::pair<std::string, config::team>> Teams;
 };
 
@@ -32,7 +32,7 @@
   /** @brief Follows the state; cheap if the configuration is unchanged. */
   void update(const fleet::state &State);
 
-  [[nodiscard]] const service_view *find(const std::string &Member,
+  [[nodiscard]] const service_view *find(const std::string &Customer,
                                          const std::string &Service) const;
   [[nodiscard]] const pool_view &pool(const std::string &Name) const;
   [[nodiscard]] log_offset version() const noexcept { return Version; }
--- a/src/galenalink/node/dispatcher.cpp
+++ b/src/galenalink/node/dispatcher.cpp
@@ -13,9 +13,9 @@
 constexpr duration LongRunLimit = std::chrono::hours{24};
 constexpr duration StatusLimit = std::chrono::seconds{2};
 
-/** @brief The three names of `member/service/queue`. */
+/** @brief The three names of `customer/service/queue`. */
 struct queue_path {
-  std::string Member;
+  std::string Customer;
   std::string Service;
   std::string Queue;
 };
@@ -50,7 +50,7 @@
 
 duration dispatcher::runLimit(const std::string_view QualifiedQueue) const {
   const auto Path = split(QualifiedQueue);
-  const auto *Service = Catalog.find(Path.Member, Path.Service);
+  const auto *Service = Catalog.find(Path.Customer, Path.Service);
   const auto *Queue =
       Service == nullptr ? nullptr : Service->findQueue(Path.Queue);
   if (Queue == nullptr || Queue->Kind == config::work_kind::Long)
--- a/src/galenalink/node/incarnation.cpp
+++ b/src/galenalink/node/incarnation.cpp
@@ -64,10 +64,10 @@
                 decide(Subject, std::move(Text));
               }}},
       Dispatcher{View, Catalog, Environment.Backend, dispatcherHooks()},
-      Members{View, Log, Self}, Vms{View, Environment.Adapter, Log,
-                                    [this](const std::string &Vm) {
-                                      Host.leaving(Vm, true);
-                                    }},
+      Membership{View, Log, Self}, Vms{View, Environment.Adapter, Log,
+                                       [this](const std::string &Vm) {
+                                         Host.leaving(Vm, true);
+                                       }},
       Duties{View, Environment.Adapter, Log, dutyHooks()},
       Snapshots{View, Log, [this] { return Accounts.serialize(); }},
       Planner{View, Log,
@@ -118,9 +118,9 @@
                "Time from admission to dispatch.", {{"queue", Queue}})
         .observe(std::chrono::duration<double>(Wait).count());
   };
-  Hooks.Worked = [this](const std::string &Member, const std::string &Pool,
+  Hooks.Worked = [this](const std::string &Customer, const std::string &Pool,
                         const account::work_counts &Counts) {
-    Work.add(Member, Pool, Counts);
+    Work.add(Customer, Pool, Counts);
   };
   Hooks.Adopted = [this](const shard_id &Id) {
     if (const auto Shard = Host.find(Id))
@@ -230,7 +230,7 @@
   // During an outage of the log, a new node learns the state from its peers.
   if (State.Offset == 0 && !Log.available() && StartedAt + LogPatience <= Now)
     Recovery.askPeers(Now);
-  Members.tick(Now);
+  Membership.tick(Now);
   Host.tick(Now);
   Router.tick(Now);
 }
@@ -297,7 +297,7 @@
 }
 
 bool incarnation::serving() const noexcept {
-  return !Stopping && Members.joined();
+  return !Stopping && Membership.joined();
 }
 
 bool incarnation::idle() const noexcept {
@@ -313,7 +313,7 @@
   Work.flush(Now);
   Authority.resign();
   Logger.info("Leaving the roster.");
-  Members.leave(Deadline, [this] {
+  Membership.leave(Deadline, [this] {
     Left = true;
     Logger.info("Left the roster.");
   });
--- a/src/galenalink/node/incarnation.hpp
+++ b/src/galenalink/node/incarnation.hpp
@@ -76,13 +76,13 @@
   void abandon();
   /** @brief Whether no caller waits for an answer from here. */
   [[nodiscard]] bool idle() const noexcept;
-  [[nodiscard]] bool evicted() const noexcept { return Members.evicted(); }
+  [[nodiscard]] bool evicted() const noexcept { return Membership.evicted(); }
   /**
    * @brief Whether the services are known here: the node is, or was, on the
    * roster, or has a peer's state while the log is out.
    */
   [[nodiscard]] bool ready() const noexcept {
-    return Stopping || FromPeer || Members.joined();
+    return Stopping || FromPeer || Membership.joined();
   }
   /** @brief Whether callers may be sent here. */
   [[nodiscard]] bool serving() const noexcept;
@@ -131,7 +131,7 @@
   shard_host Host;
   node::router Router;
   dispatcher Dispatcher;
-  membership Members;
+  membership Membership;
   vm_watch Vms;
   vm_duties Duties;
   snapshot_duty Snapshots;
--- a/src/galenalink/node/membership.cpp
+++ b/src/galenalink/node/membership.cpp
@@ -54,8 +54,8 @@
   auto &Join = *Record.mutable_join();
   Join.set_node(static_cast<std::uint64_t>(Self.Id));
   Join.set_name(Self.Name);
-  Join.set_place(Self.Place);
-  Join.set_member(Self.Member);
+  Join.set_place(Self.DataCentre);
+  Join.set_member(Self.Customer);
   Join.set_peer_address(Self.PeerAddress);
   Join.set_caller_address(Self.CallerAddress);
   Logger.info("Joining the roster.", {{"node", Self.Name}});
--- a/src/galenalink/node/membership.hpp
+++ b/src/galenalink/node/membership.hpp
@@ -12,8 +12,8 @@
 struct node_description {
   node_id Id{};
   std::string Name;
-  std::string Place;
-  std::string Member;
+  std::string DataCentre;
+  std::string Customer;
   std::string PeerAddress;
   std::string CallerAddress;
 };
--- a/src/galenalink/node/operator_views.cpp
+++ b/src/galenalink/node/operator_views.cpp
@@ -14,7 +14,7 @@
 [[nodiscard]] json poolOf(const fleet::pool &Pool) {
   const auto &Counts = Pool.Counts;
   return {{"pool", Pool.Name},
-          {"member", Pool.Member},
+          {"member", Pool.Customer},
           {"spare", Pool.Spare},
           {"shards", Pool.Shards},
           {"vms", Counts.Vms},
@@ -43,8 +43,8 @@
   for (const auto &Info : State.Roster.nodes())
     Nodes.push_back(
         {{"node", Info->Name},
-         {"place", Info->Place},
-         {"member", Info->Member},
+         {"place", Info->DataCentre},
+         {"member", Info->Customer},
          {"suspected",
           Info->Id != View.Self && View.Authority.suspects(Info->Id, Now)}});
   json Short = json::array();
@@ -107,10 +107,10 @@
     const bool HasHome = Seats != nullptr && Seats->Home.has_value();
     Vms.push_back(
         {{"vm", Vm.Name},
-         {"member", Vm.Member},
+         {"member", Vm.Customer},
          {"pool", Pool.Name},
          {"shard", Vm.Shard},
-         {"place", Vm.Place},
+         {"place", Vm.DataCentre},
          {"rack", Vm.Rack},
          {"epoch", Vm.Epoch},
          {"condition", nameOf(fleet::VmConditionNames, Vm.Condition)},
--- a/src/galenalink/node/peer_codec.cpp
+++ b/src/galenalink/node/peer_codec.cpp
@@ -39,7 +39,7 @@
 }
 
 void encode(const request::entry_record &From, wire::ledger_entry &To) {
-  To.set_member(From.Key.Member);
+  To.set_member(From.Key.Customer);
   To.set_service(From.Key.Service);
   To.set_key(From.Key.Key);
   To.set_body_hash(From.BodyHash);
@@ -181,7 +181,7 @@
 
 void encode(const call &From, const time_point Now, wire::forward &To) {
   To.set_operation(static_cast<wire::forward_operation>(From.Operation));
-  To.set_member(From.Member);
+  To.set_member(From.Customer);
   To.set_service(From.Service);
   To.set_queue(From.Queue);
   To.set_team(From.Team);
--- a/src/galenalink/node/planner.cpp
+++ b/src/galenalink/node/planner.cpp
@@ -92,8 +92,8 @@
     const fleet::state &State, const demand_table &Demand, const wall_ms Now,
     const std::function<std::uint32_t(const std::string &)> &InitialVms) {
   plan_input Input;
-  positions Members;
-  positions Places;
+  positions Customers;
+  positions DataCentres;
   positions Racks;
   std::map<fleet::pool_index, std::uint32_t> PoolPosition;
   const wall_ms Oldest = Now - plan::buffer_settings{}.MaxDemandAgeMs;
@@ -107,7 +107,7 @@
     PoolPosition[PoolIndex] = static_cast<std::uint32_t>(Input.Pools.size());
     Input.PoolIndex.push_back(PoolIndex);
     auto &View = Input.Pools.emplace_back();
-    View.Member = Members.of(Pool.Member);
+    View.Customer = Customers.of(Pool.Customer);
     View.MinUp = Pool.Budget;
     View.Spare = Pool.Spare;
     View.InitialVms = InitialVms(Pool.Name);
@@ -117,7 +117,7 @@
   }
   for (const auto &[Pair, Count] : State.Config.Lending)
     Input.Quotas.push_back(
-        {Members.of(Pair.first), Members.of(Pair.second), Count});
+        {Customers.of(Pair.first), Customers.of(Pair.second), Count});
   for (std::size_t Slot = 0; Slot < State.Vms.slots(); ++Slot) {
     const auto Index = static_cast<fleet::vm_index>(Slot);
     if (!State.Vms.used(Index))
@@ -129,10 +129,10 @@
     const auto To = PoolPosition.find(Vm.ToPool);
     auto &View = Input.Vms.emplace_back();
     Input.VmIndex.push_back(Index);
-    View.Owner = Members.of(Vm.Member);
+    View.Owner = Customers.of(Vm.Customer);
     View.Pool = Pool->second;
-    View.Place = Places.of(Vm.Place);
-    View.Rack = Racks.of(Vm.Place + "/" + Vm.Rack);
+    View.DataCentre = DataCentres.of(Vm.DataCentre);
+    View.Rack = Racks.of(Vm.DataCentre + "/" + Vm.Rack);
     View.Epoch = Vm.Epoch;
     View.State = toPlan(Vm.Condition);
     View.StateSinceMs = Vm.ConditionSince;
--- a/src/galenalink/node/router.cpp
+++ b/src/galenalink/node/router.cpp
@@ -43,7 +43,7 @@
     : View{View}, Catalog{Catalog}, Host{Host}, Hooks{std::move(Hooks)} {}
 
 std::optional<reply> router::check(const call &Call) const {
-  const auto *Service = Catalog.find(Call.Member, Call.Service);
+  const auto *Service = Catalog.find(Call.Customer, Call.Service);
   if (Service == nullptr)
     return refuse(refusal::NoSuchQueue, {}, "no such service\n");
   if (Call.Operation != operation::Submit)
@@ -61,10 +61,10 @@
 }
 
 shard_id router::shardFor(const call &Call) const {
-  const auto *Service = Catalog.find(Call.Member, Call.Service);
+  const auto *Service = Catalog.find(Call.Customer, Call.Service);
   if (Service == nullptr)
     return {};
-  return shardOf(Service->Service.Pool, Service->Shards, Call.Member,
+  return shardOf(Service->Service.Pool, Service->Shards, Call.Customer,
                  Call.Service, Call.Key);
 }
 
@@ -136,7 +136,7 @@
   case operation::Submit:
     break;
   }
-  const auto *Service = Catalog.find(Call.Member, Call.Service);
+  const auto *Service = Catalog.find(Call.Customer, Call.Service);
   const auto *Queue =
       Service == nullptr ? nullptr : Service->findQueue(Call.Queue);
   if (Queue == nullptr)
@@ -181,7 +181,7 @@
   const auto &Call = Entry.mapped().Call;
   Log.info("Answered a request.",
            {{"key", Call.Key},
-            {"service", Call.Member + '/' + Call.Service},
+            {"service", Call.Customer + '/' + Call.Service},
             {"outcome", std::string{nameOf(OutcomeNames, Reply.Outcome)}},
             {"reason", std::string{nameOf(RefusalNames, Reply.Refusal)}}});
   Entry.mapped().Done(std::move(Reply));
--- a/src/galenalink/node/shard.cpp
+++ b/src/galenalink/node/shard.cpp
@@ -35,8 +35,8 @@
     const std::vector<shard_queue> &NewQueues,
     const std::vector<std::pair<std::string, config::team>> &NewTeams) {
   auto Removed = Queues;
-  for (const auto &[Member, Service, Queue] : NewQueues) {
-    std::string Owner = Member;
+  for (const auto &[Customer, Service, Queue] : NewQueues) {
+    std::string Owner = Customer;
     Owner.append("/").append(Service);
     std::string Name = Owner;
     Name.append("/").append(Queue.Name);
@@ -46,7 +46,7 @@
     Removed.erase(Name);
     // Requests that name no team share one of the smallest quota.
     if (!Teams.contains(Owner + '/'))
-      Teams[Owner + '/'] = Scheduler.setTeam({Owner + '/', Member, 1});
+      Teams[Owner + '/'] = Scheduler.setTeam({Owner + '/', Customer, 1});
   }
   for (const auto &[Name, Index] : Removed) {
     Scheduler.removeQueue(Index);
@@ -54,8 +54,8 @@
   }
   for (const auto &[Owner, Team] : NewTeams) {
     const std::string Name = Owner + '/' + Team.Name;
-    const std::string Member = Owner.substr(0, Owner.find('/'));
-    Teams[Name] = Scheduler.setTeam({Name, Member, Team.QuotaSlots});
+    const std::string Customer = Owner.substr(0, Owner.find('/'));
+    Teams[Name] = Scheduler.setTeam({Name, Customer, Team.QuotaSlots});
   }
 }
 
--- a/src/galenalink/node/shard.hpp
+++ b/src/galenalink/node/shard.hpp
@@ -24,7 +24,7 @@
 
 /** @brief A queue of one service on the shard's pool. */
 struct shard_queue {
-  std::string Member;
+  std::string Customer;
   std::string Service;
   config::queue Queue;
 };
@@ -139,9 +139,9 @@
   /** Effects that followed from effects in progress. */
   request::effects Following;
   bool Processing{false};
-  /** By `member/service/queue`. */
+  /** By `customer/service/queue`. */
   std::map<std::string, schedule::queue_index> Queues;
-  /** By `member/service/team`. */
+  /** By `customer/service/team`. */
   std::map<std::string, schedule::team_index> Teams;
   struct vm_record {
     schedule::vm_index Index{};
--- a/src/galenalink/node/shard_host.cpp
+++ b/src/galenalink/node/shard_host.cpp
@@ -217,7 +217,7 @@
   if (!Pool)
     return;
   const auto Now = boot_clock::now();
-  std::vector<shard_vm> Members;
+  std::vector<shard_vm> ShardVms;
   for (std::size_t Slot = 0; Slot < Vms.slots(); ++Slot) {
     const auto Index = static_cast<fleet::vm_index>(Slot);
     if (!Vms.used(Index))
@@ -225,11 +225,11 @@
     const auto &Vm = Vms.at(Index);
     if (Vm.Pool != *Pool || Vm.Shard != Id.Index)
       continue;
-    Members.push_back(
+    ShardVms.push_back(
         {Vm.Name, Vm.Epoch,
          fleet::mayPlace(View, Index, Now) && !Leaving.contains(Vm.Name)});
   }
-  Shard->setVms(Members);
+  Shard->setVms(ShardVms);
 }
 
 shard_hooks shard_host::hooksFor(const shard_id &Id) {
@@ -238,7 +238,7 @@
   Out.Dispatch = [this, Id](const request::dispatch &Dispatch) {
     const auto &Shard = Homes.at(Id);
     if (const auto Work = Shard->ledger().find(Dispatch.Entry))
-      Hooks.Worked(Work->Key->Member, Id.Pool, {1, 0, 0});
+      Hooks.Worked(Work->Key->Customer, Id.Pool, {1, 0, 0});
     Hooks.Dispatch(Shard, Dispatch);
   };
   Out.Stop = [this, Id](const request::stop_attempt &Stop) {
--- a/src/galenalink/node/shard_host.hpp
+++ b/src/galenalink/node/shard_host.hpp
@@ -42,8 +42,8 @@
       Stop;
   std::function<void(std::string_view Subject, std::string Text)> Decided;
   std::function<void(const std::string &Queue, duration Wait)> Waited;
-  /** Work of a member in a pool was placed, refused or late. */
-  std::function<void(const std::string &Member, const std::string &Pool,
+  /** Work of a customer in a pool was placed, refused or late. */
+  std::function<void(const std::string &Customer, const std::string &Pool,
                      const account::work_counts &)>
       Worked;
   /** A shard got a home here; its VMs' status is to be asked for. */
@@ -133,7 +133,7 @@
   [[nodiscard]] request::replica &replicaOf(const shard_id &Id);
   [[nodiscard]] request::instant instant() const;
   [[nodiscard]] request::waiter await(reply_hook Done);
-  void countEnd(const shard_id &Shard, const std::string &Member,
+  void countEnd(const shard_id &Shard, const std::string &Customer,
                 time_point Deadline, const reply &Reply);
   void answer(const request::answer &Answer);
 
--- a/src/galenalink/node/shard_host_requests.cpp
+++ b/src/galenalink/node/shard_host_requests.cpp
@@ -18,7 +18,7 @@
 }
 
 [[nodiscard]] request::request_key keyOf(const call &Call) {
-  return {Call.Member, Call.Service, Call.Key};
+  return {Call.Customer, Call.Service, Call.Key};
 }
 
 } // namespace
@@ -36,7 +36,7 @@
       {Answer.Outcome, Answer.Refusal, Answer.RetryAfter, Answer.Body, {}});
 }
 
-void shard_host::countEnd(const shard_id &Shard, const std::string &Member,
+void shard_host::countEnd(const shard_id &Shard, const std::string &Customer,
                           const time_point Deadline, const reply &Reply) {
   if (Reply.Outcome == outcome::NotRun) {
     // The caller withdrew the request, or the router tries another home.
@@ -45,9 +45,9 @@
                          Reply.Refusal != refusal::NoAuthority &&
                          Reply.Refusal != refusal::Stopping;
     if (Refused)
-      Hooks.Worked(Member, Shard.Pool, {0, 1, 0});
+      Hooks.Worked(Customer, Shard.Pool, {0, 1, 0});
   } else if (Deadline < boot_clock::now()) {
-    Hooks.Worked(Member, Shard.Pool, {0, 0, 1});
+    Hooks.Worked(Customer, Shard.Pool, {0, 0, 1});
   }
 }
 
@@ -62,7 +62,7 @@
     Done(refuse(refusal::NoAuthority, HomeRetry));
     return;
   }
-  const std::string Owner = fleet::serviceKey(Call.Member, Call.Service);
+  const std::string Owner = fleet::serviceKey(Call.Customer, Call.Service);
   request::submission Submission;
   Submission.Key = keyOf(Call);
   Submission.Queue = Owner + '/' + Queue.Name;
@@ -72,9 +72,9 @@
   Submission.LongWork = Queue.Kind == config::work_kind::Long;
   Submission.Deadline = Call.Deadline;
   Submission.Waiter =
-      await([this, Shard, Member = Call.Member, Deadline = Call.Deadline,
+      await([this, Shard, Customer = Call.Customer, Deadline = Call.Deadline,
              Done = std::move(Done)](reply Reply) {
-        countEnd(Shard, Member, Deadline, Reply);
+        countEnd(Shard, Customer, Deadline, Reply);
         Done(std::move(Reply));
       });
   Home->submit(std::move(Submission), instant());
--- a/src/galenalink/node/shard_id.hpp
+++ b/src/galenalink/node/shard_id.hpp
@@ -27,11 +27,11 @@
  */
 [[nodiscard]] inline shard_id shardOf(const std::string &Pool,
                                       const std::uint32_t Shards,
-                                      const std::string &Member,
+                                      const std::string &Customer,
                                       const std::string &Service,
                                       const std::string &Key) {
   const auto Hash =
-      hashCombine(hashCombine(hash64(Member), hash64(Service)), hash64(Key));
+      hashCombine(hashCombine(hash64(Customer), hash64(Service)), hash64(Key));
   return {Pool, static_cast<std::uint32_t>(Hash % Shards)};
 }
 
--- a/src/galenalink/node/work_report.cpp
+++ b/src/galenalink/node/work_report.cpp
@@ -12,9 +12,9 @@
 
 } // namespace
 
-void work_report::add(const std::string &Member, const std::string &Pool,
+void work_report::add(const std::string &Customer, const std::string &Pool,
                       const account::work_counts &Work) {
-  auto &Count = Counts[{Member, Pool}];
+  auto &Count = Counts[{Customer, Pool}];
   Count.Placed += Work.Placed;
   Count.Refused += Work.Refused;
   Count.Late += Work.Late;
--- a/src/galenalink/node/work_report.hpp
+++ b/src/galenalink/node/work_report.hpp
@@ -18,7 +18,7 @@
   work_report(const fleet::state &State, log_follower &Log, node_id Self)
       : State{State}, Log{Log}, Self{Self} {}
 
-  void add(const std::string &Member, const std::string &Pool,
+  void add(const std::string &Customer, const std::string &Pool,
            const account::work_counts &Work);
   /** @brief Appends a summary if there is work to report and one is due. */
   void tick(time_point Now);
@@ -33,7 +33,7 @@
   node_id Self;
   std::uint64_t Sequence{0};
   time_point NextAt{NoDeadline};
-  /** By member and pool, not in any summary yet. */
+  /** By customer and pool, not in any summary yet. */
   std::map<std::pair<std::string, std::string>, account::work_counts> Counts;
   /** Summary whose append is not known to have happened. */
   std::optional<wire::record> Unconfirmed;
--- a/src/galenalink/plan/buffer.cpp
+++ b/src/galenalink/plan/buffer.cpp
@@ -60,7 +60,7 @@
                                            customer_index To) const;
   [[nodiscard]] customer_index
   customerOf(const pool_index Pool) const noexcept {
-    return Input.Pools[Pool].Member;
+    return Input.Pools[Pool].Customer;
   }
 
   const buffer_input &Input;
@@ -100,7 +100,7 @@
       ++Lent[{Vm.Owner, Customer}];
     if (Moving)
       ++PendingMoves[Customer];
-    ++PoolCount.DataCentres[Vm.Place];
+    ++PoolCount.DataCentres[Vm.DataCentre];
     ++PoolCount.Racks[Vm.Rack];
     if (Vm.isUp())
       PoolCount.Vms.push_back(I);
@@ -187,8 +187,8 @@
   };
   const auto Rank = [&](const vm_index I) {
     const auto &Vm = Input.Vms[I];
-    return std::tuple{CountAt(Target.DataCentres, Vm.Place) -
-                          CountAt(Source.DataCentres, Vm.Place),
+    return std::tuple{CountAt(Target.DataCentres, Vm.DataCentre) -
+                          CountAt(Source.DataCentres, Vm.DataCentre),
                       CountAt(Target.Racks, Vm.Rack) -
                           CountAt(Source.Racks, Vm.Rack),
                       static_cast<std::int64_t>(Vm.BusySlots), I};
@@ -208,7 +208,7 @@
   auto &Target = Counts[To];
   Moved[Vm] = true;
   --Source.Up;
-  --Source.DataCentres[View.Place];
+  --Source.DataCentres[View.DataCentre];
   --Source.Racks[View.Rack];
   if (View.Owner == customerOf(View.Pool)) {
     --Source.OwnUp;
@@ -218,7 +218,7 @@
     --Lent[{View.Owner, customerOf(View.Pool)}];
   }
   ++Target.Up;
-  ++Target.DataCentres[View.Place];
+  ++Target.DataCentres[View.DataCentre];
   ++Target.Racks[View.Rack];
   if (View.Owner == customerOf(To)) {
     ++Target.OwnUp;
--- a/src/galenalink/plan/headroom.cpp
+++ b/src/galenalink/plan/headroom.cpp
@@ -26,7 +26,7 @@
   std::vector<std::pair<pool_index, rack_index>> Racks;
   Racks.reserve(Vms.size());
   for (const auto &Vm : Vms) {
-    if (Vm.Owner != Pools[Vm.Pool].Member)
+    if (Vm.Owner != Pools[Vm.Pool].Customer)
       continue;
     ++Result[Vm.Pool].Vms;
     Result[Vm.Pool].Up += Vm.isUp() ? 1 : 0;
--- a/src/galenalink/plan/maintenance.cpp
+++ b/src/galenalink/plan/maintenance.cpp
@@ -68,11 +68,14 @@
   [[nodiscard]] const std::vector<vm_index> &sortedVms() {
     std::ranges::sort(Due, {}, [this](const vm_index I) {
       const auto &Vm = Vms[I];
-      return std::tuple{
-          Vm.HoldUntilMs > Now,     Vm.MaintainedMs + Pool.PeriodMs > Now,
-          DataCentres.at(Vm.Place), Vm.Place,
-          Racks.at(Vm.Rack),        Vm.Rack,
-          Vm.MaintainedMs,          I};
+      return std::tuple{Vm.HoldUntilMs > Now,
+                        Vm.MaintainedMs + Pool.PeriodMs > Now,
+                        DataCentres.at(Vm.DataCentre),
+                        Vm.DataCentre,
+                        Racks.at(Vm.Rack),
+                        Vm.Rack,
+                        Vm.MaintainedMs,
+                        I};
     });
     return Due;
   }
@@ -83,7 +86,7 @@
       const auto [Entry, Inserted] = Table.try_emplace(Key, Since);
       Entry->second = std::min(Entry->second, Since);
     };
-    LowerRank(DataCentres, Vms[Vm].Place);
+    LowerRank(DataCentres, Vms[Vm].DataCentre);
     LowerRank(Racks, Vms[Vm].Rack);
   }
 
@@ -134,7 +137,7 @@
     auto AllUp = Headrooms[I];
     AllUp.Removable = AllUp.MaxRemovable;
     const auto Removable = removableAtInitialSize(Pools[I], AllUp);
-    auto &Slowest = Rounds[Pools[I].Member];
+    auto &Slowest = Rounds[Pools[I].Customer];
     if (Removable > 0 && Pools[I].MinUp > 0)
       Slowest = std::max(Slowest, (VmsByPool[I].remaining() + Removable - 1) /
                                       Removable);
@@ -232,7 +235,7 @@
     const auto &Vm = Vms[I];
     auto &PoolVms = VmsByPool[Vm.Pool];
     const auto &Pool = Pools[Vm.Pool];
-    const bool Borrowed = Vm.Owner != Pool.Member;
+    const bool Borrowed = Vm.Owner != Pool.Customer;
     if (isDue(Vm, Pool, Now) && !Borrowed)
       PoolVms.Due.push_back(I);
     if (isDue(Vm, Pool, Now) && Borrowed &&
@@ -251,7 +254,7 @@
   const auto Rounds = remainingRounds(Pools, VmsByPool, Headrooms);
   for (pool_index I = 0; I < Pools.size(); ++I)
     planPool(Vms, Pools[I], VmsByPool[I], Headrooms[I],
-             Rounds.at(Pools[I].Member), Now, Plan, Plan.Pools[I]);
+             Rounds.at(Pools[I].Customer), Now, Plan, Plan.Pools[I]);
   return Plan;
 }
 
@@ -261,7 +264,7 @@
                                          const wall_ms DowntimeMs) {
   std::vector<std::uint32_t> Due(Pools.size());
   for (const auto &Vm : Vms) {
-    if (isDue(Vm, Pools[Vm.Pool], Start) && Vm.Owner == Pools[Vm.Pool].Member)
+    if (isDue(Vm, Pools[Vm.Pool], Start) && Vm.Owner == Pools[Vm.Pool].Customer)
       ++Due[Vm.Pool];
   }
   const auto Headrooms = computeHeadroom(Vms, Pools);
--- a/src/galenalink/plan/view.hpp
+++ b/src/galenalink/plan/view.hpp
@@ -18,7 +18,7 @@
 struct vm_view {
   customer_index Owner{0};
   pool_index Pool{0};
-  data_centre_index Place{0};
+  data_centre_index DataCentre{0};
   /** Unique across data centres. */
   rack_index Rack{0};
   std::uint64_t Epoch{0};
@@ -52,7 +52,7 @@
 
 /** @brief Planner input for one pool; its index in the table identifies it. */
 struct pool_view {
-  customer_index Member{0};
+  customer_index Customer{0};
   /** Availability budget: own VMs that must stay up; 0 if there is none. */
   std::uint32_t MinUp{0};
   bool Spare{false};
--- a/src/galenalink/platform/adapter.hpp
+++ b/src/galenalink/platform/adapter.hpp
@@ -57,8 +57,8 @@
 /** @brief A VM as the platform lists it. */
 struct vm {
   std::string Vm;
-  std::string Member;
-  std::string Place;
+  std::string Customer;
+  std::string DataCentre;
   std::string Rack;
   /** Address of its backend server, `host:port`. */
   std::string Address;
--- a/src/galenalink/request/detail/entry_table.cpp
+++ b/src/galenalink/request/detail/entry_table.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 [[nodiscard]] std::size_t keyBytes(const request_key &Key) noexcept {
-  return Key.Member.size() + Key.Service.size() + Key.Key.size();
+  return Key.Customer.size() + Key.Service.size() + Key.Key.size();
 }
 
 } // namespace
--- a/src/galenalink/request/entry.cpp
+++ b/src/galenalink/request/entry.cpp
@@ -5,7 +5,7 @@
 
 std::size_t
 request_key_hash::operator()(const request_key &Key) const noexcept {
-  return hash64(Key.Key, hash64(Key.Service, hash64(Key.Member)));
+  return hash64(Key.Key, hash64(Key.Service, hash64(Key.Customer)));
 }
 
 std::size_t attempt_hash::operator()(const attempt_id &Id) const noexcept {
--- a/src/galenalink/request/entry.hpp
+++ b/src/galenalink/request/entry.hpp
@@ -45,14 +45,14 @@
 
 /** @brief Identity of a request. */
 struct request_key {
-  std::string Member;
+  std::string Customer;
   std::string Service;
   std::string Key;
 
   [[nodiscard]] bool operator==(const request_key &) const = default;
   [[nodiscard]] bool operator<(const request_key &Other) const noexcept {
-    return std::tie(Member, Service, Key) <
-           std::tie(Other.Member, Other.Service, Other.Key);
+    return std::tie(Customer, Service, Key) <
+           std::tie(Other.Customer, Other.Service, Other.Key);
   }
 };
 
--- a/src/galenalink/request/replica.cpp
+++ b/src/galenalink/request/replica.cpp
@@ -10,7 +10,7 @@
 constexpr std::size_t MaxQuiet = 256;
 
 [[nodiscard]] std::size_t bytesOf(const entry_record &Record) noexcept {
-  return Record.Key.Member.size() + Record.Key.Service.size() +
+  return Record.Key.Customer.size() + Record.Key.Service.size() +
          Record.Key.Key.size() + Record.Body.size() + Record.Result.size();
 }
 
--- a/test/galenalink/account/ledger.cpp
+++ b/test/galenalink/account/ledger.cpp
@@ -57,8 +57,8 @@
         Holder.UseMs[static_cast<std::size_t>(Vm->Use)] += Ms;
         Needed[Vm->Holder] += Vm->Use == use::Buffer ? 0 : 1;
       }
-      for (const auto &[Member, Count] : Needed) {
-        auto &Peak = Result[{From / PeriodMs, Member}].PeakVms;
+      for (const auto &[Customer, Count] : Needed) {
+        auto &Peak = Result[{From / PeriodMs, Customer}].PeakVms;
         Peak = std::max(Peak, Count);
       }
       From = To;
@@ -90,10 +90,10 @@
     Ledger.advance(End);
     auto Expected = naive(Events, End);
     for (const auto &Row : Ledger.rows()) {
-      auto &Want = Expected[{Row.Period, Row.Member}];
+      auto &Want = Expected[{Row.Period, Row.Customer}];
       Want.ElapsedMs = Row.Totals.ElapsedMs;
       BOOST_TEST((Row.Totals == Want));
-      Expected.erase({Row.Period, Row.Member});
+      Expected.erase({Row.Period, Row.Customer});
     }
     for (const auto &[Key, Totals] : Expected)
       BOOST_TEST((Totals == totals{}));
@@ -125,7 +125,7 @@
     std::uint64_t Owned = 0;
     std::uint64_t Lent = 0;
     std::uint64_t Borrowed = 0;
-    for (const auto &[Member, Period, Totals] : Ledger.rows()) {
+    for (const auto &[Customer, Period, Totals] : Ledger.rows()) {
       Owned += Totals.OwnedMs;
       Lent += Totals.LentMs;
       Borrowed += Totals.BorrowedMs;
--- a/test/galenalink/cli/publish.cpp
+++ b/test/galenalink/cli/publish.cpp
@@ -12,7 +12,7 @@
       (changed(Wanted, InForce, false) == documents{{"b", "two"}, {"d", "4"}}));
 }
 
-// Another member's documents must not vanish by publishing one directory.
+// Another customer's documents must not vanish by publishing one directory.
 BOOST_AUTO_TEST_CASE(documents_are_removed_only_on_request) {
   const documents InForce{{"a", "1"}, {"b", "2"}};
   const documents Wanted{{"a", "1"}};
--- a/test/galenalink/config/service_file.cpp
+++ b/test/galenalink/config/service_file.cpp
@@ -37,7 +37,7 @@
 BOOST_AUTO_TEST_CASE(valid_file_is_read_whole) {
   service_file File;
   BOOST_TEST(parseServiceFile("a.json", Valid, File).empty());
-  BOOST_TEST(File.Member == "halloran");
+  BOOST_TEST(File.Customer == "halloran");
   BOOST_TEST(File.Pools.at(0).Shards == 2U);
   BOOST_TEST((File.Services.at(0).Queues.at(1).Kind == work_kind::Long));
   BOOST_TEST(File.Services.at(0).Teams.at(0).QuotaSlots == 10U);
--- a/test/galenalink/fleet/documents.hpp
+++ b/test/galenalink/fleet/documents.hpp
@@ -8,14 +8,14 @@
 
 /**
  * @brief Stand-in for the parser of service files. Words of the text: the
- * member, then `pool=NAME:SHARDS:MIN_UP`, `service=NAME:POOL:MIN_UP` and
+ * customer, then `pool=NAME:SHARDS:MIN_UP`, `service=NAME:POOL:MIN_UP` and
  * `lend=MEMBER:MAX`. Any other word is an error.
  */
 [[nodiscard]] inline std::vector<config::diagnostic>
 parseWords(const std::string_view Name, const std::string_view Text,
            config::service_file &Out) {
   std::istringstream Words{std::string{Text}};
-  Words >> Out.Member;
+  Words >> Out.Customer;
   for (std::string Word; Words >> Word;) {
     for (auto &Char : Word)
       Char = Char == '=' || Char == ':' ? ' ' : Char;
--- a/test/galenalink/fleet/model.cpp
+++ b/test/galenalink/fleet/model.cpp
@@ -85,10 +85,10 @@
          *(Block - 1) >> 20U != static_cast<std::uint32_t>(Model.Tick) << 4U &&
          *(Block - 1) >> 24U == static_cast<std::uint32_t>(Model.Tick))
     --Block;
-  const auto Place = std::lower_bound(Block, Node.Events.end(), Code);
-  if (Place != Node.Events.end() && *Place == Code)
+  const auto Position = std::lower_bound(Block, Node.Events.end(), Code);
+  if (Position != Node.Events.end() && *Position == Code)
     return false;
-  Node.Events.insert(Place, Code);
+  Node.Events.insert(Position, Code);
   return true;
 }
 
--- a/test/galenalink/fleet/naive_fold.cpp
+++ b/test/galenalink/fleet/naive_fold.cpp
@@ -13,11 +13,11 @@
   return nullptr;
 }
 
-std::string naive_fold::memberOf(const std::string &Pool) const {
+std::string naive_fold::customerOf(const std::string &Pool) const {
   for (const auto &Entry : Files) {
     for (const auto &Each : Entry.second.Pools) {
       if (Each.Name == Pool)
-        return Entry.second.Member;
+        return Entry.second.Customer;
     }
   }
   return {};
@@ -130,7 +130,7 @@
   std::set<std::string> Services;
   for (const auto &[Name, File] : After.Files) {
     for (const auto &Pool : File.Pools) {
-      const std::pair Fixed{File.Member, Pool.Shards};
+      const std::pair Fixed{File.Customer, Pool.Shards};
       if (!Pools.insert(Pool.Name).second ||
           After.PoolForever.try_emplace(Pool.Name, Fixed).first->second !=
               Fixed)
@@ -139,7 +139,7 @@
   }
   for (const auto &[Name, File] : After.Files) {
     for (const auto &Service : File.Services) {
-      const auto Key = File.Member + '/' + Service.Name;
+      const auto Key = File.Customer + '/' + Service.Name;
       if (!Services.insert(Key).second || !Pools.contains(Service.Pool) ||
           After.ServiceForever.try_emplace(Key, Service.Pool).first->second !=
               Service.Pool)
@@ -165,12 +165,12 @@
   if (Vm.usable() && Usable - 1 + 1 <= budgetOf(Vm.Pool))
     return false;
   const auto &Owner = Vm.Added.member();
-  const auto Borrower = memberOf(To);
-  if (Borrower != Owner && Borrower != memberOf(Vm.Pool)) {
+  const auto Borrower = customerOf(To);
+  if (Borrower != Owner && Borrower != customerOf(Vm.Pool)) {
     std::uint32_t Quota = 0;
     for (const auto &Entry : Files) {
       for (const auto &Each : Entry.second.Lending)
-        Quota += Entry.second.Member == Owner && Each.To == Borrower
+        Quota += Entry.second.Customer == Owner && Each.To == Borrower
                      ? Each.MaxVms
                      : 0;
     }
@@ -179,7 +179,7 @@
       const auto &Each = Entry.second;
       Lent +=
           Each.Added.member() == Owner &&
-                  memberOf(Each.To.empty() ? Each.Pool : Each.To) == Borrower
+                  customerOf(Each.To.empty() ? Each.Pool : Each.To) == Borrower
               ? 1
               : 0;
     }
--- a/test/galenalink/fleet/naive_fold.hpp
+++ b/test/galenalink/fleet/naive_fold.hpp
@@ -45,7 +45,7 @@
   std::int64_t Time{0};
 
   [[nodiscard]] const config::pool *findPool(const std::string &Name) const;
-  [[nodiscard]] std::string memberOf(const std::string &Pool) const;
+  [[nodiscard]] std::string customerOf(const std::string &Pool) const;
   [[nodiscard]] std::uint32_t budgetOf(const std::string &Pool) const;
   [[nodiscard]] std::uint32_t count(const std::string &Pool,
                                     bool (*Which)(const naive_vm &)) const;
--- a/test/galenalink/fleet/shard_map.cpp
+++ b/test/galenalink/fleet/shard_map.cpp
@@ -24,19 +24,20 @@
     BOOST_TEST(!Map.update(State));
     for (std::uint32_t Shard = 0; Shard < 16 && Step > 1; ++Shard) {
       const auto &Seats = *Map.find(0, Shard);
-      std::set<std::string> Places{State.Roster.find(Seats.Home->Node)->Place};
+      std::set<std::string> DataCentres{
+          State.Roster.find(Seats.Home->Node)->DataCentre};
       for (const auto &Each : Seats.Replicas)
-        Places.insert(State.Roster.find(Each.Node)->Place);
+        DataCentres.insert(State.Roster.find(Each.Node)->DataCentre);
       const auto Nodes = State.Roster.nodes().size();
-      BOOST_TEST(Places.size() == std::min<std::size_t>(Nodes, 3));
-      BOOST_TEST(State.Roster.find(Seats.Home->Node)->Member == "m");
+      BOOST_TEST(DataCentres.size() == std::min<std::size_t>(Nodes, 3));
+      BOOST_TEST(State.Roster.find(Seats.Home->Node)->Customer == "m");
       const bool Same =
           Before[Shard].Home && Before[Shard].Home->Node == Seats.Home->Node;
       BOOST_TEST(Seats.Home->Since ==
                  (Same ? Before[Shard].Home->Since : Step));
       Before[Shard] = Seats;
     }
-    // Two members in four places each join in turn; later some leave.
+    // Two customers in four places each join in turn; later some leave.
     const auto Node = Step < 30 ? Step : 2 * Step - 58;
     Record.set_writer(Node);
     auto &Join = *Record.mutable_join();
--- a/test/galenalink/node/account_keeper.cpp
+++ b/test/galenalink/node/account_keeper.cpp
@@ -32,7 +32,7 @@
   }
 };
 
-/** @brief Records of three members whose VMs move between their pools. */
+/** @brief Records of three customers whose VMs move between their pools. */
 class history {
 public:
   explicit history(const std::uint64_t Seed) : Random{Seed} {}
@@ -53,15 +53,15 @@
 private:
   std::uint64_t draw(const std::uint64_t Bound) { return Random() % Bound; }
 
-  void config(const char Member, const fleet::state &State,
+  void config(const char Customer, const fleet::state &State,
               wire::config_change &Change) {
     // A spare pool with a budget is a serving pool, so VMs change their use.
-    const std::string Name{Member};
+    const std::string Name{Customer};
     std::string Text = Name + " pool=serve" + Name +
                        ":1:" + std::to_string(draw(4)) + " pool=spare" + Name +
                        ":1:" + std::to_string(draw(2));
     for (const char Other : {'a', 'b', 'c'})
-      if (Other != Member)
+      if (Other != Customer)
         Text += std::string{" lend="} + Other + ":5";
     Change.set_base_version(State.Offset);
     Change.add_documents()->set_name(Name);
@@ -69,14 +69,15 @@
   }
 
   void vm(const fleet::state &State, wire::record &Record) {
-    const char Member = static_cast<char>('a' + draw(3));
-    const auto Pool = (draw(2) == 0 ? "serve" : "spare") + std::string{Member};
+    const char Customer = static_cast<char>('a' + draw(3));
+    const auto Pool =
+        (draw(2) == 0 ? "serve" : "spare") + std::string{Customer};
     const auto Name = "vm" + std::to_string(draw(15));
     const auto Found = State.Vms.findVm(Name);
     if (!Found) {
       auto &Add = *Record.mutable_add_vm();
       Add.set_vm(Name);
-      Add.set_member(std::string{Member});
+      Add.set_member(std::string{Customer});
       Add.set_rack("r" + std::to_string(draw(3)));
       Add.set_pool(Pool);
       Add.set_condition(wire::VM_UP);
@@ -118,7 +119,7 @@
       return Act(*Record.mutable_done(), Vm.Action);
     default:
       auto &Count = *Record.mutable_work()->add_counts();
-      Count.set_member(draw(5) == 0 ? "unknown" : std::string{Member});
+      Count.set_member(draw(5) == 0 ? "unknown" : std::string{Customer});
       Count.set_placed(draw(9));
       Count.set_refused(draw(3));
       Count.set_late(draw(2));
@@ -145,7 +146,7 @@
     if (Vm.Maintenance != fleet::vm_maintenance::None)
       Use = account::use::Maintenance;
     Sum.OwnedMs += Elapsed;
-    Sum.LentMs += Vm.Member == Pool.Member ? 0 : Elapsed;
+    Sum.LentMs += Vm.Customer == Pool.Customer ? 0 : Elapsed;
     Sum.UseMs[static_cast<std::size_t>(Use)] += Elapsed;
   }
 }
@@ -214,7 +215,7 @@
     }
     account::totals Sum;
     std::uint64_t Borrowed = 0;
-    for (const auto &[Member, Period, Totals] : Node.Keeper.rows()) {
+    for (const auto &[Customer, Period, Totals] : Node.Keeper.rows()) {
       Sum.OwnedMs += Totals.OwnedMs;
       Sum.LentMs += Totals.LentMs;
       Borrowed += Totals.BorrowedMs;
@@ -250,10 +251,10 @@
             [](const error &) { return account::ledger_state{}; });
   BOOST_TEST((encode(State) == Bytes));
   auto Wrong = State;
-  ++Wrong.Members.at(0).Owned;
+  ++Wrong.Customers.at(0).Owned;
   BOOST_TEST(Refused(encode(Wrong)));
   Wrong = State;
-  Wrong.Members.pop_back();
+  Wrong.Customers.pop_back();
   BOOST_TEST(Refused(encode(Wrong)));
 }
 
--- a/test/galenalink/plan/buffer.cpp
+++ b/test/galenalink/plan/buffer.cpp
@@ -26,17 +26,17 @@
   explicit fleet(const std::uint32_t Spares) {
     for (pool_index I = 0; I < 6; ++I) {
       pool_view Pool;
-      Pool.Member = I / 3;
+      Pool.Customer = I / 3;
       Pool.Spare = I % 3 == 2;
       Pool.MinUp = Pool.Spare ? 0 : 3;
       Pool.InitialVms = Pool.Spare ? 0 : 6;
       Pools.push_back(Pool);
       for (std::uint32_t Vm = 0; Vm < (Pool.Spare ? Spares : 6); ++Vm) {
         vm_view View;
-        View.Owner = Pool.Member;
+        View.Owner = Pool.Customer;
         View.Pool = I;
-        View.Place = Vm % 4;
-        View.Rack = View.Owner * 100 + View.Place * 10 + Vm / 4;
+        View.DataCentre = Vm % 4;
+        View.Rack = View.Owner * 100 + View.DataCentre * 10 + Vm / 4;
         View.Epoch = Vms.size() * 7;
         Vms.push_back(View);
       }
@@ -73,7 +73,7 @@
   std::map<rack_index, std::uint32_t> Racks;
   for (vm_index I = 0; I < Fleet.Vms.size(); ++I) {
     const auto &Vm = Fleet.Vms[I];
-    if (Vm.Pool != Pool || Vm.Owner != Fleet.Pools[Pool].Member)
+    if (Vm.Pool != Pool || Vm.Owner != Fleet.Pools[Pool].Customer)
       continue;
     Up += Vm.isUp() && !Removed.contains(I) ? 1 : 0;
     Racks[Vm.Rack] += Removed.contains(I) ? 0 : 1;
@@ -90,8 +90,8 @@
   std::set<pool_index> Sources;
   for (const auto &Move : Plan.Moves) {
     const auto &Vm = Fleet.Vms[Move.Vm];
-    const auto Customer = Fleet.Pools[Vm.Pool].Member;
-    const auto Target = Fleet.Pools[Move.To].Member;
+    const auto Customer = Fleet.Pools[Vm.Pool].Customer;
+    const auto Target = Fleet.Pools[Move.To].Customer;
     const bool Recall = Move.Reason == move_reason::Recall;
     BOOST_TEST(Removed.insert(Move.Vm).second);
     BOOST_TEST((Vm.isUp() && Move.Epoch == Vm.Epoch && Move.To != Vm.Pool));
@@ -112,7 +112,7 @@
     BOOST_TEST(survivesRackLoss(Fleet, Removed, Pool));
     const auto Remaining =
         std::ranges::count_if(Fleet.Vms, [&](const auto &Vm) {
-          return Vm.Pool == Pool && Vm.Owner == Fleet.Pools[Pool].Member &&
+          return Vm.Pool == Pool && Vm.Owner == Fleet.Pools[Pool].Customer &&
                  !Removed.contains(
                      static_cast<vm_index>(&Vm - Fleet.Vms.data()));
         });
@@ -123,7 +123,8 @@
 void checkQuotas(const fleet &Fleet) {
   for (const auto &Quota : Fleet.Quotas) {
     const auto Borrowed = std::ranges::count_if(Fleet.Vms, [&](const auto &Vm) {
-      return Vm.Owner == Quota.From && Fleet.Pools[Vm.Pool].Member == Quota.To;
+      return Vm.Owner == Quota.From &&
+             Fleet.Pools[Vm.Pool].Customer == Quota.To;
     });
     BOOST_TEST(Borrowed <= Quota.MaxVms);
   }
@@ -243,7 +244,7 @@
   Fleet.apply(Fleet.plan(Start), Start);
   const auto Lent = [&] {
     return std::ranges::count_if(Fleet.Vms, [&](const auto &Vm) {
-      return Vm.Owner == 1 && Fleet.Pools[Vm.Pool].Member == 0;
+      return Vm.Owner == 1 && Fleet.Pools[Vm.Pool].Customer == 0;
     });
   };
   BOOST_TEST(Lent() == 2);
@@ -301,7 +302,7 @@
     Fleet.apply(Fleet.plan(Now), Now);
     std::array<int, 4> DataCentres{};
     for (const auto &Vm : Fleet.Vms)
-      DataCentres.at(Vm.Place) += Vm.Pool == 2 ? 1 : 0;
+      DataCentres.at(Vm.DataCentre) += Vm.Pool == 2 ? 1 : 0;
     const auto [Least, Most] = std::ranges::minmax(DataCentres);
     BOOST_TEST(Most - Least <= 1);
   }
--- a/test/galenalink/plan/maintenance.cpp
+++ b/test/galenalink/plan/maintenance.cpp
@@ -37,7 +37,7 @@
     vm_view Vm;
     Vm.Pool = static_cast<pool_index>(Random() % Pools);
     Vm.Rack = static_cast<rack_index>(Random() % Racks);
-    Vm.Place = Vm.Rack % 2;
+    Vm.DataCentre = Vm.Rack % 2;
     Vm.Epoch = Random() % 100;
     Vm.MaintainedMs = Now - static_cast<wall_ms>(Random() % 60) * DayMs;
     Fleet.Vms.push_back(Vm);
@@ -342,7 +342,7 @@
   for (std::uint32_t I = 0; I < 6; ++I) {
     vm_view Vm;
     Vm.Rack = I / 2;
-    Vm.Place = I / 2;
+    Vm.DataCentre = I / 2;
     Vm.MaintainedMs = Now - 45 * DayMs;
     Fleet.Vms.push_back(Vm);
   }
--- a/test/galenalink/request/naive_ledger.hpp
+++ b/test/galenalink/request/naive_ledger.hpp
@@ -50,7 +50,7 @@
     std::size_t Sum = 0;
     for (const row &Row : Rows) {
       const request_key &Key = Row.Work.Key;
-      Sum += Key.Member.size() + Key.Service.size() + Key.Key.size();
+      Sum += Key.Customer.size() + Key.Service.size() + Key.Key.size();
       Sum += Row.Stage == stage::End ? Row.Result.size() : Row.Work.Body.size();
     }
     return Sum;
--- a/test/standin/callers.cpp
+++ b/test/standin/callers.cpp
@@ -84,7 +84,7 @@
 void callers::attempt(const std::size_t Index) {
   request &Request = Requests[Index];
   const std::string Service =
-      "/v1/" + Request.Traffic->Member + '/' + Request.Traffic->Service + '/';
+      "/v1/" + Request.Traffic->Customer + '/' + Request.Traffic->Service + '/';
   http::request Message;
   if (Request.Accepted) {
     Message.Path = Service + "requests/" + Request.Record.Key;
--- a/test/standin/callers.hpp
+++ b/test/standin/callers.hpp
@@ -15,7 +15,7 @@
 
 /** @brief Requests of one queue, sent at a steady rate. */
 struct traffic {
-  std::string Member;
+  std::string Customer;
   std::string Service;
   std::string Queue;
   std::uint32_t RunMs{0};
--- a/test/standin/callers_main.cpp
+++ b/test/standin/callers_main.cpp
@@ -14,7 +14,7 @@
   std::istringstream Stream{Text};
   standin::traffic Traffic;
   char Comma = 0;
-  std::getline(Stream, Traffic.Member, '/');
+  std::getline(Stream, Traffic.Customer, '/');
   std::getline(Stream, Traffic.Service, '/');
   std::getline(Stream, Traffic.Queue, ',');
   Stream >> Traffic.RunMs >> Comma >> Traffic.PerSecond;
--- a/test/standin/platform.cpp
+++ b/test/standin/platform.cpp
@@ -44,8 +44,8 @@
 
 json toJson(const vm &Vm) {
   return {{"vm", Vm.Vm},
-          {"member", Vm.Member},
-          {"place", Vm.Place},
+          {"member", Vm.Customer},
+          {"place", Vm.DataCentre},
           {"rack", Vm.Rack},
           {"address", Vm.Address},
           {"pool", Vm.Pool},
--- a/test/system/harness.cpp
+++ b/test/system/harness.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-constexpr const char *Places[] = {"county-a", "county-b", "county-c",
-                                  "county-d", "county-e"};
+constexpr const char *DataCentres[] = {"county-a", "county-b", "county-c",
+                                       "county-d", "county-e"};
 constexpr duration PollPeriod = std::chrono::milliseconds{25};
 constexpr duration StartLimit = std::chrono::seconds{10};
 
@@ -49,7 +49,7 @@
   startExecutors(Options.Vms);
   startPlatform();
   for (std::size_t Each = 0; Each < Options.Nodes; ++Each)
-    startNode(Places[Each % std::size(Places)]);
+    startNode(DataCentres[Each % std::size(DataCentres)]);
   BOOST_REQUIRE(await([&] { return settled(Options.Nodes, 0); }, StartLimit));
   const auto Published =
       ask(anyNode().Operators, http::method::Post, "/v1/config",
@@ -117,9 +117,10 @@
   std::vector<std::string> Command{STANDIN_PLATFORM};
   std::size_t Index = 0;
   for (const auto &Vm : Vms) {
-    const std::string Place = Places[Index++ % std::size(Places)];
+    const std::string DataCentre =
+        DataCentres[Index++ % std::size(DataCentres)];
     std::string Text = Vm.Name;
-    Text.append(",halloran,").append(Place).append(",").append(Place);
+    Text.append(",halloran,").append(DataCentre).append(",").append(DataCentre);
     Text.append("-1,").append(http::toString(Vm.Address)).append(",");
     Text.append(Vm.Pool);
     Command.insert(Command.end(), {"--vm", Text});
@@ -135,14 +136,14 @@
   Platform = local(Port);
 }
 
-member_node &cluster::startNode(const std::string &Place) {
+member_node &cluster::startNode(const std::string &DataCentre) {
   auto Node = std::make_unique<member_node>();
   Node->Name = "entry-" + std::to_string(++Started);
-  Node->Place = Place;
+  Node->DataCentre = DataCentre;
   const std::string File = (Directory / (Node->Name + ".json")).string();
   std::ofstream{File} << json{
       {"name", Node->Name},
-      {"place", Place},
+      {"place", DataCentre},
       {"member", "halloran"},
       {"callers", {{"host", "127.0.0.1"}, {"port", 0}}},
       {"operators", {{"host", "127.0.0.1"}, {"port", 0}}},
--- a/test/system/harness.hpp
+++ b/test/system/harness.hpp
@@ -19,7 +19,7 @@
 /** @brief One entry node. */
 struct member_node {
   std::string Name;
-  std::string Place;
+  std::string DataCentre;
   http::address Callers;
   http::address Operators;
   std::unique_ptr<process> Process;
@@ -60,7 +60,7 @@
   std::vector<std::unique_ptr<member_node>> Nodes;
 
   /** @brief Starts one more node and waits until it listens. */
-  member_node &startNode(const std::string &Place);
+  member_node &startNode(const std::string &DataCentre);
   /** @brief Handles events until the condition holds; checked every 25 ms.
    * @return Whether it held within the limit. */
   [[nodiscard]] bool await(const std::function<bool()> &Condition,
--- a/test/system/nodes_test.cpp
+++ b/test/system/nodes_test.cpp
@@ -100,7 +100,7 @@
     BOOST_TEST(
         Cluster.await([&] { return Node.Process->ended(); }, seconds{10}));
     BOOST_TEST(Node.Process->succeeded());
-    Cluster.startNode(Node.Place);
+    Cluster.startNode(Node.DataCentre);
     BOOST_TEST(Cluster.await([&] { return Cluster.settled(4); }, seconds{10}));
   }
   judge(Cluster, Callers);
