Show which rules version a leader decides with

New metrics: galenalink_leader_rules_version, galenalink_open_jobs_without_rule, galenalink_jobs_failed_total and galenalink_failures_without_rule_total. No decision changes.

Measured: ctest -R '^(job|job_node|users_platform)$' passes.

Conclusion: a leader without rules and a failure that it judges are visible in the metrics alone.

--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -134,6 +134,13 @@
   });
 }
 
+std::size_t countOpenJobsWithoutRule(const leader &Leader) {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Leader.OpenJobs, [&](const auto &Each) {
+        return Leader.Rules.queue(Each.second->Job.queue()) == nullptr;
+      }));
+}
+
 void compactEndedJobs(leader &Leader) {
   bool AnyCompacted = false;
   for (auto &[Id, Entry] : Leader.Jobs) {
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -78,6 +78,11 @@
   std::uint64_t StartsUnknown{0};
   /** Ended runs by outcome. */
   std::map<run_outcome, std::uint64_t> Ends;
+  /** Jobs that failed because a task reached its attempt limit. */
+  std::uint64_t JobsFailed{0};
+  /** Failed runs that were judged while the leader's rules lacked the job's
+   * queue. */
+  std::uint64_t FailuresWithoutRule{0};
   std::uint64_t ServersLost{0};
   std::uint64_t Moves{0};
   std::uint64_t Maintenances{0};
@@ -241,6 +246,8 @@
 [[nodiscard]] double criticalPathMs(const leader &Leader,
                                     const std::string &Queue,
                                     const job_spec &Spec);
+/** @return Number of open jobs whose queue the current rules lack. */
+[[nodiscard]] std::size_t countOpenJobsWithoutRule(const leader &Leader);
 /** @brief Serializes the part of the progress that a new leader needs. */
 [[nodiscard]] std::string toRecord(const wave_progress &Wave);
 /** @return Progress without the wave itself; `nullopt` if the record is
--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -192,6 +192,13 @@
     return;
   const queue_rule *Rule = Leader.Rules.queue(Entry.Job.queue());
   const std::uint32_t Limit = Rule == nullptr ? 1 : Rule->MaxAttempts;
+  if (Rule == nullptr) {
+    ++Leader.Counts->FailuresWithoutRule;
+    Log.warning("run failed while the rules lack its queue",
+                {{"run", runName(Run)},
+                 {"queue", Entry.Job.queue()},
+                 {"rules", Leader.Rules.Version}});
+  }
   Server.Health.recordFailure(Leader.Now(), Task->Failures == 0);
   const auto Delay = FirstBackoff * (1U << std::min(Task->Failures, 5U));
   Task->NotBefore = Leader.Now() + std::min<duration>(Delay, MaxBackoff);
@@ -199,6 +206,7 @@
   if (!Entry.Job.stepSpec(Run.Task)->LongRunning)
     recordProgress(Leader, Entry);
   if (Effect == end_effect::JobFailed) {
+    ++Leader.Counts->JobsFailed;
     Log.info("job failed", {{"job", Run.Task.Job},
                             {"run", runName(Run)},
                             {"server", Server.Entry.Id},
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -70,6 +70,16 @@
   return Leader;
 }
 
+void logStartOfLeading(const job::leader &Leader) {
+  const bool HasRules = Leader.Rules.Version != 0;
+  Log.write(HasRules ? telemetry::severity::Info : telemetry::severity::Warning,
+            HasRules ? "leading" : "leading before the rules have been read",
+            {{"epoch", Leader.Epoch},
+             {"rules", Leader.Rules.Version},
+             {"open_jobs", Leader.OpenJobs.size()},
+             {"open_jobs_without_rule", countOpenJobsWithoutRule(Leader)}});
+}
+
 http::client_options peerOptions() {
   http::client_options Options;
   Options.MaxConnections = 8;
@@ -226,6 +236,7 @@
   State->AfterEvent = [this] { scheduleDispatch(); };
   Controller = std::make_unique<job::controller>(std::move(State), Records,
                                                  View.rules());
+  logStartOfLeading(Controller->state());
   Controller->setRegistrations(View.registrations());
   Controller->setWaves(View.waves());
   NextVmListAt = boot_clock::now();
@@ -286,8 +297,11 @@
   Gauges.Epoch = Elector.current().Epoch;
   Gauges.RulesVersion = View.rules().Version;
   if (Controller) {
-    Gauges.OpenJobs = Controller->state().OpenJobs.size();
-    Gauges.Servers = Controller->state().Servers.size();
+    const job::leader &State = Controller->state();
+    Gauges.LeaderRulesVersion = State.Rules.Version;
+    Gauges.OpenJobsWithoutRule = job::countOpenJobsWithoutRule(State);
+    Gauges.OpenJobs = State.OpenJobs.size();
+    Gauges.Servers = State.Servers.size();
   }
   return Metrics.render(*Counts, Gauges);
 }
--- a/src/galenalink/job_node/node_metrics.cpp
+++ b/src/galenalink/job_node/node_metrics.cpp
@@ -51,6 +51,11 @@
   for (const auto &[How, Total] : Counts.Ends)
     advanceCounter("galenalink_run_ends_total", "Runs ended, by how.",
                    {{"how", text(nameOf(job::RunOutcomeNames, How))}}, Total);
+  advanceCounter("galenalink_jobs_failed_total",
+                 "Jobs failed by their attempt limit.", {}, Counts.JobsFailed);
+  advanceCounter("galenalink_failures_without_rule_total",
+                 "Failed runs judged while the rules lacked their queue.", {},
+                 Counts.FailuresWithoutRule);
   advanceCounter("galenalink_servers_lost_total", "Backend servers given up.",
                  {}, Counts.ServersLost);
   advanceCounter("galenalink_vm_orders_total", "Orders for VMs.",
@@ -75,6 +80,12 @@
       Gauges.Epoch);
   Set("galenalink_rules_version", "Version of the rules in force.",
       Gauges.RulesVersion);
+  Set("galenalink_leader_rules_version",
+      "Version of the rules that the leader decides with; 0 on other nodes.",
+      Gauges.LeaderRulesVersion);
+  Set("galenalink_open_jobs_without_rule",
+      "Open jobs whose queue the rules lack; leader only.",
+      Gauges.OpenJobsWithoutRule);
   Set("galenalink_open_jobs", "Jobs that have not ended; leader only.",
       Gauges.OpenJobs);
   Set("galenalink_servers", "Backend servers known; leader only.",
--- a/src/galenalink/job_node/node_metrics.hpp
+++ b/src/galenalink/job_node/node_metrics.hpp
@@ -12,6 +12,10 @@
   bool Leads{false};
   std::uint64_t Epoch{0};
   std::uint64_t RulesVersion{0};
+  /** Version that the leader decides with; 0 on other nodes. */
+  std::uint64_t LeaderRulesVersion{0};
+  /** Open jobs whose queue the leader's rules lack. */
+  std::size_t OpenJobsWithoutRule{0};
   std::size_t OpenJobs{0};
   std::size_t Servers{0};
 };
