--- a/src/galenalink/schedule/shard_scheduler.cpp
+++ b/src/galenalink/schedule/shard_scheduler.cpp
@@ -285,16 +285,29 @@
   return {attempt_disposition::Requeued, Item->Work.Id, Vm};
 }
 
+queued_item *shard_scheduler::takeUnstartedItem(running_attempt &Run) {
+  auto *Item = std::exchange(Run.Item, nullptr);
+  if (Item != nullptr)
+    Queues.adjustCharge(*Item, -Item->Cost);
+  return Item;
+}
+
+attempt_end shard_scheduler::endUnstartedItem(queued_item &Item,
+                                              const vm_index Vm) {
+  return endItem(Item, Vm,
+                 Item.MayHaveStarted ? attempt_disposition::Failed
+                                     : attempt_disposition::NotRun);
+}
+
 attempt_end shard_scheduler::refused(const attempt_id Attempt,
                                      const time_point Now) {
   auto *Run = releaseAttempt(Attempt);
   if (Run == nullptr)
     return {};
   const auto Vm = vmOf(Run->Slot);
-  auto *Item = std::exchange(Run->Item, nullptr);
+  auto *Item = takeUnstartedItem(*Run);
   if (Item == nullptr)
     return {attempt_disposition::NotRun, {}, Vm};
-  Queues.adjustCharge(*Item, -Item->Cost);
   if (Run->Probe)
     Health.probeAbandoned(Vm, Now);
   else
@@ -303,9 +316,7 @@
   Item->addTriedVm(Vm, false);
   ++Item->Refusals;
   if (Now >= Item->startBy() || Item->Refusals >= Settings.MaxRefusals)
-    return endItem(*Item, Vm,
-                   Item->MayHaveStarted ? attempt_disposition::Failed
-                                        : attempt_disposition::NotRun);
+    return endUnstartedItem(*Item, Vm);
   Queues.requeue(*Item);
   return {attempt_disposition::Requeued, Item->Work.Id, Vm};
 }
@@ -316,15 +327,12 @@
   if (Run == nullptr)
     return {};
   const auto Vm = vmOf(Run->Slot);
-  auto *Item = std::exchange(Run->Item, nullptr);
+  auto *Item = takeUnstartedItem(*Run);
   if (Item == nullptr)
     return {attempt_disposition::NotRun, {}, Vm};
-  Queues.adjustCharge(*Item, -Item->Cost);
   if (Run->Probe)
     Health.probeAbandoned(Vm, Now);
-  return endItem(*Item, Vm,
-                 Item->MayHaveStarted ? attempt_disposition::Failed
-                                      : attempt_disposition::NotRun);
+  return endUnstartedItem(*Item, Vm);
 }
 
 } // namespace galenalink::schedule
--- a/src/galenalink/schedule/shard_scheduler.hpp
+++ b/src/galenalink/schedule/shard_scheduler.hpp
@@ -146,8 +146,14 @@
                  time_point Now);
   /** @brief Releases the slot of an attempt; null if the attempt has none. */
   running_attempt *releaseAttempt(attempt_id Attempt);
+  /** @brief Detaches the item of an attempt that did not start, and takes back
+   * its charge.
+   * @return Null if the item has ended before. */
+  [[nodiscard]] queued_item *takeUnstartedItem(running_attempt &Run);
   [[nodiscard]] attempt_end endItem(queued_item &Item, vm_index Vm,
                                     attempt_disposition Disposition);
+  /** @brief Ends an item whose latest attempt did not start. */
+  [[nodiscard]] attempt_end endUnstartedItem(queued_item &Item, vm_index Vm);
   [[nodiscard]] std::uint32_t
   failuresOnHealthyVms(const queued_item &Item) const noexcept;
   void updateExclusion(vm_index Vm);
