Judge a job by the rule that is kept with it

Cause: the leader looked up the attempt limit of a failed run in its current rules and took 1 if they lacked the queue. A node leads once it has fenced its predecessor and read the jobs, which does not need the operator's records. So a leader that has not read them yet, has read a version older than the queue, or has read one that removed the queue, judged with the most harmful limit, and the end of a job is final. Objective, priority and tickets were taken from the same lookup.

Change: a job keeps the newest known rule of its queue (limit, priority, objective, tickets) with its version, also in its record, which is written again when a newer version changes it. A failure is judged by it, whatever the leader has read. Records of earlier versions hold no rule: then a failed run is counted and stored, the job stays open, and the task is not started again until the rule is known; a limit that is reached by then fails the job without another start.

The estimate of the tests' task is now as long as its run. With the shorter one the leader stopped the run as stalled after 2.5 s and started it again, so that the number of starts no longer counted attempts. The checks are unchanged.

--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -46,7 +46,7 @@
 admission decideAdmission(leader &Leader, const queue_rule &Rule,
                           const std::string &Id, const job_spec &Spec) {
   admission_request Request;
-  Request.CriticalPathMs = criticalPathMs(Leader, Rule.Name, Spec);
+  Request.CriticalPathMs = criticalPathMs(Leader, Rule.Name, &Rule, Spec);
   Request.ObjectiveMs = Rule.Stretch * Request.CriticalPathMs + Rule.SlackMs;
   for (const auto &Step : Spec.Steps)
     Request.Work += estimateStepWork(Leader, Rule.Name, Step, Step.Count);
@@ -69,16 +69,13 @@
 
 void acceptJob(leader &Leader, const queue_rule &Rule, const std::string &Id,
                job_spec Spec, const bool Deferred, reply_function Reply) {
-  job_entry &Entry = addJob(
-      Leader, job{Id, Rule.Name, Rule.Pool, std::move(Spec), Leader.Wall()});
+  job Job{Id, Rule.Name, Rule.Pool, std::move(Spec), Leader.Wall()};
+  Job.setRule(Rule, Leader.Rules.Version);
+  job_entry &Entry = addJob(Leader, std::move(Job));
   Entry.Deferred = Deferred;
   Entry.OnStored.push_back(std::move(Reply));
   openDueOccurrences(Leader, Entry);
-  Leader.Journal.put("j" + Id, [&Leader, Id]() -> std::optional<std::string> {
-    const job_entry *Found = Leader.findJob(Id);
-    return Found == nullptr ? std::nullopt
-                            : std::optional{toRecord(Found->Job)};
-  });
+  storeJob(Leader, Id);
   Leader.Journal.whenStored([&Leader, Id] {
     job_entry *Found = Leader.findJob(Id);
     if (Found == nullptr)
--- a/src/galenalink/job/controller.cpp
+++ b/src/galenalink/job/controller.cpp
@@ -25,11 +25,12 @@
     : Leader{std::move(State)} {
   Leader->Rules = std::move(Rules);
   recover(*Leader, Recovered);
+  applyRules(*Leader);
 }
 
 void controller::setRules(const fleet_rules &Rules) {
   Leader->Rules = Rules;
-  Leader->NeedsDispatch = true;
+  applyRules(*Leader);
   // The rules may move a queue to another pool. Existing runs stay where they
   // are.
   for (auto &[Id, Entry] : Leader->OpenJobs) {
--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -77,26 +77,28 @@
   return Leader.Now() < Occurrence.Expiry ? urgency::Late : urgency::Expired;
 }
 
-bool isWaiting(const task &Task, const time_point Now) {
-  return !Task.Done && Task.Runs == 0 && Task.NotBefore <= Now;
+bool isWaiting(const job &Job, const step_spec &Step, const task &Task,
+               const time_point Now) {
+  return !Task.Done && Task.Runs == 0 && Task.NotBefore <= Now &&
+         Job.permitsRun(Step, Task);
 }
 
 void addCandidates(leader &Leader, job_entry &Entry,
                    std::vector<candidate> &Out) {
   const time_point Now = Leader.Now();
-  const queue_rule *Rule = Leader.Rules.queue(Entry.Job.queue());
+  const job_rule *Rule = Entry.Job.rule();
   for (auto &Occurrence : Entry.Job.openOccurrences()) {
     for (std::uint32_t I = 0; I < Occurrence.Steps.size(); ++I) {
       const step &Step = Occurrence.Steps[I];
+      const step_spec &Spec = Entry.Job.spec().Steps[I];
       const bool Waits = !Step.done() && Entry.Job.ready(Occurrence, I) &&
                          std::ranges::any_of(Step.Tasks, [&](const task &Each) {
-                           return isWaiting(Each, Now);
+                           return isWaiting(Entry.Job, Spec, Each, Now);
                          });
       if (!Waits)
         continue;
       Out.push_back(
-          {&Entry, &Occurrence, I,
-           urgencyOf(Leader, Entry, Occurrence, Entry.Job.spec().Steps[I]),
+          {&Entry, &Occurrence, I, urgencyOf(Leader, Entry, Occurrence, Spec),
            Rule == nullptr ? 0 : Rule->Priority, Occurrence.Objective});
     }
   }
@@ -147,7 +149,7 @@
   const step_spec &Spec = Entry.Job.spec().Steps[Candidate.Step];
   auto &Tasks = Candidate.Occurrence->Steps[Candidate.Step].Tasks;
   for (std::uint32_t I = 0; I < Tasks.size(); ++I) {
-    if (!isWaiting(Tasks[I], Leader.Now()))
+    if (!isWaiting(Entry.Job, Spec, Tasks[I], Leader.Now()))
       continue;
     placement_request Request;
     Request.Step = &Spec;
@@ -197,8 +199,9 @@
   job_entry &Entry = *Candidate.Entry;
   const step_spec &Spec = Entry.Job.spec().Steps[Candidate.Step];
   auto &Tasks = Candidate.Occurrence->Steps[Candidate.Step].Tasks;
-  const bool AllWait = std::ranges::all_of(
-      Tasks, [&](const task &Each) { return isWaiting(Each, Leader.Now()); });
+  const bool AllWait = std::ranges::all_of(Tasks, [&](const task &Each) {
+    return isWaiting(Entry.Job, Spec, Each, Leader.Now());
+  });
   if (!AllWait)
     return;
   placement_request Request;
@@ -233,9 +236,12 @@
 
 std::size_t countWaitingTasks(const leader &Leader,
                               const candidate &Candidate) {
+  const job &Job = Candidate.Entry->Job;
+  const step_spec &Spec = Job.spec().Steps[Candidate.Step];
   return static_cast<std::size_t>(std::ranges::count_if(
-      Candidate.Occurrence->Steps[Candidate.Step].Tasks,
-      [&](const task &Each) { return isWaiting(Each, Leader.Now()); }));
+      Candidate.Occurrence->Steps[Candidate.Step].Tasks, [&](const task &Each) {
+        return isWaiting(Job, Spec, Each, Leader.Now());
+      }));
 }
 
 /** @brief Starts the tasks of a step that can be placed on permitted backend
@@ -244,7 +250,7 @@
                const std::vector<server *> &Servers) {
   const job_entry &Entry = *Candidate.Entry;
   const step_spec &Spec = Entry.Job.spec().Steps[Candidate.Step];
-  const queue_rule *Rule = Leader.Rules.queue(Entry.Job.queue());
+  const job_rule *Rule = Entry.Job.rule();
   const bool Advised = Rule != nullptr && Rule->Advice;
   const task_id Step{Entry.Job.id(), Candidate.Occurrence->Number,
                      Candidate.Step, 0};
@@ -292,13 +298,14 @@
   job_entry *Entry = Leader.findJob(Id.Job);
   task *Task = Entry == nullptr ? nullptr : Entry->Job.find(Id);
   const step_spec *Step = Entry == nullptr ? nullptr : Entry->Job.stepSpec(Id);
-  if (Task == nullptr || Task->Done || Task->Runs != 1 || !Step->Speculative)
+  if (Task == nullptr || Task->Done || Task->Runs != 1 || !Step->Speculative ||
+      !Entry->Job.permitsRun(*Step, *Task))
     return;
   placement_request Request;
   Request.Step = Step;
   Request.Task = Id;
   Request.Excluded.push_back(&Slow);
-  const queue_rule *Rule = Leader.Rules.queue(Entry->Job.queue());
+  const job_rule *Rule = Entry->Job.rule();
   auto Servers = availableServers(Leader, Entry->Job.pool());
   if (Rule != nullptr && Rule->Advice)
     Servers = serversWithTicket(Leader, stepIdOf(Id), Servers);
--- a/src/galenalink/job/job.cpp
+++ b/src/galenalink/job/job.cpp
@@ -96,7 +96,44 @@
                                        : end_effect::TaskDone;
 }
 
-end_effect job::taskFailed(const run_id &Run, const std::uint32_t MaxAttempts) {
+bool job::adoptRule(const job_rule &NewRule, const std::uint64_t Version) {
+  if (Rule && Version < RuleVersion)
+    return false;
+  const bool Changed = Rule != NewRule;
+  setRule(NewRule, Version);
+  return Changed;
+}
+
+bool job::reachedLimit(const step_spec &Step, const task &Task) const noexcept {
+  return !Step.LongRunning && Rule && Task.Failures >= Rule->MaxAttempts &&
+         Task.Failures > 0;
+}
+
+bool job::permitsRun(const step_spec &Step, const task &Task) const noexcept {
+  if (Step.LongRunning || Task.Failures == 0)
+    return true;
+  return Rule && !reachedLimit(Step, Task);
+}
+
+bool job::failAtLimit() noexcept {
+  if (ended())
+    return false;
+  for (const auto &Occurrence : OpenOccurrences) {
+    for (std::size_t I = 0; I < Occurrence.Steps.size(); ++I) {
+      const bool Reached =
+          std::ranges::any_of(Occurrence.Steps[I].Tasks, [&](const task &Each) {
+            return !Each.Done && reachedLimit(Spec.Steps[I], Each);
+          });
+      if (Reached) {
+        State = job_state::Failed;
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+end_effect job::taskFailed(const run_id &Run) {
   task *Task = ended() ? nullptr : find(Run.Task);
   if (Task == nullptr || Task->Done)
     return end_effect::None;
@@ -109,7 +146,7 @@
     Task->FailedRuns.push_back(Run.Number);
   }
   ++Task->Failures;
-  if (LongRunning || Task->Failures < MaxAttempts)
+  if (!reachedLimit(*stepSpec(Run.Task), *Task))
     return end_effect::TaskFailed;
   State = job_state::Failed;
   return end_effect::JobFailed;
--- a/src/galenalink/job/job.hpp
+++ b/src/galenalink/job/job.hpp
@@ -70,6 +70,23 @@
   [[nodiscard]] const std::string &queue() const noexcept { return Queue; }
   [[nodiscard]] const std::string &pool() const noexcept { return Pool; }
   void assignPool(std::string Name) { Pool = std::move(Name); }
+  /** @return The newest known rule of the job's queue, also after a later
+   * version removed the queue; `nullptr` if none is known. */
+  [[nodiscard]] const job_rule *rule() const noexcept {
+    return Rule ? &*Rule : nullptr;
+  }
+  /** @brief Version that `rule()` is from; 0 without one. */
+  [[nodiscard]] std::uint64_t ruleVersion() const noexcept {
+    return RuleVersion;
+  }
+  void setRule(job_rule NewRule, const std::uint64_t Version) {
+    Rule = std::move(NewRule);
+    RuleVersion = Version;
+  }
+  /** @brief Adopts a rule of the job's queue, unless its version is older than
+   * the known one.
+   * @return Whether the rule changed. */
+  bool adoptRule(const job_rule &NewRule, std::uint64_t Version);
   [[nodiscard]] const job_spec &spec() const noexcept { return Spec; }
   [[nodiscard]] wall_ms acceptedMs() const noexcept { return AcceptedMs; }
   [[nodiscard]] job_state state() const noexcept { return State; }
@@ -105,9 +122,16 @@
 
   void markStarted() noexcept;
   end_effect taskDone(const task_id &Id);
-  /** @param MaxAttempts Number of failures of the task at which the job fails;
-   * not applied to long-running tasks. */
-  end_effect taskFailed(const run_id &Run, std::uint32_t MaxAttempts);
+  /** @brief Counts a failed run, and fails the job if the task has reached the
+   * attempt limit. Without a known limit the job stays open. */
+  end_effect taskFailed(const run_id &Run);
+  /** @brief Whether the attempt limit permits another run of the task. Without
+   * a known limit it does until the first failure. */
+  [[nodiscard]] bool permitsRun(const step_spec &Step,
+                                const task &Task) const noexcept;
+  /** @brief Fails the job if one of its tasks has reached the attempt limit.
+   * @return Whether it failed now. */
+  bool failAtLimit() noexcept;
   /** @return Whether the job was still open. */
   bool cancel() noexcept;
 
@@ -122,18 +146,24 @@
 
 private:
   void removeDoneOccurrences();
+  /** @brief Whether a task has failed so often that its job fails; false for
+   * long-running tasks and without a known limit. */
+  [[nodiscard]] bool reachedLimit(const step_spec &Step,
+                                  const task &Task) const noexcept;
 
   std::string Id;
   std::string Queue;
   std::string Pool;
   job_spec Spec;
   wall_ms AcceptedMs;
+  std::optional<job_rule> Rule;
+  std::uint64_t RuleVersion{0};
   job_state State{job_state::Queued};
   std::vector<occurrence> OpenOccurrences;
   std::uint32_t OpenedCount{0};
 };
 
-/** @brief Serializes the immutable part of a job for the store. */
+/** @brief Serializes specification, pool and rule of a job for the store. */
 [[nodiscard]] std::string toRecord(const job &Job);
 /** @return The job without its progress; `nullopt` if the record is invalid. */
 [[nodiscard]] std::optional<job> parseJob(const std::string &Id,
--- a/src/galenalink/job/job_record.cpp
+++ b/src/galenalink/job/job_record.cpp
@@ -41,6 +41,26 @@
   return Step;
 }
 
+json toJson(const job_rule &Rule, const std::uint64_t Version) {
+  json Advice;
+  if (Rule.Advice)
+    Advice = json::array({Rule.Advice->DecisionMs, Rule.Advice->PerServerMs,
+                          Rule.Advice->ValidityMs});
+  return json::array({Version, Rule.Priority, Rule.MaxAttempts, Rule.Stretch,
+                      Rule.SlackMs, Advice});
+}
+
+void restoreRule(job &Job, const json &From) {
+  job_rule Rule;
+  Rule.Priority = From.at(1);
+  Rule.MaxAttempts = From.at(2);
+  Rule.Stretch = From.at(3);
+  Rule.SlackMs = From.at(4);
+  if (const json &Advice = From.at(5); !Advice.is_null())
+    Rule.Advice = {Advice.at(0), Advice.at(1), Advice.at(2)};
+  Job.setRule(std::move(Rule), From.at(0));
+}
+
 std::string toText(const json &From) {
   const auto Bytes = json::to_cbor(From);
   return {Bytes.begin(), Bytes.end()};
@@ -86,9 +106,12 @@
   json Steps = json::array();
   for (const auto &Each : Spec.Steps)
     Steps.push_back(toJson(Each));
-  return toText(
+  json Fields =
       json::array({Job.queue(), Job.pool(), Job.acceptedMs(), Spec.Spec, Steps,
-                   Spec.Times, Spec.StartAtMs, Spec.IntervalMs}));
+                   Spec.Times, Spec.StartAtMs, Spec.IntervalMs});
+  if (Job.rule() != nullptr)
+    Fields.push_back(toJson(*Job.rule(), Job.ruleVersion()));
+  return toText(Fields);
 }
 
 std::optional<job> parseJob(const std::string &Id,
@@ -102,7 +125,12 @@
     Spec.Times = From.at(5);
     Spec.StartAtMs = From.at(6);
     Spec.IntervalMs = From.at(7);
-    return job{Id, From.at(0), From.at(1), std::move(Spec), From.at(2)};
+    job Job{Id, From.at(0), From.at(1), std::move(Spec), From.at(2)};
+    // Absent in records of earlier versions.
+    constexpr std::size_t RuleField = 8;
+    if (From.size() > RuleField)
+      restoreRule(Job, From.at(RuleField));
+    return Job;
   } catch (const json::exception &) {
     return std::nullopt;
   }
--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -1,11 +1,14 @@
 #include "galenalink/job/leader.hpp"
 #include "galenalink/job/runs.hpp"
+#include "galenalink/telemetry/log.hpp"
 #include <algorithm>
 
 namespace galenalink::job {
 
 namespace {
 
+constexpr telemetry::logger Log{"leader"};
+
 /** Multiple of its objective after which an occurrence has no more value. */
 constexpr double ExpiryFactor = 3;
 
@@ -15,12 +18,12 @@
 
 void setObjective(leader &Leader, const job_entry &Entry,
                   occurrence &Occurrence) {
-  const queue_rule *Rule = Leader.Rules.queue(Entry.Job.queue());
+  const job_rule *Rule = Entry.Job.rule();
   const double Stretch = Rule == nullptr ? 1 : Rule->Stretch;
   const double SlackMs = Rule == nullptr ? 0 : Rule->SlackMs;
-  const double ObjectiveMs =
-      Stretch * criticalPathMs(Leader, Entry.Job.queue(), Entry.Job.spec()) +
-      SlackMs;
+  const double ObjectiveMs = Stretch * criticalPathMs(Leader, Entry.Job.queue(),
+                                                      Rule, Entry.Job.spec()) +
+                             SlackMs;
   const time_point From =
       Leader.Now() - fromMs(static_cast<double>(std::max<wall_ms>(
                          Leader.Wall() - Occurrence.DueMs, 0)));
@@ -47,6 +50,14 @@
   return *Slot;
 }
 
+void storeJob(leader &Leader, const std::string &Id) {
+  Leader.Journal.put("j" + Id, [&Leader, Id]() -> std::optional<std::string> {
+    const job_entry *Found = Leader.findJob(Id);
+    return Found == nullptr ? std::nullopt
+                            : std::optional{toRecord(Found->Job)};
+  });
+}
+
 void recordProgress(leader &Leader, job_entry &Entry) {
   const std::string Id = Entry.Job.id();
   Leader.Journal.put("p" + Id, [&Leader, Id]() -> std::optional<std::string> {
@@ -108,8 +119,8 @@
 } // namespace
 
 double criticalPathMs(const leader &Leader, const std::string &Queue,
-                      const job_spec &Spec) {
-  const double TicketMs = ticketLatencyMs(Leader.Rules.queue(Queue));
+                      const job_rule *Rule, const job_spec &Spec) {
+  const double TicketMs = ticketLatencyMs(Rule);
   return criticalPath(Spec, [&](const std::size_t I) {
     return TicketMs +
            Leader.Durations.predictMs(Queue, Spec.Steps[I].EstimateMs);
@@ -137,10 +148,33 @@
 std::size_t countOpenJobsWithoutRule(const leader &Leader) {
   return static_cast<std::size_t>(
       std::ranges::count_if(Leader.OpenJobs, [&](const auto &Each) {
-        return Leader.Rules.queue(Each.second->Job.queue()) == nullptr;
+        return Each.second->Job.rule() == nullptr;
       }));
 }
 
+void applyRules(leader &Leader) {
+  Leader.NeedsDispatch = true;
+  std::vector<job_entry *> Failed;
+  for (auto &[Id, Entry] : Leader.OpenJobs) {
+    const queue_rule *Rule = Leader.Rules.queue(Entry->Job.queue());
+    if (Rule == nullptr || !Entry->Job.adoptRule(*Rule, Leader.Rules.Version))
+      continue;
+    storeJob(Leader, Id);
+    setObjectives(Leader, *Entry);
+    if (Entry->Job.failAtLimit())
+      Failed.push_back(Entry);
+  }
+  for (job_entry *Entry : Failed) {
+    ++Leader.Counts->JobsFailed;
+    Log.info("job failed by a limit learned now",
+             {{"job", Entry->Job.id()},
+              {"attempts", Entry->Job.rule()->MaxAttempts},
+              {"rules", Leader.Rules.Version}});
+    recordProgress(Leader, *Entry);
+    endJob(Leader, *Entry);
+  }
+}
+
 void compactEndedJobs(leader &Leader) {
   bool AnyCompacted = false;
   for (auto &[Id, Entry] : Leader.Jobs) {
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -80,8 +80,7 @@
   std::map<run_outcome, std::uint64_t> Ends;
   /** Jobs that failed because a task reached its attempt limit. */
   std::uint64_t JobsFailed{0};
-  /** Failed runs that were judged while the leader's rules lacked the job's
-   * queue. */
+  /** Failed runs of jobs whose attempt limit was not known. */
   std::uint64_t FailuresWithoutRule{0};
   std::uint64_t ServersLost{0};
   std::uint64_t Moves{0};
@@ -236,8 +235,8 @@
 /** @brief Removes an ended job from the open jobs and stops its runs. The
  * progress is stored by the caller. */
 void endJob(leader &Leader, job_entry &Entry);
-/** @brief Computes the deadlines of all open occurrences from the current
- * rules. */
+/** @brief Computes the deadlines of all open occurrences from the job's rule.
+ */
 void setObjectives(leader &Leader, job_entry &Entry);
 /** @brief Opens all due occurrences and sets their deadlines. */
 void openDueOccurrences(leader &Leader, job_entry &Entry);
@@ -245,8 +244,13 @@
  * including the wait for tickets, ms. */
 [[nodiscard]] double criticalPathMs(const leader &Leader,
                                     const std::string &Queue,
-                                    const job_spec &Spec);
-/** @return Number of open jobs whose queue the current rules lack. */
+                                    const job_rule *Rule, const job_spec &Spec);
+/** @brief Writes the job's record to the store. */
+void storeJob(leader &Leader, const std::string &Id);
+/** @brief Applies the current rules to the open jobs of their queues, and fails
+ * those that have reached a limit which was not known before. */
+void applyRules(leader &Leader);
+/** @return Number of open jobs of whose queue no rule is known. */
 [[nodiscard]] std::size_t countOpenJobsWithoutRule(const leader &Leader);
 /** @brief Serializes the part of the progress that a new leader needs. */
 [[nodiscard]] std::string toRecord(const wave_progress &Wave);
--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -190,11 +190,11 @@
   task *Task = Entry.Job.find(Run.Task);
   if (Task == nullptr)
     return;
-  const queue_rule *Rule = Leader.Rules.queue(Entry.Job.queue());
-  const std::uint32_t Limit = Rule == nullptr ? 1 : Rule->MaxAttempts;
+  const job_rule *Rule = Entry.Job.rule();
   if (Rule == nullptr) {
     ++Leader.Counts->FailuresWithoutRule;
-    Log.warning("run failed while the rules lack its queue",
+    Log.warning("run failed, attempt limit unknown; its task waits for the "
+                "rule of the queue",
                 {{"run", runName(Run)},
                  {"queue", Entry.Job.queue()},
                  {"rules", Leader.Rules.Version}});
@@ -202,7 +202,7 @@
   Server.Health.recordFailure(Leader.Now(), Task->Failures == 0);
   const auto Delay = FirstBackoff * (1U << std::min(Task->Failures, 5U));
   Task->NotBefore = Leader.Now() + std::min<duration>(Delay, MaxBackoff);
-  const auto Effect = Entry.Job.taskFailed(Run, Limit);
+  const auto Effect = Entry.Job.taskFailed(Run);
   if (!Entry.Job.stepSpec(Run.Task)->LongRunning)
     recordProgress(Leader, Entry);
   if (Effect == end_effect::JobFailed) {
@@ -210,8 +210,8 @@
     Log.info("job failed", {{"job", Run.Task.Job},
                             {"run", runName(Run)},
                             {"server", Server.Entry.Id},
-                            {"attempts", Limit},
-                            {"rules", Leader.Rules.Version}});
+                            {"attempts", Rule->MaxAttempts},
+                            {"rules", Entry.Job.ruleVersion()}});
     endJob(Leader, Entry);
   }
 }
--- a/src/galenalink/job/tickets.cpp
+++ b/src/galenalink/job/tickets.cpp
@@ -89,7 +89,7 @@
   return {Task.Job, Task.Occurrence, Task.Step, 0};
 }
 
-double ticketLatencyMs(const queue_rule *Rule) {
+double ticketLatencyMs(const job_rule *Rule) {
   if (Rule == nullptr || !Rule->Advice)
     return 0;
   return std::chrono::duration<double, std::milli>(
@@ -115,8 +115,7 @@
   if (Leader.TicketRequestPending || Now < Leader.NextTicketRequest)
     return;
   const job_entry *Entry = Leader.findJob(Step.Job);
-  const queue_rule *Rule =
-      Entry == nullptr ? nullptr : Leader.Rules.queue(Entry->Job.queue());
+  const job_rule *Rule = Entry == nullptr ? nullptr : Entry->Job.rule();
   if (Rule == nullptr || !Rule->Advice)
     return;
   placement_request Request;
--- a/src/galenalink/job/tickets.hpp
+++ b/src/galenalink/job/tickets.hpp
@@ -53,7 +53,7 @@
 [[nodiscard]] task_id stepIdOf(const task_id &Task);
 /** @return Upper estimate of the time to obtain tickets before a step can
  * start, ms; 0 for a queue that needs none. */
-[[nodiscard]] double ticketLatencyMs(const queue_rule *Rule);
+[[nodiscard]] double ticketLatencyMs(const job_rule *Rule);
 /** @return The backend servers that hold a valid ticket for the step. */
 [[nodiscard]] std::vector<server *>
 serversWithTicket(const leader &Leader, const task_id &Step,
--- a/src/galenalink/job/types.hpp
+++ b/src/galenalink/job/types.hpp
@@ -177,14 +177,9 @@
   [[nodiscard]] bool operator==(const ticket_rule &) const = default;
 };
 
-/** @brief Configuration of a queue. */
-struct queue_rule {
-  std::string Name;
-  std::string Host;
-  /** Prefix of the paths of the queue's jobs, including the final slash. */
-  std::string PathPrefix;
-  /** Pool that runs the queue's jobs. */
-  std::string Pool;
+/** @brief The part of a queue's configuration by which its accepted jobs are
+ * scheduled and judged. */
+struct job_rule {
   /** 0 is the highest priority. */
   std::uint32_t Priority{0};
   /** Number of failed runs of one task at which its job fails. */
@@ -193,12 +188,24 @@
    * `SlackMs`. */
   double Stretch{1};
   std::uint32_t SlackMs{0};
-  /** Maximum time to answer a caller's request, ms. */
-  std::uint32_t TimeoutMs{0};
   /** Set for an advised queue: its tasks may start only with a ticket of the
    * ticket service, which grants tickets for some backend servers only. */
   std::optional<ticket_rule> Advice;
 
+  [[nodiscard]] bool operator==(const job_rule &) const = default;
+};
+
+/** @brief Configuration of a queue. */
+struct queue_rule : job_rule {
+  std::string Name;
+  std::string Host;
+  /** Prefix of the paths of the queue's jobs, including the final slash. */
+  std::string PathPrefix;
+  /** Pool that runs the queue's jobs. */
+  std::string Pool;
+  /** Maximum time to answer a caller's request, ms. */
+  std::uint32_t TimeoutMs{0};
+
   [[nodiscard]] bool operator==(const queue_rule &) const = default;
 };
 
--- a/src/galenalink/job_node/node_metrics.cpp
+++ b/src/galenalink/job_node/node_metrics.cpp
@@ -54,7 +54,7 @@
   advanceCounter("galenalink_jobs_failed_total",
                  "Jobs failed by their attempt limit.", {}, Counts.JobsFailed);
   advanceCounter("galenalink_failures_without_rule_total",
-                 "Failed runs judged while the rules lacked their queue.", {},
+                 "Failed runs of jobs whose attempt limit was not known.", {},
                  Counts.FailuresWithoutRule);
   advanceCounter("galenalink_servers_lost_total", "Backend servers given up.",
                  {}, Counts.ServersLost);
@@ -84,7 +84,7 @@
       "Version of the rules that the leader decides with; 0 on other nodes.",
       Gauges.LeaderRulesVersion);
   Set("galenalink_open_jobs_without_rule",
-      "Open jobs whose queue the rules lack; leader only.",
+      "Open jobs of whose queue no rule is known; leader only.",
       Gauges.OpenJobsWithoutRule);
   Set("galenalink_open_jobs", "Jobs that have not ended; leader only.",
       Gauges.OpenJobs);
--- a/src/galenalink/job_node/node_metrics.hpp
+++ b/src/galenalink/job_node/node_metrics.hpp
@@ -14,7 +14,7 @@
   std::uint64_t RulesVersion{0};
   /** Version that the leader decides with; 0 on other nodes. */
   std::uint64_t LeaderRulesVersion{0};
-  /** Open jobs whose queue the leader's rules lack. */
+  /** Open jobs of whose queue no rule is known. */
   std::size_t OpenJobsWithoutRule{0};
   std::size_t OpenJobs{0};
   std::size_t Servers{0};
--- a/test/galenalink/job/jobs_without_rules.cpp
+++ b/test/galenalink/job/jobs_without_rules.cpp
@@ -39,7 +39,7 @@
     advance(Second);
     job_spec Spec;
     Spec.Spec = "text";
-    Spec.Steps = {makeStep(1, 1000, 500)};
+    Spec.Steps = {makeStep(1, 1000, 60000)};
     BOOST_REQUIRE(submit("press", "a", Spec));
     advance(Second / 2);
     BOOST_REQUIRE(Starts == 1U);
