Wait for runs in a job's former pools when its queue moves

If that pool had no servers left, the job never ran (LOST).

Change: rules and pool are adopted together, at the start of leading too, by the same check of the version. A job keeps the pools that it was in before, also in its record, and a recovered job waits while runs are unknown in any of them.

--- a/src/galenalink/job/controller.cpp
+++ b/src/galenalink/job/controller.cpp
@@ -31,12 +31,6 @@
 void controller::setRules(const fleet_rules &Rules) {
   Leader->Rules = Rules;
   applyRules(*Leader);
-  // The rules may move a queue to another pool. Existing runs stay where they
-  // are.
-  for (auto &[Id, Entry] : Leader->OpenJobs) {
-    if (const queue_rule *Rule = Rules.queue(Entry->Job.queue()))
-      Entry->Job.assignPool(Rule->Pool);
-  }
 }
 
 void controller::setRegistrations(
--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -109,8 +109,15 @@
   std::vector<candidate> Candidates;
   const bool Unknown = runsUnknown(Leader, Pool);
   for (auto &[Id, Entry] : Leader.OpenJobs) {
-    const bool Blocked = !Entry->Stored || (Entry->Recovered && Unknown);
-    if (Entry->Job.pool() == Pool && !Blocked)
+    if (Entry->Job.pool() != Pool || !Entry->Stored)
+      continue;
+    const bool Blocked =
+        Entry->Recovered &&
+        (Unknown || std::ranges::any_of(Entry->Job.formerPools(),
+                                        [&](const std::string &Former) {
+                                          return runsUnknown(Leader, Former);
+                                        }));
+    if (!Blocked)
       addCandidates(Leader, *Entry, Candidates);
   }
   std::ranges::sort(Candidates, {}, &candidate::rank);
--- a/src/galenalink/job/job.cpp
+++ b/src/galenalink/job/job.cpp
@@ -96,11 +96,17 @@
                                        : end_effect::TaskDone;
 }
 
-bool job::adoptRule(const job_rule &NewRule, const std::uint64_t Version) {
+bool job::adoptRule(const queue_rule &Queue, const std::uint64_t Version) {
   if (Rule && Version < RuleVersion)
     return false;
-  const bool Changed = Rule != NewRule;
+  const job_rule &NewRule = Queue;
+  const bool Changed = Rule != NewRule || Pool != Queue.Pool;
   setRule(NewRule, Version);
+  if (Pool != Queue.Pool) {
+    if (std::ranges::find(FormerPools, Pool) == FormerPools.end())
+      FormerPools.push_back(Pool);
+    Pool = Queue.Pool;
+  }
   return Changed;
 }
 
--- a/src/galenalink/job/job.hpp
+++ b/src/galenalink/job/job.hpp
@@ -69,7 +69,14 @@
   [[nodiscard]] const std::string &id() const noexcept { return Id; }
   [[nodiscard]] const std::string &queue() const noexcept { return Queue; }
   [[nodiscard]] const std::string &pool() const noexcept { return Pool; }
-  void assignPool(std::string Name) { Pool = std::move(Name); }
+  /** @brief Pools that the queue was sent to before, where runs of the job may
+   * still exist. */
+  [[nodiscard]] const std::vector<std::string> &formerPools() const noexcept {
+    return FormerPools;
+  }
+  void setFormerPools(std::vector<std::string> Names) {
+    FormerPools = std::move(Names);
+  }
   /** @return The newest known rule of the job's queue, also after a later
    * version removed the queue; `nullptr` if none is known. */
   [[nodiscard]] const job_rule *rule() const noexcept {
@@ -83,10 +90,10 @@
     Rule = std::move(NewRule);
     RuleVersion = Version;
   }
-  /** @brief Adopts a rule of the job's queue, unless its version is older than
-   * the known one.
-   * @return Whether the rule changed. */
-  bool adoptRule(const job_rule &NewRule, std::uint64_t Version);
+  /** @brief Adopts rule and pool of the job's queue, unless the version is
+   * older than the known one.
+   * @return Whether rule or pool changed. */
+  bool adoptRule(const queue_rule &Queue, std::uint64_t Version);
   [[nodiscard]] const job_spec &spec() const noexcept { return Spec; }
   [[nodiscard]] wall_ms acceptedMs() const noexcept { return AcceptedMs; }
   [[nodiscard]] job_state state() const noexcept { return State; }
@@ -154,6 +161,7 @@
   std::string Id;
   std::string Queue;
   std::string Pool;
+  std::vector<std::string> FormerPools;
   job_spec Spec;
   wall_ms AcceptedMs;
   std::optional<job_rule> Rule;
--- a/src/galenalink/job/job_record.cpp
+++ b/src/galenalink/job/job_record.cpp
@@ -109,8 +109,11 @@
   json Fields =
       json::array({Job.queue(), Job.pool(), Job.acceptedMs(), Spec.Spec, Steps,
                    Spec.Times, Spec.StartAtMs, Spec.IntervalMs});
-  if (Job.rule() != nullptr)
+  if (Job.rule() != nullptr) {
     Fields.push_back(toJson(*Job.rule(), Job.ruleVersion()));
+    if (!Job.formerPools().empty())
+      Fields.push_back(Job.formerPools());
+  }
   return toText(Fields);
 }
 
@@ -126,10 +129,14 @@
     Spec.StartAtMs = From.at(6);
     Spec.IntervalMs = From.at(7);
     job Job{Id, From.at(0), From.at(1), std::move(Spec), From.at(2)};
-    // Absent in records of earlier versions.
+    // The rule is absent in records of earlier versions.
     constexpr std::size_t RuleField = 8;
+    constexpr std::size_t FormerPoolsField = 9;
     if (From.size() > RuleField)
       restoreRule(Job, From.at(RuleField));
+    if (From.size() > FormerPoolsField)
+      Job.setFormerPools(
+          From.at(FormerPoolsField).get<std::vector<std::string>>());
     return Job;
   } catch (const json::exception &) {
     return std::nullopt;
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -247,8 +247,9 @@
                                     const job_rule *Rule, const job_spec &Spec);
 /** @brief Writes the job's record to the store. */
 void storeJob(leader &Leader, const std::string &Id);
-/** @brief Applies the current rules to the open jobs of their queues, and fails
- * those that have reached a limit which was not known before. */
+/** @brief Applies the current rules to the open jobs of their queues, which may
+ * move them to another pool; existing runs stay where they are. Fails the jobs
+ * that have reached a limit which was not known before. */
 void applyRules(leader &Leader);
 /** @return Number of open jobs of whose queue no rule is known. */
 [[nodiscard]] std::size_t countOpenJobsWithoutRule(const leader &Leader);
--- a/test/galenalink/job/jobs_without_rules.cpp
+++ b/test/galenalink/job/jobs_without_rules.cpp
@@ -27,6 +27,14 @@
   return Rules;
 }
 
+/** Makes rules of a version that sends the queue `press` to the pool `post`. */
+fleet_rules makeRulesOfOtherPool(const std::uint64_t Version) {
+  fleet_rules Rules = makeRules(Version, 2);
+  Rules.Queues.front().Pool = "post";
+  Rules.Pools.push_back({"post", false, false});
+  return Rules;
+}
+
 /** A platform whose leader has started the only task of job `a`, which may fail
  * twice. */
 struct one_running_task : simulated_platform {
@@ -153,4 +161,56 @@
   BOOST_TEST(Platform.Starts == 2U);
 }
 
+// A leader that had read an older version than its predecessor judged a job by
+// the older limit.
+BOOST_AUTO_TEST_CASE(older_rules_do_not_replace_the_rule_of_a_job) {
+  one_running_task Platform;
+  Platform.electWith(makeRules(1, 1));
+  Platform.failRuns();
+  BOOST_CHECK(Platform.stateOf("a") == job_state::Running);
+  BOOST_TEST(Platform.Starts == 2U);
+}
+
+// A successor with no rules judged a job by the limit at its acceptance,
+// although its predecessor knew a newer one.
+BOOST_AUTO_TEST_CASE(changed_rule_is_stored_with_its_open_jobs) {
+  one_running_task Platform;
+  Platform.Leader->setRules(makeRules(3, 1));
+  Platform.advance(Second / 2);
+  Platform.electWith({});
+  Platform.failRuns();
+  BOOST_CHECK(Platform.stateOf("a") == job_state::Failed);
+  BOOST_TEST(Platform.Starts == 1U);
+}
+
+// A successor left a job in the pool of its record, although the rules that it
+// had read before it led send the queue to another pool: the job never ran.
+BOOST_AUTO_TEST_CASE(recovered_job_runs_in_the_present_pool_of_its_queue) {
+  one_running_task Platform;
+  Platform.addServer("t0", "post");
+  for (const char *Id : {"s0", "s1", "s2"})
+    Platform.crash(Id);
+  Platform.electWith(makeRulesOfOtherPool(3));
+  Platform.advance(15 * Second);
+  BOOST_TEST(Platform.countRunning({"a", 0, 0, 0}) == 1U);
+}
+
+// A task ran twice when its queue moved to another pool: the successor waited
+// only for unresponsive backend servers of the new pool, while a run that its
+// predecessor had started in the former pool was still going on.
+BOOST_AUTO_TEST_CASE(moved_job_waits_for_runs_in_its_former_pool) {
+  one_running_task Platform;
+  Platform.addServer("t0", "post");
+  for (auto &[Id, Server] : Platform.Servers)
+    Server.Unresponsive = Server.Entry.Pool == "press";
+  Platform.electWith({});
+  Platform.Leader->setRules(makeRulesOfOtherPool(3));
+  Platform.advance(2 * Second);
+  Platform.electWith(makeRulesOfOtherPool(3));
+  Platform.advance(20 * Second);
+  for (const auto &Each : Platform.Violations)
+    BOOST_ERROR(Each);
+  BOOST_TEST(Platform.countRunning({"a", 0, 0, 0}) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
