Refuse a job of a queue that the leader has not read yet

What callers saw: 404 for a job of an existing queue, while a leader without rules, or with older rules than the node that took the request, led (CONFIG once the bound for new versions has passed).

A leader that has read no rules, or only older ones, refuses the job as not run, with a delay after which to try again. A leader of the same or a newer version still answers that there is no such queue.

Conclusion: fixed at the leader.

--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -196,7 +196,8 @@
   }
 }
 
-void submitJob(leader &Leader, const std::string &Queue, const std::string &Id,
+void submitJob(leader &Leader, const std::string &Queue,
+               const std::uint64_t KnownSince, const std::string &Id,
                job_spec Spec, reply_function Reply) {
   if (job_entry *Existing = Leader.findJob(Id)) {
     if (Existing->Stored)
@@ -206,6 +207,17 @@
     return;
   }
   const queue_rule *Rule = Leader.Rules.queue(Queue);
+  if (Rule == nullptr &&
+      (Leader.Rules.Version == 0 || Leader.Rules.Version < KnownSince)) {
+    Log.warning("admission", {{"job", Id},
+                              {"queue", Queue},
+                              {"verdict", "refused"},
+                              {"why", "the rules have not been read"},
+                              {"rules", Leader.Rules.Version},
+                              {"known_since", KnownSince}});
+    Reply(makeRefusal("the rules have not been read", BusyRetryMs));
+    return;
+  }
   if (Rule == nullptr) {
     caller_reply NotFound;
     NotFound.Verdict = verdict::NoQueue;
--- a/src/galenalink/job/controller.cpp
+++ b/src/galenalink/job/controller.cpp
@@ -52,9 +52,10 @@
   return !Leader->PendingVmOrders.empty();
 }
 
-void controller::submit(const std::string &Queue, const std::string &Id,
+void controller::submit(const std::string &Queue,
+                        const std::uint64_t KnownSince, const std::string &Id,
                         job_spec Spec, reply_function Reply) {
-  submitJob(*Leader, Queue, Id, std::move(Spec), std::move(Reply));
+  submitJob(*Leader, Queue, KnownSince, Id, std::move(Spec), std::move(Reply));
 }
 
 caller_reply controller::query(const std::string &Id) const {
--- a/src/galenalink/job/controller.hpp
+++ b/src/galenalink/job/controller.hpp
@@ -23,8 +23,10 @@
    * change. */
   [[nodiscard]] bool hasPendingVmOrders() const noexcept;
 
-  void submit(const std::string &Queue, const std::string &Id, job_spec Spec,
-              reply_function Reply);
+  /** @param KnownSince A version of the rules that has the queue; 0 for
+   * unknown. */
+  void submit(const std::string &Queue, std::uint64_t KnownSince,
+              const std::string &Id, job_spec Spec, reply_function Reply);
   [[nodiscard]] caller_reply query(const std::string &Id) const;
   void cancel(const std::string &Id, reply_function Reply);
   [[nodiscard]] caller_reply pending(const std::string &Queue) const;
--- a/src/galenalink/job_node/caller_request.hpp
+++ b/src/galenalink/job_node/caller_request.hpp
@@ -19,6 +19,8 @@
 struct caller_request {
   request_kind Kind{request_kind::Query};
   std::string Queue;
+  /** Version of the rules by which the path was mapped; 0 for unknown. */
+  std::uint64_t RulesVersion{0};
   /** Id of the job; empty for `Pending`. */
   std::string Job;
   /** Set only for `Submit`. */
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -327,8 +327,8 @@
                         job::reply_function Reply) {
   switch (Request.Kind) {
   case request_kind::Submit:
-    Controller->submit(Request.Queue, Request.Job, Request.Spec,
-                       std::move(Reply));
+    Controller->submit(Request.Queue, Request.RulesVersion, Request.Job,
+                       Request.Spec, std::move(Reply));
     break;
   case request_kind::Query:
     Reply(Controller->query(Request.Job));
--- a/src/galenalink/job_node/peer_api.cpp
+++ b/src/galenalink/job_node/peer_api.cpp
@@ -10,6 +10,8 @@
 constexpr std::string_view QueuesPath = "/v1/queues/";
 /** Carries the time left until the caller stops waiting, ms. */
 constexpr std::string_view DeadlineHeader = "Galenalink-Deadline-Ms";
+/** Carries the version of the rules by which the queue was chosen. */
+constexpr std::string_view RulesVersionHeader = "Galenalink-Rules-Version";
 /** Used if the header is missing or not a number. */
 constexpr std::int64_t DefaultCallerTimeoutMs = 3000;
 
@@ -33,6 +35,14 @@
   return boot_clock::now() + std::chrono::milliseconds{Ms};
 }
 
+/** @return 0 if the header is missing or not a number. */
+std::uint64_t rulesVersion(const http::exchange &Exchange) {
+  const auto Text = Exchange.header(RulesVersionHeader).value_or("");
+  std::uint64_t Version = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Version);
+  return Version;
+}
+
 } // namespace
 
 http::request toRequest(const caller_request &Request) {
@@ -47,6 +57,8 @@
       Request.Deadline - boot_clock::now());
   HttpRequest.Headers.push_back(
       {std::string{DeadlineHeader}, std::to_string(Remaining.count())});
+  HttpRequest.Headers.push_back(
+      {std::string{RulesVersionHeader}, std::to_string(Request.RulesVersion)});
   if (Request.Kind == request_kind::Submit)
     HttpRequest.Body = toRecord(
         job::job{Request.Job, Request.Queue, "", Request.Spec, wall_ms{0}});
@@ -70,6 +82,7 @@
 std::optional<caller_request> parseRequest(const http::exchange &Exchange) {
   caller_request Request;
   Request.Deadline = requestDeadline(Exchange);
+  Request.RulesVersion = rulesVersion(Exchange);
   std::string_view Path = Exchange.path();
   if (Path.starts_with(QueuesPath)) {
     Request.Kind = request_kind::Pending;
--- a/test/galenalink/job/jobs_without_rules.cpp
+++ b/test/galenalink/job/jobs_without_rules.cpp
@@ -213,4 +213,36 @@
   BOOST_TEST(Platform.countRunning({"a", 0, 0, 0}) == 1U);
 }
 
+// A leader without rules answered a job with "no such queue", although the node
+// that forwarded it knew the queue.
+BOOST_AUTO_TEST_CASE(
+    leader_without_rules_refuses_instead_of_denying_the_queue) {
+  one_running_task Platform;
+  Platform.electWith({});
+  job_spec Spec;
+  Spec.Spec = "text";
+  Spec.Steps = {makeStep(1, 1000, 500)};
+  const auto Reply = Platform.submit("press", "b", Spec);
+  BOOST_REQUIRE(Reply);
+  BOOST_CHECK(Reply->Verdict == caller_reply::verdict::Refused);
+  BOOST_TEST(Reply->RetryAfterMs > 0U);
+}
+
+// A leader whose rules were older than those of the forwarding node answered a
+// job of a new queue with "no such queue". A queue that the leader's version
+// has removed is still denied.
+BOOST_AUTO_TEST_CASE(leader_with_older_rules_refuses_a_newer_queue) {
+  one_running_task Platform;
+  Platform.electWith(makeRulesWithoutQueue(3));
+  job_spec Spec;
+  Spec.Spec = "text";
+  Spec.Steps = {makeStep(1, 1000, 500)};
+  const auto Newer = Platform.submit("press", "b", Spec, 4);
+  BOOST_REQUIRE(Newer);
+  BOOST_CHECK(Newer->Verdict == caller_reply::verdict::Refused);
+  const auto Older = Platform.submit("press", "b", Spec, 2);
+  BOOST_REQUIRE(Older);
+  BOOST_CHECK(Older->Verdict == caller_reply::verdict::NoQueue);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/galenalink/job/simulated_platform.cpp
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -392,11 +392,12 @@
   }
 }
 
-std::optional<caller_reply> simulated_platform::submit(const std::string &Queue,
-                                                       const std::string &Id,
-                                                       const job_spec &Spec) {
+std::optional<caller_reply>
+simulated_platform::submit(const std::string &Queue, const std::string &Id,
+                           const job_spec &Spec,
+                           const std::uint64_t KnownSince) {
   auto Reply = std::make_shared<std::optional<caller_reply>>();
-  Leader->submit(Queue, Id, Spec,
+  Leader->submit(Queue, KnownSince, Id, Spec,
                  [Reply](const caller_reply &Result) { *Reply = Result; });
   Leader->dispatchAndFlush();
   advance(std::chrono::milliseconds{40});
