--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -46,7 +46,7 @@
 admission decideAdmission(leader &Leader, const queue_rule &Rule,
                           const std::string &Id, const job_spec &Spec) {
   admission_request Request;
-  Request.CriticalPathMs = criticalPathMs(Leader, Rule.Name, Spec);
+  Request.CriticalPathMs = criticalPathMs(Leader, Rule.Name, &Rule, Spec);
   Request.ObjectiveMs = Rule.Stretch * Request.CriticalPathMs + Rule.SlackMs;
   for (const auto &Step : Spec.Steps)
     Request.Work += estimateStepWork(Leader, Rule.Name, Step, Step.Count);
@@ -69,16 +69,13 @@
 
 void acceptJob(leader &Leader, const queue_rule &Rule, const std::string &Id,
                job_spec Spec, const bool Deferred, reply_function Reply) {
-  job_entry &Entry = addJob(
-      Leader, job{Id, Rule.Name, Rule.Pool, std::move(Spec), Leader.Wall()});
+  job Job{Id, Rule.Name, Rule.Pool, std::move(Spec), Leader.Wall()};
+  Job.setRule(Rule, Leader.Rules.Version);
+  job_entry &Entry = addJob(Leader, std::move(Job));
   Entry.Deferred = Deferred;
   Entry.OnStored.push_back(std::move(Reply));
   openDueOccurrences(Leader, Entry);
-  Leader.Journal.put("j" + Id, [&Leader, Id]() -> std::optional<std::string> {
-    const job_entry *Found = Leader.findJob(Id);
-    return Found == nullptr ? std::nullopt
-                            : std::optional{toRecord(Found->Job)};
-  });
+  storeJob(Leader, Id);
   Leader.Journal.whenStored([&Leader, Id] {
     job_entry *Found = Leader.findJob(Id);
     if (Found == nullptr)
@@ -199,7 +196,8 @@
   }
 }
 
-void submitJob(leader &Leader, const std::string &Queue, const std::string &Id,
+void submitJob(leader &Leader, const std::string &Queue,
+               const std::uint64_t KnownSince, const std::string &Id,
                job_spec Spec, reply_function Reply) {
   if (job_entry *Existing = Leader.findJob(Id)) {
     if (Existing->Stored)
@@ -209,6 +207,17 @@
     return;
   }
   const queue_rule *Rule = Leader.Rules.queue(Queue);
+  if (Rule == nullptr &&
+      (Leader.Rules.Version == 0 || Leader.Rules.Version < KnownSince)) {
+    Log.warning("admission", {{"job", Id},
+                              {"queue", Queue},
+                              {"verdict", "refused"},
+                              {"why", "the rules have not been read"},
+                              {"rules", Leader.Rules.Version},
+                              {"known_since", KnownSince}});
+    Reply(makeRefusal("the rules have not been read", BusyRetryMs));
+    return;
+  }
   if (Rule == nullptr) {
     caller_reply NotFound;
     NotFound.Verdict = verdict::NoQueue;
