--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -1,7 +1,7 @@
 #include "galenalink/job/callers.hpp"
+#include "galenalink/job/job_limits.hpp"
 #include "galenalink/telemetry/log.hpp"
 #include <algorithm>
-#include <numeric>
 
 namespace galenalink::job {
 
@@ -11,8 +11,6 @@
 
 constexpr telemetry::logger Log{"callers"};
 
-/** Jobs with more tasks are refused. */
-constexpr std::uint64_t MaxTasks = 20000;
 /** Limit of jobs kept in memory; further ones are refused until ended jobs are
  * removed. */
 constexpr std::size_t MaxJobs = 200000;
@@ -215,12 +213,7 @@
     Reply(NotFound);
     return;
   }
-  const auto Tasks =
-      std::accumulate(Spec.Steps.begin(), Spec.Steps.end(), std::uint64_t{0},
-                      [](const std::uint64_t Sum, const step_spec &Step) {
-                        return Sum + Step.Count;
-                      });
-  if (Tasks > MaxTasks || Leader.Jobs.size() >= MaxJobs) {
+  if (taskCount(Spec) > limits::MaxTasks || Leader.Jobs.size() >= MaxJobs) {
     Reply(makeRefusal("too many tasks or jobs", BusyRetryMs));
     return;
   }
