--- a/test/platform/odd_messages.cpp
+++ b/test/platform/odd_messages.cpp
@@ -305,6 +305,76 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(odd_store_responses)
+
+// A status 410 whose `first` is not a number ended the process; one that does
+// not advance was read again at once, for ever.
+BOOST_AUTO_TEST_CASE(expired_read_with_odd_first_offset) {
+  for (const std::string_view Body :
+       {R"({"first":"12"})", R"({"first":-1})", R"({"first":1e300})", "{}", "",
+        R"({"first":5})", R"({"first":3})"}) {
+    scripted_service Service;
+    Service.Status = 410;
+    Service.Bodies = {std::string{Body}};
+    store_client Store{Service.Client, Service.Address};
+    BOOST_TEST_CONTEXT(Body) {
+      const auto Result = Service.await<read_result>(
+          [&](auto Callback) { Store.read(topic::Leader, 5, 0, Callback); });
+      BOOST_TEST(!Result.Expired);
+      BOOST_CHECK(Result.Outcome == call_outcome::Unknown);
+    }
+  }
+}
+
+// One odd item made the page unreadable, and the reader asked for it again for
+// ever without any of the others.
+BOOST_AUTO_TEST_CASE(odd_latest_record_costs_that_record) {
+  for (const std::string &Item :
+       {std::string{"7"}, std::string{R"({"key":4,"value":"aGk="})"},
+        std::string{R"({"key":"x"})"}, std::string{R"({"key":"x","value":1})"},
+        std::string{"{\"key\":\"x\xff\",\"value\":\"aGk=\"}"},
+        std::string{R"({"key":"x","value":1e400})"}, deepArray()}) {
+    scripted_service Service;
+    Service.Bodies = {R"({"items":[{"key":"a","value":"aGk="},)" + Item +
+                      R"(,{"key":"b","value":"aGk="}],"end":4})"};
+    BOOST_TEST_CONTEXT(Item.substr(0, 40)) {
+      const auto Result = Service.readLatest();
+      BOOST_CHECK(Result.Outcome == call_outcome::Done);
+      BOOST_TEST(Result.End == 4U);
+      std::size_t Good = 0;
+      for (const auto &Each : Result.Records)
+        Good +=
+            Each == keyed_record{"a", "hi"} || Each == keyed_record{"b", "hi"}
+                ? 1
+                : 0;
+      BOOST_TEST(Good == 2U);
+    }
+  }
+}
+
+// A page that does not advance was asked for again for ever.
+BOOST_AUTO_TEST_CASE(page_that_does_not_advance_ends_the_read) {
+  scripted_service Service;
+  Service.Bodies = {
+      R"({"items":[{"key":"a","value":"aGk="}],"hasMore":true,"end":4})"};
+  BOOST_CHECK(Service.readLatest().Outcome == call_outcome::Unknown);
+  Service.Bodies = {R"({"items":[7],"hasMore":true,"end":4})"};
+  BOOST_CHECK(Service.readLatest().Outcome == call_outcome::Unknown);
+}
+
+// An end offset that is missing or wrapped would make the reader wait at an
+// offset that the log never reaches.
+BOOST_AUTO_TEST_CASE(page_without_usable_end_is_rejected) {
+  for (const std::string_view End : {"-1", "1e300", "\"4\"", "null"}) {
+    scripted_service Service;
+    Service.Bodies = {R"({"items":[],"end":)" + std::string{End} + "}"};
+    BOOST_TEST_CONTEXT(End)
+    BOOST_CHECK(Service.readLatest().Outcome == call_outcome::Unknown);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(odd_job_bodies)
 
 std::optional<job_spec> parseSteps(const std::string_view Steps) {
