--- a/test/system/process.hpp
+++ b/test/system/process.hpp
@@ -16,6 +16,7 @@
   process(const process &) = delete;
   process &operator=(const process &) = delete;
 
+  [[nodiscard]] pid_t id() const noexcept { return Id; }
   void signal(int Signal) const noexcept;
   /** @return Whether the process has ended; does not wait. */
   [[nodiscard]] bool ended() noexcept;
