Find the runs of a task by an index instead of a scan

During a maintenance wave the leader asked for each task of each service on each draining VM, five times a second, whether it serves anywhere, by a search in all backend servers; each finished task scanned all runs of the fleet for further copies, and each ended job all backend servers. Change. run_locations maps tasks to the backend servers that hold their runs; server::addRun and eraseRun keep it.

--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -39,6 +39,14 @@
       Journal{{Ports.Append, this->Now, OnFenced}, Epoch}, LeadingSince{
                                                                this->Now()} {}
 
+server &addServer(leader &Leader, const registration &Entry) {
+  auto &Slot = Leader.Servers[Entry.Id];
+  Slot = std::make_unique<server>();
+  Slot->Entry = Entry;
+  Slot->Locations = &Leader.RunLocations;
+  return *Slot;
+}
+
 job_entry &addJob(leader &Leader, job Job) {
   const std::string Id = Job.id();
   auto &Slot = Leader.Jobs[Id];
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -158,6 +158,7 @@
   std::map<std::string, std::unique_ptr<job_entry>> Jobs;
   /** Jobs that have not ended. */
   std::map<std::string, job_entry *> OpenJobs;
+  run_locations RunLocations;
   /** By id of the backend server's incarnation. */
   std::map<std::string, std::unique_ptr<server>> Servers;
   /** Task durations by queue. */
@@ -223,6 +224,9 @@
   }
 };
 
+/** @brief Adds a backend server, in place of an earlier one with its id, which
+ * must have no runs. */
+server &addServer(leader &Leader, const registration &Entry);
 /** @brief Adds a job to the leader's job maps. */
 job_entry &addJob(leader &Leader, job Job);
 /** @brief Stores the job's progress; callers see the new state once it is
--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -226,14 +226,13 @@
   }
   // Other copies of the task have no work left. Runs of a gang are not stopped,
   // because its tasks end together.
-  for (auto &[Id, Other] : Leader.Servers) {
-    for (auto &[OtherRun, State] : Other->Runs) {
-      const bool Same = OtherRun.Task == Run.Task ||
-                        (Gang && OtherRun.Task.Job == Run.Task.Job &&
-                         OtherRun.Task.Occurrence == Run.Task.Occurrence &&
-                         OtherRun.Task.Step == Run.Task.Step);
-      if (Same && OtherRun != Run && !Gang)
-        stopRun(Leader, *Other, OtherRun);
+  if (Gang)
+    return;
+  for (server *Other : Leader.RunLocations.serversOf(Run.Task)) {
+    for (auto Each = Other->Runs.lower_bound(run_id{Run.Task, 0});
+         Each != Other->Runs.end() && Each->first.Task == Run.Task; ++Each) {
+      if (Each->first != Run)
+        stopRun(Leader, *Other, Each->first);
     }
   }
 }
@@ -287,7 +286,7 @@
 }
 
 void stopJobRuns(leader &Leader, const std::string &Job) {
-  for (auto &[Id, Server] : Leader.Servers) {
+  for (server *Server : Leader.RunLocations.serversOfJob(Job)) {
     const run_id First{{Job, 0, 0, 0}, 0};
     for (auto Each = Server->Runs.lower_bound(First);
          Each != Server->Runs.end() && Each->first.Task.Job == Job; ++Each)
--- a/src/galenalink/job/server.hpp
+++ b/src/galenalink/job/server.hpp
@@ -3,6 +3,7 @@
 
 #include "galenalink/job/lease.hpp"
 #include "galenalink/job/ports.hpp"
+#include "galenalink/job/run_locations.hpp"
 #include "galenalink/job/server_health.hpp"
 #include <map>
 
@@ -95,7 +96,10 @@
   std::uint32_t HeartbeatFailures{0};
 
   resources Used;
+  /** Change it by `addRun` and `eraseRun` only. */
   std::map<run_id, run> Runs;
+  /** Index of the runs of all backend servers; null for none. */
+  run_locations *Locations{nullptr};
   server_health Health;
 
   [[nodiscard]] server_target target() const {
@@ -120,8 +124,11 @@
     const auto Found = Runs.find(Id);
     return Found == Runs.end() ? nullptr : &Found->second;
   }
+  /** @param Id Must not be in `Runs`. */
   run &addRun(const run_id &Id, const run &Run) {
     Used += chargedResources(Run.Size, Run.BestEffort);
+    if (Locations != nullptr)
+      Locations->add(Id.Task, *this);
     return Runs.insert_or_assign(Id, Run).first->second;
   }
   void eraseRun(const run_id &Id) {
@@ -129,6 +136,8 @@
     if (Found == Runs.end())
       return;
     Used -= chargedResources(Found->second.Size, Found->second.BestEffort);
+    if (Locations != nullptr)
+      Locations->remove(Id.Task, *this);
     Runs.erase(Found);
   }
 };
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -56,13 +56,11 @@
   });
 }
 
-void addServer(leader &Leader, const registration &Entry) {
-  auto &Slot = Leader.Servers[Entry.Id];
-  Slot = std::make_unique<server>();
-  Slot->Entry = Entry;
-  Slot->Registered = true;
-  Slot->HeartbeatDue = Leader.Now();
-  recordServer(Leader, *Slot);
+void addRegisteredServer(leader &Leader, const registration &Entry) {
+  server &Server = addServer(Leader, Entry);
+  Server.Registered = true;
+  Server.HeartbeatDue = Leader.Now();
+  recordServer(Leader, Server);
   Log.info("backend server registered",
            {{"server", Entry.Id},
             {"address", Entry.Address},
@@ -76,7 +74,7 @@
                          Entry.StartedAtMs != Server.Entry.StartedAtMs;
   if (Restarted) {
     markServerLost(Leader, Server, "restarted under its id");
-    addServer(Leader, Entry);
+    addRegisteredServer(Leader, Entry);
     return;
   }
   if (Entry.Draining && !Server.Entry.Draining)
@@ -313,7 +311,7 @@
     Present.insert(Entry.Id);
     const auto Found = Leader.Servers.find(Entry.Id);
     if (Found == Leader.Servers.end())
-      addServer(Leader, Entry);
+      addRegisteredServer(Leader, Entry);
     else
       updateServer(Leader, *Found->second, Entry);
   }
@@ -372,17 +370,15 @@
     Log.error("stored record of a backend server is not readable",
               {{"server", Id}, {"error", Error.what()}});
   }
-  auto &Slot = Leader.Servers[Id];
-  Slot = std::make_unique<server>();
-  Slot->Entry = Entry;
-  Slot->Recorded = true;
-  Slot->MissingSince = Leader.Now();
-  Slot->HeartbeatDue = Leader.Now();
+  server &Server = addServer(Leader, Entry);
+  Server.Recorded = true;
+  Server.MissingSince = Leader.Now();
+  Server.HeartbeatDue = Leader.Now();
   const auto Longest =
       static_cast<double>(Leader.Settings.Lease.count()) * MaxClockStretch;
-  Slot->RunsUnknownUntil = Leader.Now() +
-                           duration{static_cast<std::int64_t>(Longest)} +
-                           RetryInterval;
+  Server.RunsUnknownUntil = Leader.Now() +
+                            duration{static_cast<std::int64_t>(Longest)} +
+                            RetryInterval;
 }
 
 bool runsUnknown(const leader &Leader, const std::string_view Pool) {
--- a/src/galenalink/job/vm_orders.cpp
+++ b/src/galenalink/job/vm_orders.cpp
@@ -18,8 +18,9 @@
 /** @brief Whether a run of the task is serving, that is, running at 100 percent
  * on a backend server whose VM has no pending order. */
 bool isServing(const leader &Leader, const task_id &Id) {
-  return std::ranges::any_of(Leader.Servers, [&](const auto &Each) {
-    const server &Server = *Each.second;
+  const auto Servers = Leader.RunLocations.serversOf(Id);
+  return std::ranges::any_of(Servers, [&](const server *Each) {
+    const server &Server = *Each;
     // Runs on a VM with a pending order have ended or are about to end.
     if (Leader.PendingVmOrders.contains(Server.Vm))
       return false;
