Compute a pool's backlog once for all VMs of a wave

Cause. startDrains computed the load of the pool, a scan of all backend servers and open jobs, for each remaining VM of a wave every 200 ms, also when no further VM could be drained. One computation for each pool, and none when the limit is reached. Every decision is kept.

--- a/src/galenalink/job/maintenance.cpp
+++ b/src/galenalink/job/maintenance.cpp
@@ -62,16 +62,30 @@
          Leader.Servers.contains(Listed->second.Server);
 }
 
-/** @brief Estimates the work that a VM's maintenance would delay. VMs with the
- * lowest cost are drained first. */
-double disruptionCost(leader &Leader, const std::string &Vm) {
-  const server *Server = serverOnVm(Leader, Vm);
-  if (Server == nullptr)
-    return 0;
-  const pool_load Load = computePoolLoad(Leader, Server->Entry.Pool);
-  const double PoolBacklogMs =
-      Load.Capacity <= 0 ? 1 : Load.InTimeWork / Load.Capacity;
-  return PoolBacklogMs + static_cast<double>(countFiniteRuns(*Server));
+double poolBacklogMs(const leader &Leader, const std::string &Pool) {
+  const pool_load Load = computePoolLoad(Leader, Pool);
+  return Load.Capacity <= 0 ? 1 : Load.InTimeWork / Load.Capacity;
+}
+
+/** @brief Sorts VMs by the work that their maintenance would delay. VMs with
+ * the lowest cost are drained first. */
+void sortByDisruptionCost(leader &Leader, std::vector<std::string> &Vms) {
+  std::map<std::string, double> BacklogsMs;
+  std::vector<std::pair<double, std::string>> Ranked;
+  Ranked.reserve(Vms.size());
+  for (auto &Vm : Vms) {
+    double Cost = 0;
+    if (const server *Server = serverOnVm(Leader, Vm)) {
+      const auto [Backlog, Added] = BacklogsMs.try_emplace(Server->Entry.Pool);
+      if (Added)
+        Backlog->second = poolBacklogMs(Leader, Server->Entry.Pool);
+      Cost = Backlog->second + static_cast<double>(countFiniteRuns(*Server));
+    }
+    Ranked.emplace_back(Cost, std::move(Vm));
+  }
+  std::ranges::sort(Ranked);
+  std::ranges::transform(Ranked, Vms.begin(),
+                         [](auto &Each) { return std::move(Each.second); });
 }
 
 /** @brief Stops runs that checkpoint, so that they resume elsewhere. */
@@ -143,13 +157,12 @@
   std::erase_if(Remaining, [&](const std::string &Vm) {
     return Wave.Draining.contains(Vm) || !canStartMaintenance(Leader, Vm);
   });
-  std::vector<std::pair<double, std::string>> Ranked;
-  Ranked.reserve(Remaining.size());
-  for (auto &Vm : Remaining)
-    Ranked.emplace_back(disruptionCost(Leader, Vm), std::move(Vm));
-  std::ranges::sort(Ranked);
-  for (const auto &[Cost, Vm] : Ranked) {
-    if (Wave.Draining.size() + countVmsDown(Leader, Wave) >= Limit)
+  const std::size_t Down = countVmsDown(Leader, Wave);
+  if (Wave.Draining.size() + Down >= Limit)
+    return;
+  sortByDisruptionCost(Leader, Remaining);
+  for (const auto &Vm : Remaining) {
+    if (Wave.Draining.size() + Down >= Limit)
       return;
     Wave.Draining.emplace(Vm, Now);
   }
