Start tasks only in pools where a change may allow it

Each event made the leader look at all pools: all open jobs once for each pool, and for each waiting step all backend servers of the pool, also when none had room. The cost of a placement counted the runs of a backend server twice for each task, and the load of a pool all runs of its servers. Changes name their pool (requestDispatch), a task that backs off sets the time at which its pool is due; every 200 ms all pools are due as before. A step is skipped if it is larger than what is free on any backend server. A backend server keeps sums over its runs. An unchanged registration changes nothing.

--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -84,7 +84,7 @@
     if (Found == nullptr)
       return;
     Found->Stored = true;
-    Leader.NeedsDispatch = true;
+    requestDispatch(Leader, Found->Job.pool());
     for (const auto &Each : std::exchange(Found->OnStored, {}))
       Each(makeOkReply(Found->StoredState));
   });
@@ -155,10 +155,7 @@
     if (!AcceptsWork)
       continue;
     Load.Capacity += static_cast<double>(Server->Entry.Capacity.Cpu);
-    for (const auto &[Run, State] : Server->Runs) {
-      if (State.LongRunning && !State.BestEffort)
-        Load.Capacity -= static_cast<double>(State.Size.Cpu);
-    }
+    Load.Capacity -= static_cast<double>(Server->Totals.LongRunningCpu);
   }
   const time_point Now = Leader.Now();
   for (const auto &[Id, Entry] : Leader.OpenJobs) {
@@ -195,7 +192,7 @@
     Entry->Deferred = false;
     Load->second.InTimeWork += Request.Work;
     Load->second.DeferredWork -= Request.Work;
-    Leader.NeedsDispatch = true;
+    requestDispatch(Leader, Entry->Job.pool());
   }
 }
 
--- a/src/galenalink/job/controller.cpp
+++ b/src/galenalink/job/controller.cpp
@@ -29,7 +29,7 @@
 
 void controller::setRules(const fleet_rules &Rules) {
   Leader->Rules = Rules;
-  Leader->NeedsDispatch = true;
+  requestDispatchOfAllPools(*Leader);
   // The rules may move a queue to another pool. Existing runs stay where they
   // are.
   for (auto &[Id, Entry] : Leader->OpenJobs) {
@@ -87,8 +87,9 @@
   const time_point Now = Leader->Now();
   if (Now >= NextPeriodicWork) {
     NextPeriodicWork = Now + PeriodicInterval;
-    // Back-offs and deadlines expire without an event that triggers dispatch.
-    Leader->NeedsDispatch = true;
+    // Deadlines and ejections of backend servers end without an event that
+    // triggers dispatch.
+    requestDispatchOfAllPools(*Leader);
     handleStragglers(*Leader);
     promoteDeferredJobs(*Leader);
     advanceMaintenance(*Leader);
@@ -104,8 +105,7 @@
 }
 
 void controller::dispatchAndFlush() {
-  if (Leader->NeedsDispatch)
-    dispatch(*Leader);
+  dispatch(*Leader);
   Leader->Journal.flush();
 }
 
--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -85,13 +85,17 @@
                    std::vector<candidate> &Out) {
   const time_point Now = Leader.Now();
   const queue_rule *Rule = Leader.Rules.queue(Entry.Job.queue());
+  const auto MayStart = [&](const task &Each) {
+    const bool BacksOff = !Each.Done && Each.Runs == 0 && Each.NotBefore > Now;
+    if (BacksOff)
+      requestDispatch(Leader, Entry.Job.pool(), Each.NotBefore);
+    return isWaiting(Each, Now);
+  };
   for (auto &Occurrence : Entry.Job.openOccurrences()) {
     for (std::uint32_t I = 0; I < Occurrence.Steps.size(); ++I) {
       const step &Step = Occurrence.Steps[I];
       const bool Waits = !Step.done() && Entry.Job.ready(Occurrence, I) &&
-                         std::ranges::any_of(Step.Tasks, [&](const task &Each) {
-                           return isWaiting(Each, Now);
-                         });
+                         std::ranges::any_of(Step.Tasks, MayStart);
       if (!Waits)
         continue;
       Out.push_back(
@@ -120,7 +124,7 @@
   std::int64_t Used = 0;
   std::int64_t Capacity = 0;
   for (const server *Each : Servers) {
-    Used += Each->Used.Cpu;
+    Used += Each->Totals.Used.Cpu;
     Capacity += Each->Entry.Capacity.Cpu;
   }
   return Capacity == 0
@@ -263,15 +267,32 @@
     requestTickets(Leader, Step, Spec, Waiting, Servers);
 }
 
+/** @return The largest amount of each resource that is free on any one of the
+ * backend servers. */
+resources maxFree(const std::vector<server *> &Servers) {
+  resources Max;
+  for (const server *Each : Servers) {
+    const resources Free = Each->free();
+    Max = {std::max(Max.Cpu, Free.Cpu), std::max(Max.Memory, Free.Memory),
+           std::max(Max.Gpu, Free.Gpu)};
+  }
+  return Max;
+}
+
 void dispatchPool(leader &Leader, const std::string &Pool) {
   auto Servers = availableServers(Leader, Pool);
   if (Servers.empty())
     return;
+  // Starts only reduce what is free, so it remains an upper bound.
+  const resources MaxFree = maxFree(Servers);
   for (const candidate &Each : candidatesOf(Leader, Pool)) {
     const bool Full =
         Each.Urgency == urgency::Expired && loadOf(Servers) > MaxLoadForExpired;
     if (Full)
       break;
+    const step_spec &Step = Each.Entry->Job.spec().Steps[Each.Step];
+    if (!server::chargedResources(Step.Size, Step.BestEffort).fits(MaxFree))
+      continue;
     startStep(Leader, Each, Servers);
   }
 }
@@ -328,9 +349,13 @@
 }
 
 void dispatch(leader &Leader) {
-  Leader.NeedsDispatch = false;
-  for (const pool_rule &Pool : Leader.Rules.Pools)
+  for (const pool_rule &Pool : Leader.Rules.Pools) {
+    const auto Due = Leader.DispatchDue.find(Pool.Name);
+    if (Due == Leader.DispatchDue.end() || Due->second > Leader.Now())
+      continue;
+    Leader.DispatchDue.erase(Due);
     dispatchPool(Leader, Pool.Name);
+  }
 }
 
 void handleStragglers(leader &Leader) {
--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -39,6 +39,17 @@
       Journal{{Ports.Append, this->Now, OnFenced}, Epoch}, LeadingSince{
                                                                this->Now()} {}
 
+void requestDispatch(leader &Leader, const std::string &Pool,
+                     const time_point Due) {
+  const auto [Entry, Added] = Leader.DispatchDue.try_emplace(Pool, Due);
+  Entry->second = std::min(Entry->second, Due);
+}
+
+void requestDispatchOfAllPools(leader &Leader) {
+  for (const pool_rule &Pool : Leader.Rules.Pools)
+    requestDispatch(Leader, Pool.Name);
+}
+
 server &addServer(leader &Leader, const registration &Entry) {
   auto &Slot = Leader.Servers[Entry.Id];
   Slot = std::make_unique<server>();
@@ -74,7 +85,7 @@
   Entry.EndedAt = Leader.Now();
   Leader.OpenJobs.erase(Entry.Job.id());
   Leader.Tickets.eraseJob(Entry.Job.id());
-  Leader.NeedsDispatch = true;
+  requestDispatch(Leader, Entry.Job.pool());
   stopJobRuns(Leader, Entry.Job.id());
 }
 
@@ -89,7 +100,7 @@
     if (!Due || *Due > Leader.Wall())
       return;
     setObjective(Leader, Entry, Entry.Job.openNext());
-    Leader.NeedsDispatch = true;
+    requestDispatch(Leader, Entry.Job.pool());
   }
 }
 
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -193,8 +193,8 @@
   /** Whether leadership was confirmed so recently that no successor can send VM
    * orders yet. */
   std::function<bool()> LeadershipConfirmed;
-  /** Set after changes that may allow a task to start. */
-  bool NeedsDispatch{true};
+  /** Pools in which a task may be able to start, and from when on. */
+  std::map<std::string, time_point> DispatchDue;
   /** Callbacks hold it weakly to detect that the leader no longer exists. */
   std::shared_ptr<bool> LifetimeToken{std::make_shared<bool>(true)};
 
@@ -224,6 +224,11 @@
   }
 };
 
+/** @brief Requests that tasks of the pool are started if they can be placed,
+ * after a change that may allow it. */
+void requestDispatch(leader &Leader, const std::string &Pool,
+                     time_point Due = NoDeadline);
+void requestDispatchOfAllPools(leader &Leader);
 /** @brief Adds a backend server, in place of an earlier one with its id, which
  * must have no runs. */
 server &addServer(leader &Leader, const registration &Entry);
--- a/src/galenalink/job/placement.cpp
+++ b/src/galenalink/job/placement.cpp
@@ -35,16 +35,8 @@
 /** @brief Whether the placement would put best-effort and latency-sensitive
  * tasks together: best-effort tasks raise the latency of the others. */
 bool interferes(const server &Server, const step_spec &Step) {
-  return std::ranges::any_of(Server.Runs, [&](const auto &Each) {
-    const run &Run = Each.second;
-    return (Step.BestEffort && Run.TargetMs > 0) ||
-           (Step.TargetMs > 0 && Run.BestEffort);
-  });
-}
-
-std::uint32_t countLongRunning(const server &Server) {
-  return static_cast<std::uint32_t>(std::ranges::count_if(
-      Server.Runs, [](const auto &Each) { return Each.second.LongRunning; }));
+  return (Step.BestEffort && Server.Totals.LatencySensitive > 0) ||
+         (Step.TargetMs > 0 && Server.Totals.BestEffort > 0);
 }
 
 /** @brief Number of runs of a step by rack. */
@@ -66,7 +58,7 @@
  */
 auto longRunningCost(const server &Server, const task_id &Task,
                      const rack_runs &Racks) {
-  const std::uint32_t LongRunningCount = countLongRunning(Server);
+  const std::uint32_t LongRunningCount = Server.Totals.LongRunning;
   return std::tuple{countRunsOfStep(Server, Task), LongRunningCount == 0,
                     Racks.at(Server.rack()), LongRunningCount,
                     -Server.free().Cpu};
@@ -116,13 +108,18 @@
   const rack_runs Racks = Request.Step->LongRunning
                               ? countRunsByRack(Servers, Request.Task)
                               : rack_runs{};
+  using placement_cost =
+      decltype(placementCost(*Servers.front(), Request, Racks));
   server *Best = nullptr;
+  placement_cost LowestCost;
   for (server *Each : Servers) {
     if (!canRun(*Each, Request))
       continue;
-    if (Best == nullptr || placementCost(*Each, Request, Racks) <
-                               placementCost(*Best, Request, Racks))
-      Best = Each;
+    const placement_cost Cost = placementCost(*Each, Request, Racks);
+    if (Best != nullptr && !(Cost < LowestCost))
+      continue;
+    Best = Each;
+    LowestCost = Cost;
   }
   return Best;
 }
--- a/src/galenalink/job/ports.hpp
+++ b/src/galenalink/job/ports.hpp
@@ -250,6 +250,8 @@
   std::int64_t StartedAtMs{0};
   /** Increases with each write by one incarnation. */
   std::uint64_t Sequence{0};
+
+  [[nodiscard]] bool operator==(const registration &) const = default;
 };
 
 /** @brief A decoded record of the operator; `monostate` for an unknown kind. */
--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -299,10 +299,14 @@
     return;
   const task_id Id = Run.Task;
   Server.eraseRun(run_id{Run});
-  Leader.NeedsDispatch = true;
+  requestDispatch(Leader, Server.Entry.Pool);
   job_entry *Entry = Leader.findJob(Id.Job);
   task *Task = Entry == nullptr ? nullptr : Entry->Job.find(Id);
-  if (Task != nullptr && Task->Runs > 0)
+  if (Task == nullptr)
+    return;
+  // The rules may have moved the job to another pool than the run's.
+  requestDispatch(Leader, Entry->Job.pool());
+  if (Task->Runs > 0)
     --Task->Runs;
 }
 
--- a/src/galenalink/job/server.hpp
+++ b/src/galenalink/job/server.hpp
@@ -61,6 +61,17 @@
   bool PaceSent{false};
 };
 
+/** @brief Sums over the runs of a backend server. */
+struct run_totals {
+  /** Resources reserved. */
+  resources Used;
+  std::uint32_t LongRunning{0};
+  std::uint32_t BestEffort{0};
+  std::uint32_t LatencySensitive{0};
+  /** CPU reserved for long-running runs, thousandths of a core. */
+  std::int64_t LongRunningCpu{0};
+};
+
 /** @brief One incarnation of a backend server as the leader sees it. */
 struct server {
   registration Entry;
@@ -95,7 +106,7 @@
   time_point PacedAt;
   std::uint32_t HeartbeatFailures{0};
 
-  resources Used;
+  run_totals Totals;
   /** Change it by `addRun` and `eraseRun` only. */
   std::map<run_id, run> Runs;
   /** Index of the runs of all backend servers; null for none. */
@@ -107,7 +118,7 @@
   }
   [[nodiscard]] resources free() const noexcept {
     resources Free = Entry.Capacity;
-    return Free -= Used;
+    return Free -= Totals.Used;
   }
   [[nodiscard]] std::string_view rack() const noexcept {
     return Entry.Labels.size() > 1 ? std::string_view{Entry.Labels[1]}
@@ -126,7 +137,11 @@
   }
   /** @param Id Must not be in `Runs`. */
   run &addRun(const run_id &Id, const run &Run) {
-    Used += chargedResources(Run.Size, Run.BestEffort);
+    Totals.Used += chargedResources(Run.Size, Run.BestEffort);
+    Totals.LongRunning += Run.LongRunning ? 1 : 0;
+    Totals.BestEffort += Run.BestEffort ? 1 : 0;
+    Totals.LatencySensitive += Run.TargetMs > 0 ? 1 : 0;
+    Totals.LongRunningCpu += reservedLongRunningCpu(Run);
     if (Locations != nullptr)
       Locations->add(Id.Task, *this);
     return Runs.insert_or_assign(Id, Run).first->second;
@@ -135,11 +150,22 @@
     const auto Found = Runs.find(Id);
     if (Found == Runs.end())
       return;
-    Used -= chargedResources(Found->second.Size, Found->second.BestEffort);
+    const run &Run = Found->second;
+    Totals.Used -= chargedResources(Run.Size, Run.BestEffort);
+    Totals.LongRunning -= Run.LongRunning ? 1 : 0;
+    Totals.BestEffort -= Run.BestEffort ? 1 : 0;
+    Totals.LatencySensitive -= Run.TargetMs > 0 ? 1 : 0;
+    Totals.LongRunningCpu -= reservedLongRunningCpu(Run);
     if (Locations != nullptr)
       Locations->remove(Id.Task, *this);
     Runs.erase(Found);
   }
+
+private:
+  [[nodiscard]] static std::int64_t
+  reservedLongRunningCpu(const run &Run) noexcept {
+    return Run.LongRunning && !Run.BestEffort ? Run.Size.Cpu : 0;
+  }
 };
 
 } // namespace galenalink::job
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -52,7 +52,7 @@
     if (Found == nullptr)
       return;
     Found->Recorded = true;
-    Leader.NeedsDispatch = true;
+    requestDispatch(Leader, Found->Entry.Pool);
   });
 }
 
@@ -69,6 +69,8 @@
 }
 
 void updateServer(leader &Leader, server &Server, const registration &Entry) {
+  if (Server.Registered && Server.Entry == Entry)
+    return;
   const bool Restarted = Entry.StartedAtMs != 0 &&
                          Server.Entry.StartedAtMs != 0 &&
                          Entry.StartedAtMs != Server.Entry.StartedAtMs;
@@ -86,6 +88,7 @@
   Server.Registered = true;
   Server.MissingSince = NoDeadline;
   recordServer(Leader, Server);
+  requestDispatch(Leader, Entry.Pool);
 }
 
 /** @brief Adds a run that the backend server lists but the leader does not
@@ -215,7 +218,7 @@
       static_cast<void>(
           Server.Lease.extend(Leader.Now(), Leader.Settings.Lease));
     Server.Synced = true;
-    Leader.NeedsDispatch = true;
+    requestDispatch(Leader, Server.Entry.Pool);
   }
   const bool Unrecorded = Server.LastAppliedEnd != Server.LastStoredEnd;
   Server.HeartbeatDue =
@@ -322,7 +325,6 @@
     if (Server->MissingSince == NoDeadline)
       Server->MissingSince = Leader.Now();
   }
-  Leader.NeedsDispatch = true;
 }
 
 void updateVms(leader &Leader, const std::vector<vm> &Vms) {
--- a/src/galenalink/job/tickets.cpp
+++ b/src/galenalink/job/tickets.cpp
@@ -151,7 +151,7 @@
                              Validity = Rule->Advice->ValidityMs](
                                 const ticket_result &Result) {
         Leader.TicketRequestPending = false;
-        Leader.NeedsDispatch = true;
+        requestDispatchOfAllPools(Leader);
         Log.info("advice", {{"job", Step.Job},
                             {"step", Step.Step},
                             {"named", Requested.size()},
