--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -87,13 +87,19 @@
                    std::vector<candidate> &Out) {
   const time_point Now = Leader.Now();
   const job_rule *Rule = Entry.Job.rule();
+  const auto MayStart = [&](const step_spec &Spec, const task &Each) {
+    const bool BacksOff = !Each.Done && Each.Runs == 0 && Each.NotBefore > Now;
+    if (BacksOff)
+      requestDispatch(Leader, Entry.Job.pool(), Each.NotBefore);
+    return isWaiting(Entry.Job, Spec, Each, Now);
+  };
   for (auto &Occurrence : Entry.Job.openOccurrences()) {
     for (std::uint32_t I = 0; I < Occurrence.Steps.size(); ++I) {
       const step &Step = Occurrence.Steps[I];
       const step_spec &Spec = Entry.Job.spec().Steps[I];
       const bool Waits = !Step.done() && Entry.Job.ready(Occurrence, I) &&
                          std::ranges::any_of(Step.Tasks, [&](const task &Each) {
-                           return isWaiting(Entry.Job, Spec, Each, Now);
+                           return MayStart(Spec, Each);
                          });
       if (!Waits)
         continue;
@@ -129,7 +135,7 @@
   std::int64_t Used = 0;
   std::int64_t Capacity = 0;
   for (const server *Each : Servers) {
-    Used += Each->Used.Cpu;
+    Used += Each->Totals.Used.Cpu;
     Capacity += Each->Entry.Capacity.Cpu;
   }
   return Capacity == 0
@@ -276,15 +282,32 @@
     requestTickets(Leader, Step, Spec, Waiting, Servers);
 }
 
+/** @return The largest amount of each resource that is free on any one of the
+ * backend servers. */
+resources maxFree(const std::vector<server *> &Servers) {
+  resources Max;
+  for (const server *Each : Servers) {
+    const resources Free = Each->free();
+    Max = {std::max(Max.Cpu, Free.Cpu), std::max(Max.Memory, Free.Memory),
+           std::max(Max.Gpu, Free.Gpu)};
+  }
+  return Max;
+}
+
 void dispatchPool(leader &Leader, const std::string &Pool) {
   auto Servers = availableServers(Leader, Pool);
   if (Servers.empty())
     return;
+  // Starts only reduce what is free, so it remains an upper bound.
+  const resources MaxFree = maxFree(Servers);
   for (const candidate &Each : candidatesOf(Leader, Pool)) {
     const bool Full =
         Each.Urgency == urgency::Expired && loadOf(Servers) > MaxLoadForExpired;
     if (Full)
       break;
+    const step_spec &Step = Each.Entry->Job.spec().Steps[Each.Step];
+    if (!server::chargedResources(Step.Size, Step.BestEffort).fits(MaxFree))
+      continue;
     startStep(Leader, Each, Servers);
   }
 }
@@ -342,9 +365,13 @@
 }
 
 void dispatch(leader &Leader) {
-  Leader.NeedsDispatch = false;
-  for (const pool_rule &Pool : Leader.Rules.Pools)
+  for (const pool_rule &Pool : Leader.Rules.Pools) {
+    const auto Due = Leader.DispatchDue.find(Pool.Name);
+    if (Due == Leader.DispatchDue.end() || Due->second > Leader.Now())
+      continue;
+    Leader.DispatchDue.erase(Due);
     dispatchPool(Leader, Pool.Name);
+  }
 }
 
 void handleStragglers(leader &Leader) {
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -162,6 +162,7 @@
   std::map<std::string, std::unique_ptr<job_entry>> Jobs;
   /** Jobs that have not ended. */
   std::map<std::string, job_entry *> OpenJobs;
+  run_locations RunLocations;
   /** By id of the backend server's incarnation. */
   std::map<std::string, std::unique_ptr<server>> Servers;
   /** Task durations by queue. */
@@ -196,8 +197,8 @@
   /** Whether leadership was confirmed so recently that no successor can send VM
    * orders yet. */
   std::function<bool()> LeadershipConfirmed;
-  /** Set after changes that may allow a task to start. */
-  bool NeedsDispatch{true};
+  /** Pools in which a task may be able to start, and from when on. */
+  std::map<std::string, time_point> DispatchDue;
   /** Callbacks hold it weakly to detect that the leader no longer exists. */
   std::shared_ptr<bool> LifetimeToken{std::make_shared<bool>(true)};
 
@@ -227,6 +228,14 @@
   }
 };
 
+/** @brief Requests that tasks of the pool are started if they can be placed,
+ * after a change that may allow it. */
+void requestDispatch(leader &Leader, const std::string &Pool,
+                     time_point Due = NoDeadline);
+void requestDispatchOfAllPools(leader &Leader);
+/** @brief Adds a backend server, in place of an earlier one with its id, which
+ * must have no runs. */
+server &addServer(leader &Leader, const registration &Entry);
 /** @brief Adds a job to the leader's job maps. */
 job_entry &addJob(leader &Leader, job Job);
 /** @brief Stores the job's progress; callers see the new state once it is
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -52,17 +52,15 @@
     if (Found == nullptr)
       return;
     Found->Recorded = true;
-    Leader.NeedsDispatch = true;
+    requestDispatch(Leader, Found->Entry.Pool);
   });
 }
 
-void addServer(leader &Leader, const registration &Entry) {
-  auto &Slot = Leader.Servers[Entry.Id];
-  Slot = std::make_unique<server>();
-  Slot->Entry = Entry;
-  Slot->Registered = true;
-  Slot->HeartbeatDue = Leader.Now();
-  recordServer(Leader, *Slot);
+void addRegisteredServer(leader &Leader, const registration &Entry) {
+  server &Server = addServer(Leader, Entry);
+  Server.Registered = true;
+  Server.HeartbeatDue = Leader.Now();
+  recordServer(Leader, Server);
   Log.info("backend server registered",
            {{"server", Entry.Id},
             {"address", Entry.Address},
@@ -71,12 +69,14 @@
 }
 
 void updateServer(leader &Leader, server &Server, const registration &Entry) {
+  if (Server.Registered && Server.Entry == Entry)
+    return;
   const bool Restarted = Entry.StartedAtMs != 0 &&
                          Server.Entry.StartedAtMs != 0 &&
                          Entry.StartedAtMs != Server.Entry.StartedAtMs;
   if (Restarted) {
     markServerLost(Leader, Server, "restarted under its id");
-    addServer(Leader, Entry);
+    addRegisteredServer(Leader, Entry);
     return;
   }
   if (Entry.Draining && !Server.Entry.Draining)
@@ -88,6 +88,7 @@
   Server.Registered = true;
   Server.MissingSince = NoDeadline;
   recordServer(Leader, Server);
+  requestDispatch(Leader, Entry.Pool);
 }
 
 /** @brief Adds a run that the backend server lists but the leader does not
@@ -217,7 +218,7 @@
       static_cast<void>(
           Server.Lease.extend(Leader.Now(), Leader.Settings.Lease));
     Server.Synced = true;
-    Leader.NeedsDispatch = true;
+    requestDispatch(Leader, Server.Entry.Pool);
   }
   const bool Unrecorded = Server.LastAppliedEnd != Server.LastStoredEnd;
   Server.HeartbeatDue =
@@ -313,7 +314,7 @@
     Present.insert(Entry.Id);
     const auto Found = Leader.Servers.find(Entry.Id);
     if (Found == Leader.Servers.end())
-      addServer(Leader, Entry);
+      addRegisteredServer(Leader, Entry);
     else
       updateServer(Leader, *Found->second, Entry);
   }
@@ -324,7 +325,6 @@
     if (Server->MissingSince == NoDeadline)
       Server->MissingSince = Leader.Now();
   }
-  Leader.NeedsDispatch = true;
 }
 
 void updateVms(leader &Leader, const std::vector<vm> &Vms) {
@@ -372,17 +372,15 @@
     Log.error("stored record of a backend server is not readable",
               {{"server", Id}, {"error", Error.what()}});
   }
-  auto &Slot = Leader.Servers[Id];
-  Slot = std::make_unique<server>();
-  Slot->Entry = Entry;
-  Slot->Recorded = true;
-  Slot->MissingSince = Leader.Now();
-  Slot->HeartbeatDue = Leader.Now();
+  server &Server = addServer(Leader, Entry);
+  Server.Recorded = true;
+  Server.MissingSince = Leader.Now();
+  Server.HeartbeatDue = Leader.Now();
   const auto Longest =
       static_cast<double>(Leader.Settings.Lease.count()) * MaxClockStretch;
-  Slot->RunsUnknownUntil = Leader.Now() +
-                           duration{static_cast<std::int64_t>(Longest)} +
-                           RetryInterval;
+  Server.RunsUnknownUntil = Leader.Now() +
+                            duration{static_cast<std::int64_t>(Longest)} +
+                            RetryInterval;
 }
 
 bool runsUnknown(const leader &Leader, const std::string_view Pool) {
