Soak: failing runs, unreadable topics and cancels, judged by the users' rules

The soak let every run end as done and cut the store off as a whole only, so a leader that works without the operator's rules was never played, and a job shown as failed was never judged.

The store's stand-in can stop serving reads of one topic, runs fail at random, and all nodes are killed while the operator's records are unreadable. Clients cancel a tenth of the jobs. Each run is recorded with the time and the acknowledgement of its end; starts after the attempt limit, states shown without their cause, late cancel acknowledgements and cancelled tasks that run on are reported. Bounds are those of the users' rules and hold in calm. The clocks of backend servers run up to 2% slow.

--- a/test/soak/fleet_standin.cpp
+++ b/test/soak/fleet_standin.cpp
@@ -12,10 +12,6 @@
 constexpr duration VmOrderTime = std::chrono::milliseconds{500};
 constexpr duration CrashRecoveryTime = std::chrono::milliseconds{700};
 
-std::string jobOf(const std::string &Task) {
-  return Task.substr(0, Task.find('.'));
-}
-
 void replyJson(http::exchange &Exchange, const int Status, const json &Body) {
   Exchange.reply(Status, {{"Content-Type", "application/json"}}, Body.dump());
 }
@@ -27,34 +23,21 @@
 
 } // namespace
 
-void run_checker::recordStart(const std::string &Task,
-                              const std::string &ServerId) {
-  ++StartCount;
-  StartedJobs.insert(jobOf(Task));
-  if (!Running[Task].empty())
-    Violations.push_back("task runs more than once at the same time: " + Task);
-  if (RecordedDone.contains(Task))
-    Violations.push_back("task started after its end was recorded as done: " +
-                         Task);
-  Running[Task].insert(ServerId);
-}
-
-void run_checker::recordEnd(const std::string &Task,
-                            const std::string &ServerId) {
-  Running[Task].erase(ServerId);
-}
-
 std::int64_t soak_vm::clockMs() const {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              boot_clock::now() - ClockStart)
-      .count();
+             .count() *
+         ClockPercent / 100;
 }
 
-fleet_standin::fleet_standin(http::loop &Loop, store_standin &Store)
-    : Loop{Loop}, Store{Store}, VmServer{
-                                    Loop, {}, [this](http::exchange Exchange) {
-                                      handleVmRequest(std::move(Exchange));
-                                    }} {
+fleet_standin::fleet_standin(http::loop &Loop, store_standin &Store,
+                             const std::uint64_t Seed)
+    : Loop{Loop}, Store{Store}, VmServer{Loop,
+                                         {},
+                                         [this](http::exchange Exchange) {
+                                           handleVmRequest(std::move(Exchange));
+                                         }},
+      Random{Seed} {
   static_cast<void>(VmServer.listen("127.0.0.1", 0));
   Timer = Loop.every(std::chrono::milliseconds{5}, [this] { update(); });
 }
@@ -86,6 +69,7 @@
   Vm.Id = "i-" + std::to_string(++NextId);
   Vm.StartedAtMs = wallNow();
   Vm.ClockStart = boot_clock::now();
+  Vm.ClockPercent = 98 + static_cast<std::int64_t>(Random() % 3);
   const json Entry{
       {"service", Vm.Pool},
       {"address", "127.0.0.1:" + std::to_string(Vm.Server->port())},
@@ -102,7 +86,7 @@
 
 void fleet_standin::endIncarnation(soak_vm &Vm) {
   for (const auto &Each : Vm.Running)
-    Checker.recordEnd(Each.Task, Vm.Id);
+    History.recordEnd(Each.Record, "");
   Vm.Running.clear();
   Vm.HighestClosedRun.clear();
   Vm.UnrecordedEnds.clear();
@@ -185,9 +169,10 @@
   }
   if (!AlreadyRunning) {
     const int Ms = std::stoi(Body.at("spec").get<std::string>());
+    const bool Fails = Random() % 100 < FailurePercent;
     Vm.Running.push_back(
-        {Task, Number, boot_clock::now() + std::chrono::milliseconds{Ms}});
-    Checker.recordStart(Task, Vm.Id);
+        {Task, Number, boot_clock::now() + std::chrono::milliseconds{Ms},
+         Fails ? "failed" : "done", History.recordStart(Task, Vm.Id, Number)});
   }
   replyJson(Exchange, 200,
             {{"clockMs", Vm.clockMs()}, {"born", Vm.StartedAtMs}});
@@ -212,8 +197,8 @@
                               const json &Body) {
   const std::uint64_t LastSeen = Body.value("lastSeen", std::uint64_t{0});
   std::erase_if(Vm.UnrecordedEnds, [&](const soak_vm::ended_run &Each) {
-    if (Each.Number <= LastSeen && Each.Outcome == "done")
-      Checker.RecordedDone.insert(Each.Task);
+    if (Each.Number <= LastSeen && !Each.LeaseExpired)
+      History.recordAcknowledged(Each.Record);
     return Each.Number <= LastSeen;
   });
   const std::uint32_t WaitMs = Body.value("waitMs", 0U);
@@ -244,10 +229,11 @@
                            const std::string &Outcome) {
   const server_run Run = Vm.Running[Index];
   Vm.Running.erase(Vm.Running.begin() + static_cast<std::ptrdiff_t>(Index));
-  Vm.UnrecordedEnds.push_back({++Vm.EndCount, Run.Task, Run.Number, Outcome});
+  Vm.UnrecordedEnds.push_back(
+      {++Vm.EndCount, Run.Task, Run.Number, Outcome, Run.Record, false});
   Vm.HighestClosedRun[Run.Task] =
       std::max(Vm.HighestClosedRun[Run.Task], Run.Number);
-  Checker.recordEnd(Run.Task, Vm.Id);
+  History.recordEnd(Run.Record, Outcome);
 }
 
 void fleet_standin::handleVmRequest(http::exchange Exchange) {
@@ -318,8 +304,10 @@
     if (LeaseExpired)
       endRun(Vm, I, "lapsed");
     else if (Now >= Vm.Running[I].EndsAt)
-      endRun(Vm, I, "done");
+      endRun(Vm, I, Vm.Running[I].Outcome);
   }
+  for (auto &Each : Vm.UnrecordedEnds)
+    Each.LeaseExpired = Each.LeaseExpired || LeaseExpired;
   if (Now < Vm.PartitionedUntil)
     return;
   std::erase_if(Vm.PendingHeartbeats, [&](soak_vm::pending_heartbeat &Each) {
--- a/test/soak/fleet_standin.hpp
+++ b/test/soak/fleet_standin.hpp
@@ -2,8 +2,10 @@
 #define GALENALINK_TEST_SOAK_FLEET_STANDIN_HPP
 
 #include "soak/store_standin.hpp"
+#include "soak/task_history.hpp"
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <set>
 
 namespace galenalink::soak {
@@ -13,23 +15,9 @@
   std::string Task;
   std::uint64_t Number{0};
   time_point EndsAt;
-};
-
-/** @brief Checks that no task runs twice at the same time, or starts again
- * after the leader has recorded that it is done. */
-struct run_checker {
-  /** Human-readable descriptions of the violations found. */
-  std::vector<std::string> Violations;
-  /** Jobs with at least one started task. */
-  std::set<std::string> StartedJobs;
-  /** Ids of the backend servers on which each task runs. */
-  std::map<std::string, std::set<std::string>> Running;
-  /** Done tasks whose end the leader has acknowledged as recorded. */
-  std::set<std::string> RecordedDone;
-  std::uint64_t StartCount{0};
-
-  void recordStart(const std::string &Task, const std::string &ServerId);
-  void recordEnd(const std::string &Task, const std::string &ServerId);
+  /** How it ends at that time. */
+  std::string Outcome;
+  task_history::index Record{0};
 };
 
 /** @brief A VM with its backend server; each incarnation has its own id. */
@@ -41,6 +29,8 @@
   std::int64_t StartedAtMs{0};
   std::unique_ptr<http::server> Server;
   time_point ClockStart;
+  /** Speed of its clock, in percent; the platform allows 2% too slow. */
+  std::int64_t ClockPercent{100};
   /** When a move, maintenance or crash ends; `NoDeadline` while up. */
   time_point ResumeAt{NoDeadline};
   std::string NextPool;
@@ -58,6 +48,10 @@
     std::string Task;
     std::uint64_t Run{0};
     std::string Outcome;
+    task_history::index Record{0};
+    /** The lease expired before the end was acknowledged, so that the
+     * acknowledgement does not count. */
+    bool LeaseExpired{false};
   };
   std::uint64_t EndCount{0};
   /** Ended runs that the leader has not acknowledged as recorded. */
@@ -77,7 +71,7 @@
  */
 class fleet_standin {
 public:
-  fleet_standin(http::loop &Loop, store_standin &Store);
+  fleet_standin(http::loop &Loop, store_standin &Store, std::uint64_t Seed);
 
   void addVm(const std::string &Name, const std::string &Pool, bool Standby);
   [[nodiscard]] http::address listAddress() const;
@@ -87,7 +81,10 @@
   void partitionVm(std::size_t Vm, duration Duration);
   [[nodiscard]] std::size_t size() const noexcept { return Vms.size(); }
 
-  run_checker Checker;
+  /** @brief Sets the share of runs that end as failed, in percent. */
+  void setFailurePercent(std::uint64_t Percent) { FailurePercent = Percent; }
+
+  task_history History;
   /** Highest number of VMs in maintenance at the same time. */
   std::size_t MaxInMaintenance{0};
 
@@ -119,6 +116,8 @@
   /** Kept, since destroying an exchange sends status 500. */
   std::vector<http::exchange> UnansweredExchanges;
   std::uint64_t NextId{0};
+  std::mt19937_64 Random;
+  std::uint64_t FailurePercent{0};
 };
 
 } // namespace galenalink::soak
--- /dev/null
+++ b/test/soak/node_group.cpp
@@ -0,0 +1,147 @@
+#include "soak/node_group.hpp"
+#include "galenalink/http/server.hpp"
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+namespace galenalink::soak {
+
+namespace {
+
+const std::string Host = "127.0.0.1";
+constexpr duration RestartDelay = std::chrono::milliseconds{300};
+
+/** @return A port of the address that is currently free; 0 if there is none. */
+std::uint16_t freePort(http::loop &Loop) {
+  http::server Probe{Loop, {}, [](http::exchange) {}};
+  return tryOr([&]() -> result<std::uint16_t> { return Probe.listen(Host, 0); },
+               [](const error &) { return std::uint16_t{0}; });
+}
+
+} // namespace
+
+node_group::node_group(http::loop &Loop, disruption_log &Disruptions)
+    : Loop{Loop}, Disruptions{Disruptions},
+      Directory{std::filesystem::temp_directory_path() /
+                ("galenalink-soak-" + std::to_string(::getpid()))} {
+  std::filesystem::create_directories(Directory);
+}
+
+node_group::~node_group() {
+  for (auto &Node : Nodes)
+    Node.Process->kill();
+  if (std::getenv("SOAK_KEEP_LOGS") == nullptr)
+    std::filesystem::remove_all(Directory);
+}
+
+void node_group::add(const http::address &Store, const http::address &VmList) {
+  node Node;
+  Node.Name = "node-" + std::to_string(Nodes.size());
+  Node.CallersPort = freePort(Loop);
+  const nlohmann::json Settings{
+      {"name", Node.Name},
+      {"data_centre", "north"},
+      {"callers", Host + ":" + std::to_string(Node.CallersPort)},
+      {"readiness", Host + ":" + std::to_string(freePort(Loop))},
+      {"peers", {{"host", Host}, {"port", freePort(Loop)}}},
+      {"store", toString(Store)},
+      {"vm_list", toString(VmList)},
+      {"stop_deadline_s",
+       std::chrono::duration_cast<std::chrono::seconds>(bounds::Grace).count()},
+      {"move_s", 0.5},
+      {"maintenance_s", 0.5}};
+  std::ofstream{Directory / (Node.Name + ".json")} << Settings.dump();
+  start(Node);
+  Nodes.push_back(std::move(Node));
+}
+
+void node_group::start(node &Node) {
+  ++Node.Incarnation;
+  Node.ResumeAt = NoDeadline;
+  Node.KillAt = NoDeadline;
+  Node.Killed = false;
+  Node.Process = std::make_unique<system_test::process>(
+      std::vector<std::string>{GALENALINKD, "on-platform", "--settings",
+                               (Directory / (Node.Name + ".json")).string()},
+      (Directory / (Node.Name + ".log")).string());
+}
+
+http::address node_group::callersAddress(const std::size_t Node) const {
+  return {Host, Nodes.at(Node).CallersPort};
+}
+
+std::uint64_t node_group::incarnation(const std::size_t Node) const {
+  return Nodes.at(Node).Incarnation;
+}
+
+void node_group::kill(const std::size_t Node) {
+  Disruptions.add(RestartDelay);
+  kill(Nodes.at(Node));
+}
+
+void node_group::kill(node &Node) {
+  Node.Killed = true;
+  Node.Process->signal(SIGKILL);
+}
+
+void node_group::terminate(const std::size_t Node) {
+  node &Terminated = Nodes.at(Node);
+  if (Terminated.KillAt != NoDeadline)
+    return;
+  Disruptions.add(duration::zero(), disruption_kind::Planned);
+  Terminated.KillAt = boot_clock::now() + bounds::Grace;
+  Terminated.Process->signal(SIGTERM);
+}
+
+void node_group::hangUp(const std::size_t Node) {
+  Disruptions.add(duration::zero(), disruption_kind::Planned);
+  Nodes.at(Node).Process->signal(SIGHUP);
+}
+
+void node_group::pause(const std::size_t Node, const duration Duration) {
+  node &Paused = Nodes.at(Node);
+  if (Paused.Paused || Paused.ResumeAt != NoDeadline)
+    return;
+  Disruptions.add(Duration);
+  Paused.Process->signal(SIGSTOP);
+  Paused.Paused = true;
+  Paused.ResumeAt = boot_clock::now() + Duration;
+}
+
+void node_group::update() {
+  const time_point Now = boot_clock::now();
+  for (auto &Node : Nodes) {
+    if (Node.Paused && (Now >= Node.ResumeAt || Node.Process->ended())) {
+      Node.Process->signal(SIGCONT);
+      Node.Paused = false;
+      Node.ResumeAt = NoDeadline;
+    }
+    if (Node.KillAt != NoDeadline && Now >= Node.KillAt) {
+      kill(Node);
+      Node.KillAt = NoDeadline;
+      Node.Killed = true;
+    }
+    if (!Node.Paused && Node.Process->ended())
+      onEnded(Node);
+  }
+}
+
+void node_group::onEnded(node &Node) {
+  const time_point Now = boot_clock::now();
+  const bool Terminated = !Node.Killed && Node.KillAt != NoDeadline;
+  if (Node.ResumeAt == NoDeadline) {
+    Node.ResumeAt = Now + RestartDelay;
+    if (!Node.Killed && !(Terminated && Node.Process->succeeded()))
+      Violations.push_back("process ended by itself: " + Node.Name +
+                           " number " + std::to_string(Node.Incarnation));
+  }
+  if (Now < Node.ResumeAt)
+    return;
+  Disruptions.add(duration::zero(), Terminated ? disruption_kind::Planned
+                                               : disruption_kind::Unplanned);
+  start(Node);
+}
+
+} // namespace galenalink::soak
--- a/test/soak/store_standin.cpp
+++ b/test/soak/store_standin.cpp
@@ -107,6 +107,8 @@
   }
   if (Exchange.path() == "/log-append")
     append(Exchange);
+  else if (failRead(Exchange))
+    return;
   else if (Exchange.path() == "/log-read")
     read(std::move(Exchange));
   else if (Exchange.path() == "/log-newest")
@@ -115,6 +117,29 @@
     reply(Exchange, 404, "{}");
 }
 
+void store_standin::failReads(const std::string &Topic, const read_fault Fault,
+                              const duration Duration) {
+  TopicFaults[Topic] = {Fault, boot_clock::now() + Duration};
+}
+
+bool store_standin::failRead(http::exchange &Exchange) {
+  const auto Found = TopicFaults.find(Exchange.query("topic").value_or(""));
+  if (Found == TopicFaults.end() || boot_clock::now() >= Found->second.Until)
+    return false;
+  switch (Found->second.Fault) {
+  case read_fault::Reset:
+    Exchange.abort();
+    break;
+  case read_fault::Rejected:
+    reply(Exchange, 503, "{}");
+    break;
+  case read_fault::NoResponse:
+    UnansweredExchanges.push_back(std::move(Exchange));
+    break;
+  }
+  return true;
+}
+
 std::optional<std::string>
 store_standin::checkProducer(http::exchange &Exchange, topic &Topic,
                              const bool Empty) {
@@ -202,6 +227,8 @@
     return;
   const time_point Now = boot_clock::now();
   std::erase_if(PendingReads, [&](pending_read &Each) {
+    if (failRead(Each.Exchange))
+      return true;
     const bool IsReady =
         Topics[Each.Topic].Records.size() > Each.From || Now >= Each.RespondBy;
     if (IsReady)
--- a/test/soak/store_standin.hpp
+++ b/test/soak/store_standin.hpp
@@ -22,6 +22,9 @@
   DropsAppendResponses,
 };
 
+/** @brief How reads of a topic fail while the store serves the others. */
+enum class read_fault : std::uint8_t { Reset, Rejected, NoResponse };
+
 /** @brief Stand-in of the platform's store; each topic has one partition. */
 class store_standin {
 public:
@@ -35,6 +38,8 @@
   [[nodiscard]] std::optional<std::string>
   latestValue(const std::string &Topic, const std::string &Key) const;
   void setFault(store_fault Fault) { ActiveFault = Fault; }
+  /** @brief Makes reads of one topic fail for the duration. */
+  void failReads(const std::string &Topic, read_fault Fault, duration Duration);
 
 private:
   struct producer {
@@ -55,7 +60,14 @@
     time_point RespondBy;
   };
 
+  struct topic_fault {
+    read_fault Fault{read_fault::Reset};
+    time_point Until{NoDeadline};
+  };
+
   void handleRequest(http::exchange Exchange);
+  /** @return Whether the topic's fault has taken the exchange. */
+  [[nodiscard]] bool failRead(http::exchange &Exchange);
   void append(http::exchange &Exchange);
   [[nodiscard]] std::optional<std::string>
   checkProducer(http::exchange &Exchange, topic &Topic, bool Empty);
@@ -69,6 +81,7 @@
   http::server Server;
   http::timer Timer;
   std::map<std::string, topic> Topics;
+  std::map<std::string, topic_fault> TopicFaults;
   std::vector<pending_read> PendingReads;
   /** Requests that get no response; kept, since destroying an exchange sends
    * status 500. */
