Soak: disturbed links, series of signals, configuration changes and malformed input

A loopback proxy stands between clients, nodes, store, list of VMs and backend servers; it delays, resets, cuts one way and silences each link. Several faults begin at once, and signals come in series. The operator writes versions with a route that no other version has, and queries show which one is in force at each node. SOAK_NODES and SOAK_VMS set the size.

--- a/test/soak/fault_injector.cpp
+++ b/test/soak/fault_injector.cpp
@@ -1,4 +1,5 @@
 #include "soak/fault_injector.hpp"
+#include "soak/malformed_input.hpp"
 #include <algorithm>
 
 namespace galenalink::soak {
@@ -10,6 +11,7 @@
 constexpr duration CalmTime =
     bounds::Contact + bounds::Ack + 1000 * Millisecond;
 constexpr std::uint64_t UsualFailurePercent = 4;
+constexpr duration MalformedInterval = 700 * Millisecond;
 const std::string OperatorTopic = "keyed.op";
 const std::vector<std::string> Topics{OperatorTopic, "keyed.servers",
                                       "keyed.galenalink-jobs",
@@ -21,6 +23,9 @@
     {"kill", &fault_injector::killNode},
     {"terminate", &fault_injector::terminateNode},
     {"hang up", &fault_injector::hangUpNode},
+    {"kill series", &fault_injector::killSeries},
+    {"terminate series", &fault_injector::terminateSeries},
+    {"hang up series", &fault_injector::hangUpSeries},
     {"pause", &fault_injector::pauseNode},
     {"store unresponsive", &fault_injector::makeStoreUnresponsive},
     {"append responses lost", &fault_injector::dropAppendResponses},
@@ -28,6 +33,10 @@
     {"kill all without rules", &fault_injector::killAllWithoutRules},
     {"VM crash", &fault_injector::crashVm},
     {"VM partitioned", &fault_injector::partitionVm},
+    {"link disturbed", &fault_injector::disturbLink},
+    {"node partitioned", &fault_injector::partitionNode},
+    {"links reset", &fault_injector::resetLinks},
+    {"connections silenced", &fault_injector::silenceLinks},
 };
 
 fault_injector::fault_injector(http::loop &Loop, disruption_log &Disruptions,
@@ -36,6 +45,8 @@
     : Loop{Loop}, Disruptions{Disruptions}, Nodes{Nodes}, Store{Store},
       Fleet{Fleet}, Random{Seed} {
   Fleet.setFailurePercent(UsualFailurePercent);
+  MalformedTimer =
+      Loop.every(MalformedInterval, [this] { writeMalformedRegistration(); });
 }
 
 void fault_injector::start() {
@@ -66,12 +77,39 @@
     after(CalmTime, [this] { start(); });
     return;
   }
+  // Several faults may begin at once.
+  const std::uint64_t Count = 1 + randomBelow(3);
+  for (std::uint64_t I = 0; I < Count; ++I)
+    injectOne();
+  after(randomDuration(200, 2000), [this] { injectNext(); });
+}
+
+void fault_injector::injectOne() {
   const named_fault &Fault = Faults[randomBelow(Faults.size())];
   ++Counts[Fault.Name];
   (this->*Fault.Inject)();
-  after(randomDuration(50, 1200), [this] { injectNext(); });
 }
 
+// Another writer's entries are no disruption: nothing may depend on them.
+void fault_injector::writeMalformedRegistration() {
+  const auto &Rows = malformedRegistrations();
+  Store.put("keyed.servers", "odd-" + std::to_string(randomBelow(8)),
+            Rows[randomBelow(Rows.size())]);
+}
+
+void fault_injector::signalSeries(void (node_group::*Signal)(std::size_t)) {
+  const std::size_t Count = 2 + randomBelow(Nodes.size());
+  for (std::size_t I = 0; I < Count; ++I)
+    after(randomDuration(0, 1000),
+          [this, Signal, Node = randomNode()] { (Nodes.*Signal)(Node); });
+}
+
+void fault_injector::killSeries() { signalSeries(&node_group::kill); }
+
+void fault_injector::terminateSeries() { signalSeries(&node_group::terminate); }
+
+void fault_injector::hangUpSeries() { signalSeries(&node_group::hangUp); }
+
 void fault_injector::killNode() { Nodes.kill(randomNode()); }
 
 void fault_injector::terminateNode() { Nodes.terminate(randomNode()); }
@@ -121,6 +159,72 @@
   Fleet.partitionVm(randomVm(), Duration);
 }
 
+void fault_injector::disturbLink() {
+  // All but `None`.
+  const auto Fault = static_cast<link_fault>(1 + randomBelow(4));
+  setLinkFault(randomLink(), Fault, randomDuration(300, 3000));
+}
+
+void fault_injector::partitionNode() {
+  const std::size_t Node = randomNode();
+  const duration Duration = randomDuration(300, 3000);
+  for (tcp_proxy *Each : {&Nodes.callersLink(Node), &Nodes.storeLink(Node),
+                          &Nodes.vmListLink(Node)})
+    setLinkFault(*Each, link_fault::Silent, Duration);
+}
+
+void fault_injector::resetLinks() {
+  Disruptions.add(duration::zero());
+  auto Links = serviceLinks();
+  for (std::size_t I = 0; I < Nodes.size(); ++I)
+    Links.push_back(&Nodes.callersLink(I));
+  for (tcp_proxy *Each : Links) {
+    if (randomBelow(3) == 0)
+      Each->resetConnections();
+  }
+}
+
+// Open connections may stay silent for good while new ones work. Those of
+// clients do not: what a client loses by it says nothing about the nodes.
+void fault_injector::silenceLinks() {
+  Disruptions.add(duration::zero());
+  for (tcp_proxy *Each : serviceLinks()) {
+    if (randomBelow(3) == 0)
+      Each->silenceConnections();
+  }
+}
+
+std::vector<tcp_proxy *> fault_injector::serviceLinks() {
+  std::vector<tcp_proxy *> Links;
+  for (std::size_t I = 0; I < Nodes.size(); ++I) {
+    Links.push_back(&Nodes.storeLink(I));
+    Links.push_back(&Nodes.vmListLink(I));
+  }
+  for (std::size_t I = 0; I < Fleet.size(); ++I)
+    Links.push_back(&Fleet.link(I));
+  return Links;
+}
+
+tcp_proxy &fault_injector::randomLink() {
+  switch (randomBelow(4)) {
+  case 0:
+    return Nodes.callersLink(randomNode());
+  case 1:
+    return Nodes.storeLink(randomNode());
+  case 2:
+    return Nodes.vmListLink(randomNode());
+  default:
+    return Fleet.link(randomVm());
+  }
+}
+
+void fault_injector::setLinkFault(tcp_proxy &Link, const link_fault Fault,
+                                  const duration Duration) {
+  Disruptions.add(Duration);
+  Link.setFault(Fault, randomDuration(20, 400));
+  after(Duration, [&Link] { Link.setFault(link_fault::None); });
+}
+
 void fault_injector::setStoreFault(const store_fault Fault,
                                    const duration Duration) {
   Disruptions.add(Duration);
--- a/test/soak/fault_injector.hpp
+++ b/test/soak/fault_injector.hpp
@@ -33,9 +33,16 @@
   static const std::vector<named_fault> Faults;
 
   void injectNext();
+  void injectOne();
+  /** @brief Calls the member for several random nodes within a second. */
+  void signalSeries(void (node_group::*Signal)(std::size_t));
+  void writeMalformedRegistration();
   void killNode();
   void terminateNode();
   void hangUpNode();
+  void killSeries();
+  void terminateSeries();
+  void hangUpSeries();
   void pauseNode();
   void makeStoreUnresponsive();
   void dropAppendResponses();
@@ -43,7 +50,16 @@
   void killAllWithoutRules();
   void crashVm();
   void partitionVm();
+  void disturbLink();
+  void partitionNode();
+  void resetLinks();
+  void silenceLinks();
 
+  void setLinkFault(tcp_proxy &Link, link_fault Fault, duration Duration);
+  tcp_proxy &randomLink();
+  /** @return Links of the nodes to the store, the list of VMs and the backend
+   * servers. */
+  std::vector<tcp_proxy *> serviceLinks();
   void setStoreFault(store_fault Fault, duration Duration);
   void setFailurePercent(std::uint64_t Percent, duration Duration);
   void after(duration Delay, std::function<void()> Call);
@@ -61,6 +77,7 @@
   std::map<std::string, std::size_t> Counts;
   time_point PhaseEnd{NoDeadline};
   bool Stopped{false};
+  http::timer MalformedTimer;
   std::vector<http::timer> Timers;
 };
 
--- a/test/soak/fleet_standin.cpp
+++ b/test/soak/fleet_standin.cpp
@@ -58,6 +58,8 @@
         handleRequest(Vm, std::move(Exchange));
       });
   static_cast<void>(Vm.Server->listen("127.0.0.1", 0));
+  Vm.Link = std::make_unique<tcp_proxy>(
+      Loop, http::address{"127.0.0.1", Vm.Server->port()});
   startIncarnation(Vm);
 }
 
@@ -70,17 +72,16 @@
   Vm.StartedAtMs = wallNow();
   Vm.ClockStart = boot_clock::now();
   Vm.ClockPercent = 98 + static_cast<std::int64_t>(Random() % 3);
-  const json Entry{
-      {"service", Vm.Pool},
-      {"address", "127.0.0.1:" + std::to_string(Vm.Server->port())},
-      {"zone", "north"},
-      {"version", "1"},
-      {"slots", 8},
-      {"state", "ready"},
-      {"seq", 1},
-      {"born", Vm.StartedAtMs},
-      {"capacity", {{"cpu", 16000}, {"memMb", 65536}}},
-      {"labels", {"a", "r-" + Vm.Name}}};
+  const json Entry{{"service", Vm.Pool},
+                   {"address", toString(Vm.Link->address())},
+                   {"zone", "north"},
+                   {"version", "1"},
+                   {"slots", 8},
+                   {"state", "ready"},
+                   {"seq", 1},
+                   {"born", Vm.StartedAtMs},
+                   {"capacity", {{"cpu", 16000}, {"memMb", 65536}}},
+                   {"labels", {"a", "r-" + Vm.Name}}};
   Store.put("keyed.servers", Vm.Id, Entry.dump());
 }
 
--- a/test/soak/fleet_standin.hpp
+++ b/test/soak/fleet_standin.hpp
@@ -3,6 +3,7 @@
 
 #include "soak/store_standin.hpp"
 #include "soak/task_history.hpp"
+#include "soak/tcp_proxy.hpp"
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -28,6 +29,8 @@
   std::string Id;
   std::int64_t StartedAtMs{0};
   std::unique_ptr<http::server> Server;
+  /** Link from the nodes to the backend server. */
+  std::unique_ptr<tcp_proxy> Link;
   time_point ClockStart;
   /** Speed of its clock, in percent; the platform allows 2% too slow. */
   std::int64_t ClockPercent{100};
@@ -80,6 +83,7 @@
   /** @brief Leaves requests to the VM without a response for the duration. */
   void partitionVm(std::size_t Vm, duration Duration);
   [[nodiscard]] std::size_t size() const noexcept { return Vms.size(); }
+  [[nodiscard]] tcp_proxy &link(std::size_t Vm) { return *Vms.at(Vm)->Link; }
 
   /** @brief Sets the share of runs that end as failed, in percent. */
   void setFailurePercent(std::uint64_t Percent) { FailurePercent = Percent; }
--- a/test/soak/job_clients.cpp
+++ b/test/soak/job_clients.cpp
@@ -182,6 +182,14 @@
                          History.describe(Job.Id));
 }
 
+std::string job_clients::randomPath() {
+  const std::string From{"0123456789abcdef"[randomBelow(16)]};
+  const auto Found = Jobs.lower_bound(From);
+  if (Found == Jobs.end())
+    return "/" + Options.Queues.front() + "/" + std::string(16, '0');
+  return "/" + Found->second.Queue + "/" + Found->first;
+}
+
 bool job_clients::allSettled() const {
   return std::ranges::all_of(Jobs, [](const auto &Each) {
     const client_job &Job = Each.second;
--- a/test/soak/job_clients.hpp
+++ b/test/soak/job_clients.hpp
@@ -52,6 +52,8 @@
   /** @brief Adds violations that show only when all jobs have settled. */
   void checkAtEnd();
 
+  /** @return Path of a random job, or of none before the first. */
+  [[nodiscard]] std::string randomPath();
   [[nodiscard]] std::size_t size() const noexcept { return Jobs.size(); }
   [[nodiscard]] std::size_t count(client_job::outcome Outcome) const;
   [[nodiscard]] std::size_t countFinal(const std::string &State) const;
--- a/test/soak/node_group.cpp
+++ b/test/soak/node_group.cpp
@@ -39,15 +39,18 @@
 void node_group::add(const http::address &Store, const http::address &VmList) {
   node Node;
   Node.Name = "node-" + std::to_string(Nodes.size());
-  Node.CallersPort = freePort(Loop);
+  const http::address Callers{Host, freePort(Loop)};
+  Node.CallersLink = std::make_unique<tcp_proxy>(Loop, Callers);
+  Node.StoreLink = std::make_unique<tcp_proxy>(Loop, Store);
+  Node.VmListLink = std::make_unique<tcp_proxy>(Loop, VmList);
   const nlohmann::json Settings{
       {"name", Node.Name},
       {"data_centre", "north"},
-      {"callers", Host + ":" + std::to_string(Node.CallersPort)},
+      {"callers", toString(Callers)},
       {"readiness", Host + ":" + std::to_string(freePort(Loop))},
       {"peers", {{"host", Host}, {"port", freePort(Loop)}}},
-      {"store", toString(Store)},
-      {"vm_list", toString(VmList)},
+      {"store", toString(Node.StoreLink->address())},
+      {"vm_list", toString(Node.VmListLink->address())},
       {"stop_deadline_s",
        std::chrono::duration_cast<std::chrono::seconds>(bounds::Grace).count()},
       {"move_s", 0.5},
@@ -69,7 +72,19 @@
 }
 
 http::address node_group::callersAddress(const std::size_t Node) const {
-  return {Host, Nodes.at(Node).CallersPort};
+  return Nodes.at(Node).CallersLink->address();
+}
+
+tcp_proxy &node_group::callersLink(const std::size_t Node) {
+  return *Nodes.at(Node).CallersLink;
+}
+
+tcp_proxy &node_group::storeLink(const std::size_t Node) {
+  return *Nodes.at(Node).StoreLink;
+}
+
+tcp_proxy &node_group::vmListLink(const std::size_t Node) {
+  return *Nodes.at(Node).VmListLink;
 }
 
 std::uint64_t node_group::incarnation(const std::size_t Node) const {
@@ -78,10 +93,10 @@
 
 void node_group::kill(const std::size_t Node) {
   Disruptions.add(RestartDelay);
-  kill(Nodes.at(Node));
+  sendKill(Nodes.at(Node));
 }
 
-void node_group::kill(node &Node) {
+void node_group::sendKill(node &Node) {
   Node.Killed = true;
   Node.Process->signal(SIGKILL);
 }
@@ -119,9 +134,8 @@
       Node.ResumeAt = NoDeadline;
     }
     if (Node.KillAt != NoDeadline && Now >= Node.KillAt) {
-      kill(Node);
+      sendKill(Node);
       Node.KillAt = NoDeadline;
-      Node.Killed = true;
     }
     if (!Node.Paused && Node.Process->ended())
       onEnded(Node);
--- a/test/soak/node_group.hpp
+++ b/test/soak/node_group.hpp
@@ -4,6 +4,7 @@
 #include "galenalink/http/address.hpp"
 #include "galenalink/http/loop.hpp"
 #include "soak/disruption_log.hpp"
+#include "soak/tcp_proxy.hpp"
 #include "system/process.hpp"
 #include <filesystem>
 #include <memory>
@@ -21,10 +22,14 @@
   node_group(const node_group &) = delete;
   node_group &operator=(const node_group &) = delete;
 
-  /** @brief Starts a node that reaches the services at these addresses. */
+  /** @brief Starts a node with links of its own to the services. */
   void add(const http::address &Store, const http::address &VmList);
   [[nodiscard]] std::size_t size() const noexcept { return Nodes.size(); }
+  /** @return Address of the link from callers to the node. */
   [[nodiscard]] http::address callersAddress(std::size_t Node) const;
+  [[nodiscard]] tcp_proxy &callersLink(std::size_t Node);
+  [[nodiscard]] tcp_proxy &storeLink(std::size_t Node);
+  [[nodiscard]] tcp_proxy &vmListLink(std::size_t Node);
   /** @return Number of the node's current process, from 1. */
   [[nodiscard]] std::uint64_t incarnation(std::size_t Node) const;
 
@@ -44,7 +49,9 @@
 private:
   struct node {
     std::string Name;
-    std::uint16_t CallersPort{0};
+    std::unique_ptr<tcp_proxy> CallersLink;
+    std::unique_ptr<tcp_proxy> StoreLink;
+    std::unique_ptr<tcp_proxy> VmListLink;
     std::unique_ptr<system_test::process> Process;
     std::uint64_t Incarnation{0};
     /** When an ended process is restarted or a paused one continued;
@@ -57,7 +64,7 @@
   };
 
   void start(node &Node);
-  void kill(node &Node);
+  void sendKill(node &Node);
   void onEnded(node &Node);
 
   http::loop &Loop;
--- a/test/soak/soak_test.cpp
+++ b/test/soak/soak_test.cpp
@@ -1,7 +1,9 @@
+#include "soak/config_operator.hpp"
 #include "soak/fault_injector.hpp"
 #include "soak/fleet_standin.hpp"
 #include "soak/job_clients.hpp"
 #include "soak/node_group.hpp"
+#include "soak/steady_clients.hpp"
 #include "soak/store_standin.hpp"
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
@@ -21,9 +23,6 @@
 constexpr std::uint64_t WaveNumber = 1;
 constexpr std::size_t WaveMaxUnavailable = 2;
 
-/** The HTTP client sends the address that it connects to as `Host`; the routes
- * must name the same host. */
-const std::string CallersHost = "127.0.0.1";
 const std::vector<std::string> Pools{"press", "post"};
 
 std::uint64_t environmentNumber(const char *Name, const std::uint64_t Default) {
@@ -45,8 +44,13 @@
   explicit soak_run(const soak_options &Options)
       : Options{Options}, Store{Loop}, Fleet{Loop, Store, Options.Seed + 1},
         Nodes{Loop, Disruptions}, Faults{Loop,  Disruptions, Nodes,
-                                         Store, Fleet,       Options.Seed} {
-    publishConfig();
+                                         Store, Fleet,       Options.Seed},
+        Operator{Loop,
+                 Store,
+                 Nodes,
+                 Disruptions,
+                 {Pools, MaxAttempts, Options.Seed + 3}} {
+    Operator.publish();
     for (std::size_t I = 0; I < Options.VmsPerPool; ++I) {
       for (const auto &Pool : Pools)
         Fleet.addVm(Pool + "-" + std::to_string(I), Pool, false);
@@ -57,6 +61,9 @@
       Nodes.add(Store.address(), Fleet.listAddress());
     Clients = std::make_unique<job_clients>(Loop, Fleet.History, Disruptions,
                                             clientOptions());
+    Steady = std::make_unique<steady_clients>(
+        Loop, Nodes, Disruptions, [this] { return Clients->randomPath(); },
+        Options.Seed + 4);
   }
 
   void run() {
@@ -66,6 +73,8 @@
     auto SubmitTimer =
         Loop.every(JobInterval, [this] { Clients->submitNew(); });
     publishWave();
+    Operator.start();
+    Steady->start();
     Faults.start();
     runLoopFor(Options.FaultTime);
     Faults.stop();
@@ -81,12 +90,11 @@
 
   void verify() {
     using outcome = client_job::outcome;
-    for (const auto &Each : Fleet.History.violations(MaxAttempts))
-      BOOST_ERROR(Each);
-    for (const auto &Each : Nodes.Violations)
-      BOOST_ERROR(Each);
-    for (const auto &Each : Clients->Violations)
-      BOOST_ERROR(Each);
+    report(Fleet.History.violations(MaxAttempts));
+    report(Nodes.Violations);
+    report(Clients->Violations);
+    report(Steady->Violations);
+    report(Operator.Violations);
     const std::size_t Accepted = Clients->count(outcome::Accepted);
     BOOST_TEST_MESSAGE(Clients->size()
                        << " jobs, " << Accepted << " accepted, "
@@ -94,10 +102,13 @@
                        << Clients->countFinal("completed") << " completed, "
                        << Clients->countFinal("failed") << " failed, "
                        << Clients->countFinal("cancelled") << " cancelled, "
-                       << Fleet.History.starts()
-                       << " starts; faults: " << Faults.summary());
+                       << Fleet.History.starts() << " starts, "
+                       << Operator.versions() << " versions, seen in force "
+                       << Operator.confirmations()
+                       << " times; faults: " << Faults.summary());
     BOOST_TEST(Accepted * 2 > Clients->size());
     BOOST_TEST(Faults.count() > 0U);
+    BOOST_TEST(Operator.confirmations() > 0U);
     BOOST_TEST(Fleet.MaxInMaintenance <= WaveMaxUnavailable);
     const auto Wave =
         Store.latestValue("keyed.status", "wave/" + std::to_string(WaveNumber));
@@ -106,6 +117,11 @@
   }
 
 private:
+  static void report(const std::vector<std::string> &Violations) {
+    for (const auto &Each : Violations)
+      BOOST_ERROR(Each);
+  }
+
   void runLoopFor(const duration Duration) {
     static_cast<void>(
         Loop.runUntil([] { return false; }, boot_clock::now() + Duration));
@@ -121,25 +137,6 @@
     return Result;
   }
 
-  void publishConfig() {
-    json Routes = json::array();
-    json Services = json::array();
-    for (const auto &Pool : Pools) {
-      Routes.push_back({{"name", Pool},
-                        {"host", CallersHost},
-                        {"pathPrefix", "/" + Pool + "/"},
-                        {"service", Pool},
-                        {"maxAttempts", MaxAttempts},
-                        {"stretchFactor", 4},
-                        {"sloMs", 4000}});
-      Services.push_back({{"name", Pool}});
-    }
-    Services.push_back({{"name", "spare"}, {"standby", true}});
-    Store.put("keyed.op", "config",
-              json{{"version", 1}, {"routes", Routes}, {"services", Services}}
-                  .dump());
-  }
-
   void publishWave() {
     json Machines = json::array();
     for (std::size_t I = 0; I < Options.VmsPerPool; ++I)
@@ -159,7 +156,9 @@
   fleet_standin Fleet;
   node_group Nodes;
   fault_injector Faults;
+  config_operator Operator;
   std::unique_ptr<job_clients> Clients;
+  std::unique_ptr<steady_clients> Steady;
 };
 
 } // namespace
@@ -174,6 +173,8 @@
   soak_options Options;
   Options.Seed = environmentNumber("SOAK_SEED", Options.Seed);
   Options.FaultTime = environmentNumber("SOAK_SECONDS", 20) * Second;
+  Options.Nodes = environmentNumber("SOAK_NODES", Options.Nodes);
+  Options.VmsPerPool = environmentNumber("SOAK_VMS", Options.VmsPerPool);
   BOOST_TEST_MESSAGE("seed " << Options.Seed);
   soak_run Soak{Options};
   Soak.run();
