--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -1,7 +1,7 @@
 #include "galenalink/job/callers.hpp"
+#include "galenalink/job/job_limits.hpp"
 #include "galenalink/telemetry/log.hpp"
 #include <algorithm>
-#include <numeric>
 
 namespace galenalink::job {
 
@@ -11,8 +11,6 @@
 
 constexpr telemetry::logger Log{"callers"};
 
-/** Jobs with more tasks are refused. */
-constexpr std::uint64_t MaxTasks = 20000;
 /** Limit of jobs kept in memory; further ones are refused until ended jobs are
  * removed. */
 constexpr std::size_t MaxJobs = 200000;
@@ -46,7 +44,7 @@
 admission decideAdmission(leader &Leader, const queue_rule &Rule,
                           const std::string &Id, const job_spec &Spec) {
   admission_request Request;
-  Request.CriticalPathMs = criticalPathMs(Leader, Rule.Name, Spec);
+  Request.CriticalPathMs = criticalPathMs(Leader, Rule.Name, &Rule, Spec);
   Request.ObjectiveMs = Rule.Stretch * Request.CriticalPathMs + Rule.SlackMs;
   for (const auto &Step : Spec.Steps)
     Request.Work += estimateStepWork(Leader, Rule.Name, Step, Step.Count);
@@ -69,16 +67,13 @@
 
 void acceptJob(leader &Leader, const queue_rule &Rule, const std::string &Id,
                job_spec Spec, const bool Deferred, reply_function Reply) {
-  job_entry &Entry = addJob(
-      Leader, job{Id, Rule.Name, Rule.Pool, std::move(Spec), Leader.Wall()});
+  job Job{Id, Rule.Name, Rule.Pool, std::move(Spec), Leader.Wall()};
+  Job.setRule(Rule, Leader.Rules.Version);
+  job_entry &Entry = addJob(Leader, std::move(Job));
   Entry.Deferred = Deferred;
   Entry.OnStored.push_back(std::move(Reply));
   openDueOccurrences(Leader, Entry);
-  Leader.Journal.put("j" + Id, [&Leader, Id]() -> std::optional<std::string> {
-    const job_entry *Found = Leader.findJob(Id);
-    return Found == nullptr ? std::nullopt
-                            : std::optional{toRecord(Found->Job)};
-  });
+  storeJob(Leader, Id);
   Leader.Journal.whenStored([&Leader, Id] {
     job_entry *Found = Leader.findJob(Id);
     if (Found == nullptr)
@@ -199,7 +194,8 @@
   }
 }
 
-void submitJob(leader &Leader, const std::string &Queue, const std::string &Id,
+void submitJob(leader &Leader, const std::string &Queue,
+               const std::uint64_t KnownSince, const std::string &Id,
                job_spec Spec, reply_function Reply) {
   if (job_entry *Existing = Leader.findJob(Id)) {
     if (Existing->Stored)
@@ -209,18 +205,24 @@
     return;
   }
   const queue_rule *Rule = Leader.Rules.queue(Queue);
+  if (Rule == nullptr &&
+      (Leader.Rules.Version == 0 || Leader.Rules.Version < KnownSince)) {
+    Log.warning("admission", {{"job", Id},
+                              {"queue", Queue},
+                              {"verdict", "refused"},
+                              {"why", "the rules have not been read"},
+                              {"rules", Leader.Rules.Version},
+                              {"known_since", KnownSince}});
+    Reply(makeRefusal("the rules have not been read", BusyRetryMs));
+    return;
+  }
   if (Rule == nullptr) {
     caller_reply NotFound;
     NotFound.Verdict = verdict::NoQueue;
     Reply(NotFound);
     return;
   }
-  const auto Tasks =
-      std::accumulate(Spec.Steps.begin(), Spec.Steps.end(), std::uint64_t{0},
-                      [](const std::uint64_t Sum, const step_spec &Step) {
-                        return Sum + Step.Count;
-                      });
-  if (Tasks > MaxTasks || Leader.Jobs.size() >= MaxJobs) {
+  if (taskCount(Spec) > limits::MaxTasks || Leader.Jobs.size() >= MaxJobs) {
     Reply(makeRefusal("too many tasks or jobs", BusyRetryMs));
     return;
   }
