--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -78,6 +78,16 @@
   return Leader;
 }
 
+void logStartOfLeading(const job::leader &Leader) {
+  const bool HasRules = Leader.Rules.Version != 0;
+  Log.write(HasRules ? telemetry::severity::Info : telemetry::severity::Warning,
+            HasRules ? "leading" : "leading before the rules have been read",
+            {{"epoch", Leader.Epoch},
+             {"rules", Leader.Rules.Version},
+             {"open_jobs", Leader.OpenJobs.size()},
+             {"open_jobs_without_rule", countOpenJobsWithoutRule(Leader)}});
+}
+
 http::client_options peerOptions() {
   http::client_options Options;
   Options.MaxConnections = 8;
@@ -235,6 +245,7 @@
   State->AfterEvent = [this] { scheduleDispatch(); };
   Controller = std::make_unique<job::controller>(std::move(State), Records,
                                                  View.rules());
+  logStartOfLeading(Controller->state());
   Controller->setRegistrations(View.registrations());
   Controller->setWaves(View.waves());
   NextVmListAt = boot_clock::now();
@@ -316,9 +327,12 @@
   Gauges.RulesVersion = View.rules().Version;
   Gauges.ForwardedRequests = Forwarder.size();
   if (Controller) {
-    Gauges.OpenJobs = Controller->state().OpenJobs.size();
-    Gauges.Servers = Controller->state().Servers.size();
-    const auto Journal = Controller->state().Journal.currentLoad();
+    const job::leader &State = Controller->state();
+    Gauges.LeaderRulesVersion = State.Rules.Version;
+    Gauges.OpenJobsWithoutRule = job::countOpenJobsWithoutRule(State);
+    Gauges.OpenJobs = State.OpenJobs.size();
+    Gauges.Servers = State.Servers.size();
+    const auto Journal = State.Journal.currentLoad();
     const time_point Now = boot_clock::now();
     Gauges.LoopDelayS = toSeconds(LoopDelay.longest());
     Gauges.JournalRecords = Journal.Records;
@@ -348,8 +362,8 @@
                         job::reply_function Reply) {
   switch (Request.Kind) {
   case request_kind::Submit:
-    Controller->submit(Request.Queue, Request.Job, Request.Spec,
-                       std::move(Reply));
+    Controller->submit(Request.Queue, Request.RulesVersion, Request.Job,
+                       Request.Spec, std::move(Reply));
     break;
   case request_kind::Query:
     Reply(Controller->query(Request.Job));
