Write records in the order of their puts and reply once those before are stored

What callers could see: a cancel or submit without an acknowledgement for as long as the leader's records exceed one append. With more than 512 KB of records at all times, a record whose key sorts late is never written and no reply is ever sent. Change: records are written in the order of their puts, and a callback waits only for the puts before it.

--- a/src/galenalink/job/journal.cpp
+++ b/src/galenalink/job/journal.cpp
@@ -26,11 +26,16 @@
     : Hooks{std::move(Hooks)}, Epoch{Epoch} {}
 
 void journal::put(const std::string &Key, value_function Value) {
-  PendingPuts.insert_or_assign(Key, std::move(Value));
+  const auto [Found, Added] = PendingPuts.try_emplace(Key);
+  Found->second.Value = std::move(Value);
+  if (!Added)
+    return;
+  Found->second.Number = ++LastPut;
+  PendingKeys.push_back(Key);
 }
 
 void journal::whenStored(callback Callback) {
-  StoredCallbacks.push_back({std::move(Callback), Hooks.Now()});
+  StoredCallbacks.push_back({std::move(Callback), Hooks.Now(), LastPut});
 }
 
 void journal::flush() {
@@ -58,15 +63,22 @@
 
 void journal::collect() {
   BatchBytes = 0;
-  while (!PendingPuts.empty() && BatchBytes < MaxBatchBytes) {
-    const auto First = PendingPuts.begin();
-    Batch.push_back({First->first, First->second()});
+  while (!PendingKeys.empty() && BatchBytes < MaxBatchBytes) {
+    const auto First = PendingPuts.find(PendingKeys.front());
+    Batch.push_back({First->first, First->second.Value()});
     const keyed_record &Record = Batch.back();
     BatchBytes += Record.Key.size() + (Record.Value ? Record.Value->size() : 0);
     PendingPuts.erase(First);
+    PendingKeys.pop_front();
+  }
+  const std::uint64_t FirstPending =
+      PendingKeys.empty() ? LastPut + 1
+                          : PendingPuts.at(PendingKeys.front()).Number;
+  while (!StoredCallbacks.empty() &&
+         StoredCallbacks.front().AfterPut < FirstPending) {
+    BatchCallbacks.push_back(std::move(StoredCallbacks.front()));
+    StoredCallbacks.pop_front();
   }
-  if (PendingPuts.empty())
-    BatchCallbacks = std::exchange(StoredCallbacks, {});
   InFlight = true;
   if (Batch.empty()) {
     onAppendResult({call_outcome::Done, {}});
--- a/src/galenalink/job/journal.hpp
+++ b/src/galenalink/job/journal.hpp
@@ -3,9 +3,10 @@
 
 #include "galenalink/core/time.hpp"
 #include "galenalink/job/ports.hpp"
-#include <map>
+#include <deque>
 #include <memory>
 #include <optional>
+#include <unordered_map>
 
 namespace galenalink::job {
 
@@ -60,9 +61,17 @@
   [[nodiscard]] load currentLoad() const;
 
 private:
+  struct pending_put {
+    value_function Value;
+    /** Position in the order of puts; that of the oldest one that is pending
+     * for the key. */
+    std::uint64_t Number{0};
+  };
   struct pending_callback {
     callback Function;
     time_point AddedAt;
+    /** Number of the last put that it waits for. */
+    std::uint64_t AfterPut{0};
   };
 
   void collect();
@@ -72,8 +81,11 @@
   hooks Hooks;
   std::uint64_t Epoch;
   std::uint64_t Sequence{0};
-  std::map<std::string, value_function> PendingPuts;
-  std::vector<pending_callback> StoredCallbacks;
+  std::unordered_map<std::string, pending_put> PendingPuts;
+  /** Keys of `PendingPuts` in the order of their numbers. */
+  std::deque<std::string> PendingKeys;
+  std::uint64_t LastPut{0};
+  std::deque<pending_callback> StoredCallbacks;
   /** The append in flight, kept for a retry. */
   std::vector<keyed_record> Batch;
   std::vector<pending_callback> BatchCallbacks;
--- a/test/galenalink/job/journal.cpp
+++ b/test/galenalink/job/journal.cpp
@@ -1,5 +1,6 @@
 #include "galenalink/job/journal.hpp"
 #include "galenalink/job/lease.hpp"
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 using namespace galenalink;
@@ -122,6 +123,40 @@
   BOOST_TEST((Journal.currentLoad().OldestAt == Begin + 400 * Ms));
 }
 
+// Guards against cancels and submits that are never acknowledged by a leader
+// whose records exceed one append at all times: a reply must wait only for the
+// records put before it, in the order in which they were put.
+BOOST_AUTO_TEST_CASE(replies_do_not_wait_for_later_records) {
+  manual_store Store;
+  journal Journal = Store.makeJournal();
+  const std::string Large(400 << 10U, 'x');
+  int Generation = 0;
+  // Fills more than one append; the keys sort before the key of the cancel.
+  const auto PutProgress = [&] {
+    ++Generation;
+    for (const char *Key : {"a", "b", "c", "d"})
+      Journal.put(Key + std::to_string(Generation), valueOf(Large));
+  };
+  PutProgress();
+  Journal.flush();
+  bool Stored = false;
+  Journal.put("z", valueOf("cancelled"));
+  Journal.whenStored([&] { Stored = true; });
+  std::size_t Appends = 0;
+  for (; !Stored && Appends < 20; ++Appends) {
+    PutProgress();
+    Store.Respond({call_outcome::Done, ""});
+  }
+  BOOST_TEST(Stored);
+  // Two appends with the records before the one of the cancel.
+  BOOST_TEST(Appends <= 3U);
+  const auto IsCancel = [](const keyed_record &Each) {
+    return Each.Key == "z";
+  };
+  BOOST_TEST(
+      std::ranges::count_if(Store.Appends[Appends - 1].second, IsCancel) == 1);
+}
+
 // A fenced leader must be notified and must not report records as stored.
 BOOST_AUTO_TEST_CASE(fenced_leader_is_notified) {
   manual_store Store;
