--- a/src/galenalink/http/client.hpp
+++ b/src/galenalink/http/client.hpp
@@ -25,9 +25,9 @@
    */
   duration IdleTimeout{std::chrono::seconds{5}};
   /**
-   * These connections are read and written, and callbacks called, ahead of
-   * other events. It is meant for few connections whose timeouts must hold
-   * while the loop is busy.
+   * Bytes of these connections are read and written ahead of other events. It
+   * is meant for few connections whose timeouts must hold while the loop is
+   * busy; callbacks keep their turn.
    */
   bool BeforeOtherEvents{false};
 };
--- a/src/galenalink/http/loop.cpp
+++ b/src/galenalink/http/loop.cpp
@@ -96,13 +96,11 @@
 
   event_base *Base{nullptr};
   event *PostEvent{nullptr};
-  event *UrgentPostEvent{nullptr};
   std::vector<function> Posted;
-  std::vector<function> UrgentlyPosted;
   std::vector<std::unique_ptr<signal_hook>> Signals;
 
-  static void runAll(std::vector<function> &Functions) {
-    for (const function &Function : std::exchange(Functions, {}))
+  void runPosted() {
+    for (const function &Function : std::exchange(Posted, {}))
       Function();
   }
 };
@@ -126,29 +124,18 @@
   Impl->PostEvent = event_new(
       Impl->Base, -1, 0,
       [](evutil_socket_t, short, void *Self) {
-        impl::runAll(static_cast<impl *>(Self)->Posted);
+        static_cast<impl *>(Self)->runPosted();
       },
       Impl.get());
-  Impl->UrgentPostEvent = event_new(
-      Impl->Base, -1, 0,
-      [](evutil_socket_t, short, void *Self) {
-        impl::runAll(static_cast<impl *>(Self)->UrgentlyPosted);
-      },
-      Impl.get());
-  GALENALINK_ASSERT(Impl->PostEvent != nullptr &&
-                        Impl->UrgentPostEvent != nullptr,
-                    "no event");
-  event_priority_set(Impl->UrgentPostEvent, UrgentPriority);
+  GALENALINK_ASSERT(Impl->PostEvent != nullptr, "no event");
 }
 
 loop::~loop() {
   for (const auto &Hook : Impl->Signals)
     event_free(Hook->Event);
   event_free(Impl->PostEvent);
-  event_free(Impl->UrgentPostEvent);
   // Posted functions may own timers, which need the base.
   Impl->Posted.clear();
-  Impl->UrgentlyPosted.clear();
   event_base_free(Impl->Base);
 }
 
@@ -172,11 +159,6 @@
   event_active(Impl->PostEvent, EV_TIMEOUT, 0);
 }
 
-void loop::postUrgent(function Function) {
-  Impl->UrgentlyPosted.push_back(std::move(Function));
-  event_active(Impl->UrgentPostEvent, EV_TIMEOUT, 0);
-}
-
 timer loop::makeTimer(const time_point When, const duration Period,
                       const bool Urgent, function Function) {
   auto State = std::make_shared<timer::state>();
--- a/src/galenalink/http/loop.hpp
+++ b/src/galenalink/http/loop.hpp
@@ -60,8 +60,6 @@
 
   /** @brief Calls the function from the loop, after the current event. */
   void post(function Function);
-  /** @brief Like `post`, but ahead of all events that are not urgent. */
-  void postUrgent(function Function);
   /**
    * @brief Calls the function once, not before the given time. While the VM is
    * suspended, the time to go does not shrink, so it may be called late.
