Start accepted jobs whose pool the leader's rules lack

Change: tasks are started for the pools of the open jobs. A job of unknown rule (record of an earlier version) waits until the first rules have been read, because its tasks may need tickets.

Conclusion: a leader without rules goes on with accepted jobs.

--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -4,6 +4,7 @@
 #include "galenalink/job/server_watch.hpp"
 #include "galenalink/telemetry/log.hpp"
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace galenalink::job {
@@ -111,6 +112,9 @@
   for (auto &[Id, Entry] : Leader.OpenJobs) {
     if (Entry->Job.pool() != Pool || !Entry->Stored)
       continue;
+    // Whether its tasks need tickets is not known before any rules are read.
+    if (Entry->Job.rule() == nullptr && Leader.Rules.Version == 0)
+      continue;
     const bool Blocked =
         Entry->Recovered &&
         (Unknown || std::ranges::any_of(Entry->Job.formerPools(),
@@ -343,8 +347,14 @@
 
 void dispatch(leader &Leader) {
   Leader.NeedsDispatch = false;
-  for (const pool_rule &Pool : Leader.Rules.Pools)
-    dispatchPool(Leader, Pool.Name);
+  // The current rules may lack a pool that has accepted jobs.
+  std::set<std::string> Pools;
+  for (const auto &[Id, Entry] : Leader.OpenJobs) {
+    if (!Pools.contains(Entry->Job.pool()))
+      Pools.insert(Entry->Job.pool());
+  }
+  for (const std::string &Pool : Pools)
+    dispatchPool(Leader, Pool);
 }
 
 void handleStragglers(leader &Leader) {
--- a/test/galenalink/job/jobs_without_rules.cpp
+++ b/test/galenalink/job/jobs_without_rules.cpp
@@ -245,4 +245,45 @@
   BOOST_CHECK(Older->Verdict == caller_reply::verdict::NoQueue);
 }
 
+// A leader without rules started no task, although the records of the accepted
+// jobs hold the pool and the rule of their queue.
+BOOST_AUTO_TEST_CASE(leader_without_rules_starts_tasks_of_recovered_jobs) {
+  one_running_task Platform;
+  Platform.electWith({});
+  Platform.failRuns();
+  BOOST_TEST(Platform.Starts == 2U);
+  Platform.failRuns();
+  BOOST_CHECK(Platform.stateOf("a") == job_state::Failed);
+  BOOST_TEST(Platform.Starts == 2U);
+}
+
+// An accepted job never ran again after a version had removed its queue and its
+// pool, although the backend servers of the pool were still there.
+BOOST_AUTO_TEST_CASE(removed_pool_still_runs_its_accepted_jobs) {
+  one_running_task Platform;
+  fleet_rules Rules = makeRulesOfOtherPool(3);
+  Rules.Queues.clear();
+  std::erase_if(Rules.Pools,
+                [](const pool_rule &Each) { return Each.Name == "press"; });
+  Platform.Leader->setRules(Rules);
+  Platform.failRuns();
+  BOOST_TEST(Platform.Starts == 2U);
+}
+
+// A leader without rules must not start a task whose record does not hold the
+// rule of its queue: the task may need a ticket.
+BOOST_AUTO_TEST_CASE(job_of_unknown_rule_waits_for_the_first_rules) {
+  one_running_task Platform;
+  Platform.dropRuleFromRecord();
+  for (const char *Id : {"s0", "s1", "s2"})
+    Platform.crash(Id);
+  Platform.addServer("s3", "press");
+  Platform.electWith({});
+  Platform.advance(15 * Second);
+  BOOST_TEST(Platform.Starts == 1U);
+  Platform.Leader->setRules(makeRules(2, 2));
+  Platform.advance(Second);
+  BOOST_TEST(Platform.Starts == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
