--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -1,7 +1,7 @@
 #include "galenalink/job/callers.hpp"
+#include "galenalink/job/job_limits.hpp"
 #include "galenalink/telemetry/log.hpp"
 #include <algorithm>
-#include <numeric>
 
 namespace galenalink::job {
 
@@ -11,8 +11,6 @@
 
 constexpr telemetry::logger Log{"callers"};
 
-/** Jobs with more tasks are refused. */
-constexpr std::uint64_t MaxTasks = 20000;
 /** Limit of jobs kept in memory; further ones are refused until ended jobs are
  * removed. */
 constexpr std::size_t MaxJobs = 200000;
@@ -81,7 +79,7 @@
     if (Found == nullptr)
       return;
     Found->Stored = true;
-    Leader.NeedsDispatch = true;
+    requestDispatch(Leader, Found->Job.pool());
     for (const auto &Each : std::exchange(Found->OnStored, {}))
       Each(makeOkReply(Found->StoredState));
   });
@@ -152,10 +150,7 @@
     if (!AcceptsWork)
       continue;
     Load.Capacity += static_cast<double>(Server->Entry.Capacity.Cpu);
-    for (const auto &[Run, State] : Server->Runs) {
-      if (State.LongRunning && !State.BestEffort)
-        Load.Capacity -= static_cast<double>(State.Size.Cpu);
-    }
+    Load.Capacity -= static_cast<double>(Server->Totals.LongRunningCpu);
   }
   const time_point Now = Leader.Now();
   for (const auto &[Id, Entry] : Leader.OpenJobs) {
@@ -192,7 +187,7 @@
     Entry->Deferred = false;
     Load->second.InTimeWork += Request.Work;
     Load->second.DeferredWork -= Request.Work;
-    Leader.NeedsDispatch = true;
+    requestDispatch(Leader, Entry->Job.pool());
   }
 }
 
@@ -224,12 +219,7 @@
     Reply(NotFound);
     return;
   }
-  const auto Tasks =
-      std::accumulate(Spec.Steps.begin(), Spec.Steps.end(), std::uint64_t{0},
-                      [](const std::uint64_t Sum, const step_spec &Step) {
-                        return Sum + Step.Count;
-                      });
-  if (Tasks > MaxTasks || Leader.Jobs.size() >= MaxJobs) {
+  if (taskCount(Spec) > limits::MaxTasks || Leader.Jobs.size() >= MaxJobs) {
     Reply(makeRefusal("too many tasks or jobs", BusyRetryMs));
     return;
   }
