Pass a job's rule by reference

Cause: clang-tidy (performance-move-const-arg) reports std::move of a trivially copyable rule, which fails the lint step.

Change: setRule takes the rule by reference.

Measured: scripts/lint main reported it in job.hpp before; lint was not run again. ctest -R '^job$' passes.

Conclusion: no change of behaviour.

--- a/src/galenalink/job/job.hpp
+++ b/src/galenalink/job/job.hpp
@@ -86,8 +86,8 @@
   [[nodiscard]] std::uint64_t ruleVersion() const noexcept {
     return RuleVersion;
   }
-  void setRule(job_rule NewRule, const std::uint64_t Version) {
-    Rule = std::move(NewRule);
+  void setRule(const job_rule &NewRule, const std::uint64_t Version) {
+    Rule = NewRule;
     RuleVersion = Version;
   }
   /** @brief Adopts rule and pool of the job's queue, unless the version is
--- a/src/galenalink/job/job_record.cpp
+++ b/src/galenalink/job/job_record.cpp
@@ -58,7 +58,7 @@
   Rule.SlackMs = From.at(4);
   if (const json &Advice = From.at(5); !Advice.is_null())
     Rule.Advice = {Advice.at(0), Advice.at(1), Advice.at(2)};
-  Job.setRule(std::move(Rule), From.at(0));
+  Job.setRule(Rule, From.at(0));
 }
 
 std::string toText(const json &From) {
