--- a/src/galenalink/job/controller.cpp
+++ b/src/galenalink/job/controller.cpp
@@ -30,6 +30,7 @@
 
 void controller::setRules(const fleet_rules &Rules) {
   Leader->Rules = Rules;
+  requestDispatchOfAllPools(*Leader);
   applyRules(*Leader);
 }
 
@@ -83,8 +84,9 @@
   const time_point Now = Leader->Now();
   if (Now >= NextPeriodicWork) {
     NextPeriodicWork = Now + PeriodicInterval;
-    // Back-offs and deadlines expire without an event that triggers dispatch.
-    Leader->NeedsDispatch = true;
+    // Deadlines and ejections of backend servers end without an event that
+    // triggers dispatch.
+    requestDispatchOfAllPools(*Leader);
     handleStragglers(*Leader);
     promoteDeferredJobs(*Leader);
     advanceMaintenance(*Leader);
@@ -100,8 +102,7 @@
 }
 
 void controller::dispatchAndFlush() {
-  if (Leader->NeedsDispatch)
-    dispatch(*Leader);
+  dispatch(*Leader);
   Leader->Journal.flush();
 }
 
