Soak: give each node a loopback address of its own

Nodes of a soak took ports of 127.0.0.1 that were free at that moment. While a node was down, an outgoing connection could be given the same port, and the node then ended at every start.

Each node listens on its own address of the loopback network.

Before: SOAK_SEED=205 SOAK_NODES=24 SOAK_VMS=12 SOAK_SECONDS=13 test_soak reported 76 ends of one process, each logged as 'can't listen on 127.0.0.1 port 46281'.

--- a/test/soak/node_group.cpp
+++ b/test/soak/node_group.cpp
@@ -10,11 +10,18 @@
 
 namespace {
 
-const std::string Host = "127.0.0.1";
 constexpr duration RestartDelay = std::chrono::milliseconds{300};
 
+/** @return Loopback address of a node. No other process binds it: the ports of
+ * a node that is down would otherwise be taken by outgoing connections. */
+std::string hostOf(const std::size_t Node) {
+  const auto Process = static_cast<unsigned>(::getpid());
+  return "127." + std::to_string(1 + Process / 250 % 250) + "." +
+         std::to_string(Process % 250) + "." + std::to_string(1 + Node);
+}
+
 /** @return A port of the address that is currently free; 0 if there is none. */
-std::uint16_t freePort(http::loop &Loop) {
+std::uint16_t freePort(http::loop &Loop, const std::string &Host) {
   http::server Probe{Loop, {}, [](http::exchange) {}};
   return tryOr([&]() -> result<std::uint16_t> { return Probe.listen(Host, 0); },
                [](const error &) { return std::uint16_t{0}; });
@@ -39,7 +46,8 @@
 void node_group::add(const http::address &Store, const http::address &VmList) {
   node Node;
   Node.Name = "node-" + std::to_string(Nodes.size());
-  const http::address Callers{Host, freePort(Loop)};
+  const std::string Host = hostOf(Nodes.size());
+  const http::address Callers{Host, freePort(Loop, Host)};
   Node.CallersLink = std::make_unique<tcp_proxy>(Loop, Callers);
   Node.StoreLink = std::make_unique<tcp_proxy>(Loop, Store);
   Node.VmListLink = std::make_unique<tcp_proxy>(Loop, VmList);
@@ -47,8 +55,8 @@
       {"name", Node.Name},
       {"data_centre", "north"},
       {"callers", toString(Callers)},
-      {"readiness", Host + ":" + std::to_string(freePort(Loop))},
-      {"peers", {{"host", Host}, {"port", freePort(Loop)}}},
+      {"readiness", Host + ":" + std::to_string(freePort(Loop, Host))},
+      {"peers", {{"host", Host}, {"port", freePort(Loop, Host)}}},
       {"store", toString(Node.StoreLink->address())},
       {"vm_list", toString(Node.VmListLink->address())},
       {"stop_deadline_s",
