Ignore SIGHUP from the start of the process

The node set its handler of SIGHUP once it had started. A SIGHUP that arrived before, while settings were read and connections opened, ended the process.

Change. galenalinkd ignores SIGHUP until the handler is set. SIGTERM before that still ends the process, as asked.

After: test_startup passes.

A change of the settings beside a start no longer costs a node.

--- a/apps/galenalinkd.cpp
+++ b/apps/galenalinkd.cpp
@@ -93,6 +93,8 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
+  // SIGHUP may arrive before its handler is set, and would end the process.
+  std::signal(SIGHUP, SIG_IGN);
   CLI::App App{"Node daemon of galenalink.", "galenalinkd"};
   App.set_version_flag("--version", "galenalinkd " GALENALINK_VERSION);
   App.footer("Example:\n  galenalinkd --settings node.json\n"
--- a/test/system/process.cpp
+++ b/test/system/process.cpp
@@ -48,6 +48,10 @@
   return Reaped;
 }
 
+bool process::endedBy(const int Signal) noexcept {
+  return ended() && WIFSIGNALED(Status) && WTERMSIG(Status) == Signal;
+}
+
 void process::kill() noexcept {
   if (ended())
     return;
--- a/test/system/process.hpp
+++ b/test/system/process.hpp
@@ -22,6 +22,8 @@
   [[nodiscard]] bool ended() noexcept;
   /** @return Whether it ended by itself with status 0. */
   [[nodiscard]] bool succeeded() noexcept { return ended() && Status == 0; }
+  /** @return Whether the signal has ended it. */
+  [[nodiscard]] bool endedBy(int Signal) noexcept;
   /** @brief Sends SIGKILL and waits for the end. */
   void kill() noexcept;
 
