--- a/test/soak/disruption_log.hpp
+++ b/test/soak/disruption_log.hpp
@@ -16,6 +16,8 @@
 inline constexpr duration Rollback = std::chrono::milliseconds{250};
 inline constexpr duration LossSlack = std::chrono::milliseconds{200};
 inline constexpr duration Visible = std::chrono::milliseconds{3000};
+/** An end so soon after a disruption of the process is not its own. */
+inline constexpr duration OwnEnd = std::chrono::milliseconds{1000};
 inline constexpr duration Finish = std::chrono::seconds{14};
 inline constexpr duration Grace = std::chrono::seconds{4};
 } // namespace bounds
--- a/test/soak/node_group.hpp
+++ b/test/soak/node_group.hpp
@@ -54,6 +54,7 @@
     std::unique_ptr<tcp_proxy> VmListLink;
     std::unique_ptr<system_test::process> Process;
     std::uint64_t Incarnation{0};
+    time_point StartedAt;
     /** When an ended process is restarted or a paused one continued;
      * `NoDeadline` while running. */
     time_point ResumeAt{NoDeadline};
@@ -66,6 +67,8 @@
   void start(node &Node);
   void sendKill(node &Node);
   void onEnded(node &Node);
+  /** @return Whether a signal that was sent explains the end of the process. */
+  [[nodiscard]] static bool endExplained(node &Node);
 
   http::loop &Loop;
   disruption_log &Disruptions;
