Compare the list of VMs with the backend servers in one pass

For each VM of the list the leader compared all backend servers' names: work that grows with the square of the fleet. One pass over the list and one over the backend servers.

--- a/src/galenalink/job/server.hpp
+++ b/src/galenalink/job/server.hpp
@@ -70,6 +70,8 @@
   std::uint32_t LatencySensitive{0};
   /** CPU reserved for long-running runs, thousandths of a core. */
   std::int64_t LongRunningCpu{0};
+
+  [[nodiscard]] bool operator==(const run_totals &) const = default;
 };
 
 /** @brief One incarnation of a backend server as the leader sees it. */
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <string_view>
+#include <unordered_map>
 
 namespace galenalink::job {
 
@@ -328,20 +330,24 @@
 }
 
 void updateVms(leader &Leader, const std::vector<vm> &Vms) {
+  std::unordered_map<std::string_view, const vm *> ByName;
   for (const auto &Vm : Vms) {
-    if (const auto Found = Leader.Servers.find(Vm.Server);
-        Found != Leader.Servers.end())
-      Found->second->Vm = Vm.Name;
-    for (auto &[Id, Server] : Leader.Servers) {
-      const bool Ended = Server->Vm == Vm.Name &&
-                         (Id != Vm.Server || Vm.State != vm_state::Up);
-      if (!Ended || (Server->Runs.empty() && !Server->Synced))
-        continue;
-      markServerLost(Leader, *Server,
-                     "VM state is " +
-                         std::string{nameOf(VmStateNames, Vm.State)});
-      Server->RunsUnknownUntil = NoDeadline;
-    }
+    ByName.emplace(Vm.Name, &Vm);
+    if (server *Server = Leader.findServer(Vm.Server))
+      Server->Vm = Vm.Name;
+  }
+  for (auto &[Id, Server] : Leader.Servers) {
+    const auto Listed = ByName.find(Server->Vm);
+    if (Listed == ByName.end())
+      continue;
+    const vm &Vm = *Listed->second;
+    const bool Ended = Id != Vm.Server || Vm.State != vm_state::Up;
+    if (!Ended || (Server->Runs.empty() && !Server->Synced))
+      continue;
+    markServerLost(Leader, *Server,
+                   "VM state is " +
+                       std::string{nameOf(VmStateNames, Vm.State)});
+    Server->RunsUnknownUntil = NoDeadline;
   }
 }
 
