--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -113,11 +113,14 @@
 
 void onStartResponse(leader &Leader, const std::string &ServerId,
                      const run_id &Run, const order_result &Result) {
-  Log.info("response to start order",
-           {{"run", runName(Run)},
-            {"server", ServerId},
-            {"outcome", std::string{nameOf(CallOutcomeNames, Result.Outcome)}},
-            {"why", std::string{nameOf(StartRefusalNames, Result.Reason)}}});
+  // A confirmed start adds nothing to the line "start".
+  if (Result.Outcome != call_outcome::Done)
+    Log.info(
+        "response to start order",
+        {{"run", runName(Run)},
+         {"server", ServerId},
+         {"outcome", std::string{nameOf(CallOutcomeNames, Result.Outcome)}},
+         {"why", std::string{nameOf(StartRefusalNames, Result.Reason)}}});
   if (Result.Outcome == call_outcome::Fenced) {
     Leader.OnFenced();
     return;
--- a/test/galenalink/telemetry/log.cpp
+++ b/test/galenalink/telemetry/log.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <sstream>
 #include <unistd.h>
 
@@ -44,6 +45,22 @@
   BOOST_TEST(Line["slots"] == "3");
 }
 
+// Guards against values that reach a JSON line changed or break it: whatever
+// bytes they hold, the line has the value that the JSON library writes.
+BOOST_AUTO_TEST_CASE(json_line_has_the_values_of_the_json_library) {
+  std::mt19937 Random{3};
+  for (int I = 0; I < 2000; ++I) {
+    std::string Value(Random() % 12, '\0');
+    for (char &Each : Value)
+      Each = static_cast<char>(I % 2 == 0 ? Random() : ' ' + Random() % 96);
+    const std::string Expected = nlohmann::json(Value).dump(
+        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    const std::string Line = captured(true, Value);
+    BOOST_TEST(Line.find("\"vm\":" + Expected + ",\"slots\":\"3\"}") !=
+               std::string::npos);
+  }
+}
+
 // A reader that stands still must not stop the process: lines are lost and
 // counted, and the count is written once there is room.
 BOOST_AUTO_TEST_CASE(full_pipe_loses_lines_and_counts_them) {
