Look up each listed run once for a heartbeat response

For each run that a heartbeat response lists the leader searched its own runs twice, the job and the task, and copied all listed names into a set to find missing runs.

--- a/bench/leader_process.cpp
+++ b/bench/leader_process.cpp
@@ -1,9 +1,10 @@
 // Processor time of a leading node under the load of a large site: real nodes,
 // a stand-in of the platform with 350 VMs in five pools, and about 50,000 task
 // starts a minute. Arguments: seconds of load (20), jobs a second (65), VMs in
-// each pool (70). LEADER_PROCESS_LOGS names a folder that keeps the nodes'
-// logs; LEADER_PROCESS_PROFILE=1 prints the leader's process id and waits 3 s
-// longer before the load, for a profiler to attach.
+// each pool (70), services in each pool (20). LEADER_PROCESS_LOGS names a
+// folder that keeps the nodes' logs; LEADER_PROCESS_PROFILE=1 prints the
+// leader's process id and waits 3 s longer before the load, for a profiler to
+// attach.
 
 #include "galenalink/http/client.hpp"
 #include "soak/fleet_standin.hpp"
@@ -30,6 +31,9 @@
 constexpr std::size_t NodeCount = 3;
 constexpr std::uint32_t TasksPerJob = 13;
 constexpr int TaskMs = 700;
+constexpr std::uint32_t TasksPerService = 24;
+/** The stand-in reports tasks of this duration as serving. */
+constexpr int ServiceMs = 3600000;
 const std::string Host = "127.0.0.1";
 const std::array<std::string, 5> Pools{"proofs", "types", "flyers", "post",
                                        "ledgers"};
@@ -86,9 +90,19 @@
       std::filesystem::remove_all(Directory);
   }
 
-  void run(const duration Time, const double JobsPerSecond) {
+  void run(const duration Time, const double JobsPerSecond,
+           const std::size_t Services) {
     const bool Profile = std::getenv("LEADER_PROCESS_PROFILE") != nullptr;
-    runLoopFor(4 * Second);
+    runLoopFor(3 * Second);
+    for (std::size_t I = 0; I < Services * Pools.size(); ++I)
+      submit({{"count", TasksPerService},
+              {"cpu", 500},
+              {"memMb", 100},
+              {"longRunning", true},
+              {"antiAffinity", 1},
+              {"mayMiss", 4}},
+             ServiceMs);
+    runLoopFor(3 * Second);
     const auto Idle = usage(2 * Second);
     if (Profile) {
       const auto Busiest = std::ranges::max_element(Idle);
@@ -101,7 +115,11 @@
     NextJobAt = boot_clock::now();
     SubmitTimer = Loop.every(5 * Millisecond, [this, Interval] {
       for (; NextJobAt <= boot_clock::now(); NextJobAt += Interval)
-        submit();
+        submit({{"count", TasksPerJob},
+                {"cpu", 1000},
+                {"memMb", 100},
+                {"estimateMs", TaskMs}},
+               TaskMs);
     });
     runLoopFor(3 * Second);
     const auto StartsBefore = Fleet.Checker.StartCount;
@@ -215,7 +233,7 @@
     Nodes.push_back(std::move(Node));
   }
 
-  void submit() {
+  void submit(const json &Step, const int Ms) {
     const std::string &Pool = Pools[Submitted % Pools.size()];
     char Id[17];
     std::snprintf(Id, sizeof(Id), "%016llx",
@@ -224,13 +242,9 @@
     Request.Method = http::method::Post;
     Request.Path = "/" + Pool + "/" + Id;
     Request.Headers = {{"X-Deadline-Ms", "2800"}};
-    Request.Body = json{{"spec", std::to_string(TaskMs)},
-                        {"steps",
-                         {{{"count", TasksPerJob},
-                           {"cpu", 1000},
-                           {"memMb", 100},
-                           {"estimateMs", TaskMs}}}}}
-                       .dump();
+    json Steps = json::array();
+    Steps.push_back(Step);
+    Request.Body = json{{"spec", std::to_string(Ms)}, {"steps", Steps}}.dump();
     const auto &Node = Nodes[Submitted++ % Nodes.size()];
     Client.send(
         {Host, Node.CallersPort}, std::move(Request),
@@ -273,6 +287,6 @@
   setrlimit(RLIMIT_NOFILE, &Files);
   load_run Run{static_cast<std::size_t>(Argument(3, 70))};
   Run.run(std::chrono::seconds{static_cast<std::int64_t>(Argument(1, 20))},
-          Argument(2, 65));
+          Argument(2, 65), static_cast<std::size_t>(Argument(4, 20)));
   return 0;
 }
--- a/src/galenalink/job/server.hpp
+++ b/src/galenalink/job/server.hpp
@@ -59,6 +59,8 @@
   bool PaceConfirmed{true};
   /** A pace order is in flight. */
   bool PaceSent{false};
+  /** Number of the latest heartbeat response that listed the run as running. */
+  std::uint64_t LastListing{0};
 };
 
 /** @brief Sums over the runs of a backend server. */
@@ -107,6 +109,8 @@
   time_point ListedAt;
   time_point PacedAt;
   std::uint32_t HeartbeatFailures{0};
+  /** Number of heartbeat responses with a list of runs. */
+  std::uint64_t Listings{0};
 
   run_totals Totals;
   /** Change it by `addRun` and `eraseRun` only. */
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -95,7 +95,7 @@
 
 /** @brief Adds a run that the backend server lists but the leader does not
  * know, and stops it if it is not needed. */
-void adoptRun(leader &Leader, server &Server, const listed_run &Listed) {
+run &adoptRun(leader &Leader, server &Server, const listed_run &Listed) {
   job_entry *Entry = Leader.findJob(Listed.Run.Task.Job);
   const step_spec *Step =
       Entry == nullptr ? nullptr : Entry->Job.stepSpec(Listed.Run.Task);
@@ -116,7 +116,7 @@
   }
   // An earlier leader may have set any pace.
   Run.PaceConfirmed = !Run.BestEffort;
-  Server.addRun(Listed.Run, Run);
+  run &Adopted = Server.addRun(Listed.Run, Run);
   const bool Needed = Entry != nullptr && Entry->Job.needsRun(Listed.Run.Task);
   task *Task = Needed ? Entry->Job.find(Listed.Run.Task) : nullptr;
   Log.info("run adopted", {{"job", Listed.Run.Task.Job},
@@ -127,19 +127,20 @@
     if (Task != nullptr)
       ++Task->Runs;
     stopRun(Leader, Server, Listed.Run);
-    return;
+    return Adopted;
   }
   ++Task->Runs;
   Task->LastRun = std::max(Task->LastRun, Listed.Run.Number);
   Entry->Job.markStarted();
+  return Adopted;
 }
 
 void applyRunningRuns(leader &Leader, server &Server,
                       const heartbeat_result &Result) {
   for (const auto &Listed : Result.Running) {
-    if (!Server.Runs.contains(Listed.Run))
-      adoptRun(Leader, Server, Listed);
-    run &Run = Server.Runs.at(Listed.Run);
+    run *Known = Server.findRun(Listed.Run);
+    run &Run = Known != nullptr ? *Known : adoptRun(Leader, Server, Listed);
+    Run.LastListing = Server.Listings;
     if (Run.StartConfirmedAt == NoDeadline)
       Run.StartConfirmedAt = Leader.Now();
     if (Run.State == run_state::Starting)
@@ -149,27 +150,25 @@
       Run.ProgressAt = Leader.Now();
     }
     Run.Gauge = Listed.Gauge;
+    if (Listed.Checkpoint.empty())
+      continue;
     job_entry *Entry = Leader.findJob(Listed.Run.Task.Job);
     task *Task = Entry == nullptr ? nullptr : Entry->Job.find(Listed.Run.Task);
-    if (Task != nullptr && !Listed.Checkpoint.empty() && !Task->Done)
+    if (Task != nullptr && !Task->Done)
       Task->Checkpoint = Listed.Checkpoint;
   }
 }
 
 /** @brief Releases runs that are not listed although their start or stop was
  * confirmed before the heartbeat was sent. */
-void releaseMissingRuns(leader &Leader, server &Server,
-                        const heartbeat_result &Result) {
-  std::set<run_id> Listed;
-  for (const auto &Each : Result.Running)
-    Listed.insert(Each.Run);
+void releaseMissingRuns(leader &Leader, server &Server) {
   std::vector<run_id> MissingRuns;
   for (const auto &[Id, Run] : Server.Runs) {
     const bool Started = Run.StartConfirmedAt != NoDeadline &&
                          Run.StartConfirmedAt < Server.HeartbeatSentAt;
     const bool Stopped = Run.StopConfirmedAt != NoDeadline &&
                          Run.StopConfirmedAt < Server.HeartbeatSentAt;
-    if ((Started || Stopped) && !Listed.contains(Id))
+    if ((Started || Stopped) && Run.LastListing != Server.Listings)
       MissingRuns.push_back(Id);
   }
   for (const auto &Id : MissingRuns)
@@ -209,10 +208,11 @@
         {{"server", Server.Entry.Id}, {"failures", Server.HeartbeatFailures}});
   Server.HeartbeatFailures = 0;
   Server.ListedAt = Leader.Now();
+  ++Server.Listings;
   Server.Lease.recordClock(Result.ClockMs, Leader.Now());
   applyRunEnds(Leader, Server, Result);
   applyRunningRuns(Leader, Server, Result);
-  releaseMissingRuns(Leader, Server, Result);
+  releaseMissingRuns(Leader, Server);
   Server.RunsUnknownUntil = NoDeadline;
   if (!Server.Synced) {
     // Runs of an earlier leader have a lease of at most the same length.
--- a/test/soak/fleet_standin.cpp
+++ b/test/soak/fleet_standin.cpp
@@ -10,6 +10,8 @@
 constexpr std::int64_t MaxLeaseMs = 6000;
 /** Duration of a move or a maintenance. */
 constexpr duration VmOrderTime = std::chrono::milliseconds{500};
+/** Tasks of at least this duration are services, which serve at once. */
+constexpr int ServiceMs = 3600000;
 constexpr duration CrashRecoveryTime = std::chrono::milliseconds{700};
 
 std::string jobOf(const std::string &Task) {
@@ -185,8 +187,9 @@
   }
   if (!AlreadyRunning) {
     const int Ms = std::stoi(Body.at("spec").get<std::string>());
-    Vm.Running.push_back(
-        {Task, Number, boot_clock::now() + std::chrono::milliseconds{Ms}});
+    Vm.Running.push_back({Task, Number,
+                          boot_clock::now() + std::chrono::milliseconds{Ms},
+                          Ms >= ServiceMs ? 100U : 50U});
     Checker.recordStart(Task, Vm.Id);
   }
   replyJson(Exchange, 200,
@@ -229,7 +232,7 @@
 void fleet_standin::replyHeartbeat(soak_vm &Vm, http::exchange &Exchange) {
   json Running = json::array();
   for (const auto &Each : Vm.Running)
-    Running.push_back({Each.Task, Each.Number, "", 50});
+    Running.push_back({Each.Task, Each.Number, "", Each.Percent});
   json Finished = json::array();
   for (const auto &Each : Vm.UnrecordedEnds)
     Finished.push_back({Each.Number, Each.Task, Each.Run, Each.Outcome, ""});
--- a/test/soak/fleet_standin.hpp
+++ b/test/soak/fleet_standin.hpp
@@ -13,6 +13,8 @@
   std::string Task;
   std::uint64_t Number{0};
   time_point EndsAt;
+  /** Reported progress, percent. */
+  std::uint32_t Percent{50};
 };
 
 /** @brief Checks that no task runs twice at the same time, or starts again
