--- a/bench/leader_process.cpp
+++ b/bench/leader_process.cpp
@@ -30,6 +30,7 @@
 constexpr duration Second = std::chrono::seconds{1};
 constexpr std::size_t NodeCount = 3;
 constexpr std::uint32_t TasksPerJob = 13;
+constexpr std::size_t MaxAttempts = 4;
 constexpr int TaskMs = 700;
 constexpr std::uint32_t TasksPerService = 24;
 /** The stand-in reports tasks of this duration as serving. */
@@ -70,7 +71,7 @@
 class load_run {
 public:
   explicit load_run(const std::size_t VmsPerPool)
-      : Store{Loop}, Fleet{Loop, Store}, Client{Loop, clientOptions()},
+      : Store{Loop}, Fleet{Loop, Store, 1}, Client{Loop, clientOptions()},
         Directory{logDirectory()} {
     std::filesystem::create_directories(Directory);
     publishConfig();
@@ -122,9 +123,9 @@
                TaskMs);
     });
     runLoopFor(3 * Second);
-    const auto StartsBefore = Fleet.Checker.StartCount;
+    const auto StartsBefore = Fleet.History.starts();
     const auto Loaded = usage(Time);
-    const auto Starts = Fleet.Checker.StartCount - StartsBefore;
+    const auto Starts = Fleet.History.starts() - StartsBefore;
     SubmitTimer.cancel();
     report(Time, Idle, Loaded, Starts);
   }
@@ -182,7 +183,7 @@
                 "each task\n",
                 std::ranges::max(Idle), Share,
                 StartsPerSecond > 0 ? Share * 1e6 / StartsPerSecond : 0);
-    for (const auto &Each : Fleet.Checker.Violations)
+    for (const auto &Each : Fleet.History.violations(MaxAttempts))
       std::printf("VIOLATION %s\n", Each.c_str());
   }
 
@@ -194,7 +195,7 @@
                         {"host", Host},
                         {"pathPrefix", "/" + Pool + "/"},
                         {"service", Pool},
-                        {"maxAttempts", 4},
+                        {"maxAttempts", MaxAttempts},
                         {"stretchFactor", 1.6},
                         {"sloMs", 600}});
       Services.push_back({{"name", Pool}});
--- a/src/galenalink/job_node/node_metrics.cpp
+++ b/src/galenalink/job_node/node_metrics.cpp
@@ -51,6 +51,11 @@
   for (const auto &[How, Total] : Counts.Ends)
     advanceCounter("galenalink_run_ends_total", "Runs ended, by how.",
                    {{"how", text(nameOf(job::RunOutcomeNames, How))}}, Total);
+  advanceCounter("galenalink_jobs_failed_total",
+                 "Jobs failed by their attempt limit.", {}, Counts.JobsFailed);
+  advanceCounter("galenalink_failures_without_rule_total",
+                 "Failed runs of jobs whose attempt limit was not known.", {},
+                 Counts.FailuresWithoutRule);
   advanceCounter("galenalink_servers_lost_total", "Backend servers given up.",
                  {}, Counts.ServersLost);
   advanceCounter("galenalink_vm_orders_total", "Orders for VMs.",
@@ -75,10 +80,27 @@
       Gauges.Epoch);
   Set("galenalink_rules_version", "Version of the rules in force.",
       Gauges.RulesVersion);
+  Set("galenalink_leader_rules_version",
+      "Version of the rules that the leader decides with; 0 on other nodes.",
+      Gauges.LeaderRulesVersion);
+  Set("galenalink_open_jobs_without_rule",
+      "Open jobs of whose queue no rule is known; leader only.",
+      Gauges.OpenJobsWithoutRule);
   Set("galenalink_open_jobs", "Jobs that have not ended; leader only.",
       Gauges.OpenJobs);
   Set("galenalink_servers", "Backend servers known; leader only.",
       Gauges.Servers);
+  Set("galenalink_loop_delay_seconds",
+      "Longest delay of the leader's periodic work in the last second.",
+      Gauges.LoopDelayS);
+  Set("galenalink_journal_records", "Records not stored yet; leader only.",
+      Gauges.JournalRecords);
+  Set("galenalink_journal_age_seconds",
+      "Age of the oldest reply that waits for the journal; leader only.",
+      Gauges.JournalAgeS);
+  Set("galenalink_forwarded_requests",
+      "Requests of callers that wait for the leader's reply.",
+      Gauges.ForwardedRequests);
   return Metrics.render();
 }
 
