--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -3,7 +3,9 @@
 #include "galenalink/telemetry/log.hpp"
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <set>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
 
 namespace galenalink::job {
 
@@ -93,7 +95,7 @@
 
 /** @brief Adds a run that the backend server lists but the leader does not
  * know, and stops it if it is not needed. */
-void adoptRun(leader &Leader, server &Server, const listed_run &Listed) {
+run &adoptRun(leader &Leader, server &Server, const listed_run &Listed) {
   job_entry *Entry = Leader.findJob(Listed.Run.Task.Job);
   const step_spec *Step =
       Entry == nullptr ? nullptr : Entry->Job.stepSpec(Listed.Run.Task);
@@ -114,7 +116,7 @@
   }
   // An earlier leader may have set any pace.
   Run.PaceConfirmed = !Run.BestEffort;
-  Server.addRun(Listed.Run, Run);
+  run &Adopted = Server.addRun(Listed.Run, Run);
   const bool Needed = Entry != nullptr && Entry->Job.needsRun(Listed.Run.Task);
   task *Task = Needed ? Entry->Job.find(Listed.Run.Task) : nullptr;
   Log.info("run adopted", {{"job", Listed.Run.Task.Job},
@@ -125,19 +127,20 @@
     if (Task != nullptr)
       ++Task->Runs;
     stopRun(Leader, Server, Listed.Run);
-    return;
+    return Adopted;
   }
   ++Task->Runs;
   Task->LastRun = std::max(Task->LastRun, Listed.Run.Number);
   Entry->Job.markStarted();
+  return Adopted;
 }
 
 void applyRunningRuns(leader &Leader, server &Server,
                       const heartbeat_result &Result) {
   for (const auto &Listed : Result.Running) {
-    if (!Server.Runs.contains(Listed.Run))
-      adoptRun(Leader, Server, Listed);
-    run &Run = Server.Runs.at(Listed.Run);
+    run *Known = Server.findRun(Listed.Run);
+    run &Run = Known != nullptr ? *Known : adoptRun(Leader, Server, Listed);
+    Run.LastListing = Server.Listings;
     if (Run.StartConfirmedAt == NoDeadline)
       Run.StartConfirmedAt = Leader.Now();
     if (Run.State == run_state::Starting)
@@ -147,27 +150,25 @@
       Run.ProgressAt = Leader.Now();
     }
     Run.Gauge = Listed.Gauge;
+    if (Listed.Checkpoint.empty())
+      continue;
     job_entry *Entry = Leader.findJob(Listed.Run.Task.Job);
     task *Task = Entry == nullptr ? nullptr : Entry->Job.find(Listed.Run.Task);
-    if (Task != nullptr && !Listed.Checkpoint.empty() && !Task->Done)
+    if (Task != nullptr && !Task->Done)
       Task->Checkpoint = Listed.Checkpoint;
   }
 }
 
 /** @brief Releases runs that are not listed although their start or stop was
  * confirmed before the heartbeat was sent. */
-void releaseMissingRuns(leader &Leader, server &Server,
-                        const heartbeat_result &Result) {
-  std::set<run_id> Listed;
-  for (const auto &Each : Result.Running)
-    Listed.insert(Each.Run);
+void releaseMissingRuns(leader &Leader, server &Server) {
   std::vector<run_id> MissingRuns;
   for (const auto &[Id, Run] : Server.Runs) {
     const bool Started = Run.StartConfirmedAt != NoDeadline &&
                          Run.StartConfirmedAt < Server.HeartbeatSentAt;
     const bool Stopped = Run.StopConfirmedAt != NoDeadline &&
                          Run.StopConfirmedAt < Server.HeartbeatSentAt;
-    if ((Started || Stopped) && !Listed.contains(Id))
+    if ((Started || Stopped) && Run.LastListing != Server.Listings)
       MissingRuns.push_back(Id);
   }
   for (const auto &Id : MissingRuns)
@@ -207,10 +208,11 @@
         {{"server", Server.Entry.Id}, {"failures", Server.HeartbeatFailures}});
   Server.HeartbeatFailures = 0;
   Server.ListedAt = Leader.Now();
+  ++Server.Listings;
   Server.Lease.recordClock(Result.ClockMs, Leader.Now());
   applyRunEnds(Leader, Server, Result);
   applyRunningRuns(Leader, Server, Result);
-  releaseMissingRuns(Leader, Server, Result);
+  releaseMissingRuns(Leader, Server);
   Server.RunsUnknownUntil = NoDeadline;
   if (!Server.Synced) {
     // Runs of an earlier leader have a lease of at most the same length.
@@ -291,8 +293,7 @@
 
 /** @brief Sends a due heartbeat and checks the lease.
  * @return Whether the backend server can be removed. */
-bool watchServer(leader &Leader, server &Server) {
-  const time_point Now = Leader.Now();
+bool watchServer(leader &Leader, server &Server, const time_point Now) {
   if (Server.HeartbeatFailures > 0 && !Server.Runs.empty() &&
       Now >= Server.Lease.expiry())
     markServerLost(Leader, Server, "lease expired");
@@ -309,7 +310,7 @@
 
 void updateRegistrations(leader &Leader,
                          const std::vector<registration> &Registrations) {
-  std::set<std::string> Present;
+  std::unordered_set<std::string_view> Present;
   for (const auto &Entry : Registrations) {
     Present.insert(Entry.Id);
     const auto Found = Leader.Servers.find(Entry.Id);
@@ -328,27 +329,32 @@
 }
 
 void updateVms(leader &Leader, const std::vector<vm> &Vms) {
+  std::unordered_map<std::string_view, const vm *> ByName;
   for (const auto &Vm : Vms) {
-    if (const auto Found = Leader.Servers.find(Vm.Server);
-        Found != Leader.Servers.end())
-      Found->second->Vm = Vm.Name;
-    for (auto &[Id, Server] : Leader.Servers) {
-      const bool Ended = Server->Vm == Vm.Name &&
-                         (Id != Vm.Server || Vm.State != vm_state::Up);
-      if (!Ended || (Server->Runs.empty() && !Server->Synced))
-        continue;
-      markServerLost(Leader, *Server,
-                     "VM state is " +
-                         std::string{nameOf(VmStateNames, Vm.State)});
-      Server->RunsUnknownUntil = NoDeadline;
-    }
+    ByName.emplace(Vm.Name, &Vm);
+    if (server *Server = Leader.findServer(Vm.Server))
+      Server->Vm = Vm.Name;
+  }
+  for (auto &[Id, Server] : Leader.Servers) {
+    const auto Listed = ByName.find(Server->Vm);
+    if (Listed == ByName.end())
+      continue;
+    const vm &Vm = *Listed->second;
+    const bool Ended = Id != Vm.Server || Vm.State != vm_state::Up;
+    if (!Ended || (Server->Runs.empty() && !Server->Synced))
+      continue;
+    markServerLost(Leader, *Server,
+                   "VM state is " +
+                       std::string{nameOf(VmStateNames, Vm.State)});
+    Server->RunsUnknownUntil = NoDeadline;
   }
 }
 
 void watchServers(leader &Leader) {
+  const time_point Now = Leader.Now();
   std::vector<std::string> Removable;
   for (auto &[Id, Server] : Leader.Servers) {
-    if (watchServer(Leader, *Server))
+    if (watchServer(Leader, *Server, Now))
       Removable.push_back(Id);
   }
   for (const auto &Id : Removable) {
@@ -384,9 +390,10 @@
 }
 
 bool runsUnknown(const leader &Leader, const std::string_view Pool) {
+  const time_point Now = Leader.Now();
   return std::ranges::any_of(Leader.Servers, [&](const auto &Each) {
     const server &Server = *Each.second;
-    return Server.Entry.Pool == Pool && Leader.Now() < Server.RunsUnknownUntil;
+    return Now < Server.RunsUnknownUntil && Server.Entry.Pool == Pool;
   });
 }
 
