--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -290,7 +290,8 @@
   if (std::max(Age, LoopDelay.longest()) < MinLoggedDelay)
     return;
   const auto Ms = [](const duration Value) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(Value).count());
   };
   Log.info("leader is behind", {{"loop_delay_ms", Ms(LoopDelay.longest())},
                                 {"journal_age_ms", Ms(Age)},
