Skip odd records of the leader's state instead of ending each leader in turn

`from_cbor` recurses: 260,000 bytes of nested arrays, or of strings with indefinite length, exhaust the stack. `std::stoull` of the number of a wave left the process by an exception. Counts, states and times were narrowed silently, so that a record or a job with occurrences that are all due made every leader allocate all of them, and its successor once more. A heartbeat in the leader log with an epoch that no claim has deposed the leader.

Records are checked without recursion before they are decoded, numbers by `boundedInteger`. A progress record that cannot be restored changes nothing. A server record without a pool holds back all pools. Records of the leader log need an epoch from before them.

--- a/src/galenalink/job/election.cpp
+++ b/src/galenalink/job/election.cpp
@@ -1,6 +1,6 @@
 #include "galenalink/job/election.hpp"
+#include "galenalink/job/json_fields.hpp"
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace galenalink::job {
 
@@ -40,13 +40,15 @@
   try {
     const auto From = nlohmann::json::parse(Text);
     leader_record Record;
-    Record.Kind =
-        static_cast<leader_record::kind>(From.at(0).get<std::uint32_t>());
+    constexpr auto LastKind =
+        static_cast<std::uint32_t>(leader_record::kind::Release);
+    Record.Kind = static_cast<leader_record::kind>(
+        boundedInteger<std::uint32_t>(From.at(0), {0, LastKind}));
     Record.Node = From.at(1);
     Record.Address = From.at(2);
-    Record.Epoch = From.at(3);
+    Record.Epoch = boundedInteger<std::uint64_t>(From.at(3));
     return Record;
-  } catch (const nlohmann::json::exception &) {
+  } catch (const std::exception &) {
     return std::nullopt;
   }
 }
@@ -54,6 +56,9 @@
 void election::applyRecord(const std::uint64_t Offset,
                            const leader_record &Record, const time_point Now) {
   End = std::max(End, Offset + 1);
+  // The claim of an epoch precedes its other records.
+  if (Record.Kind != leader_record::kind::Claim && Record.Epoch > Offset)
+    return;
   LastRecordAt = Now;
   UnreachableEpoch = 0;
   switch (Record.Kind) {
--- a/src/galenalink/job/job.cpp
+++ b/src/galenalink/job/job.cpp
@@ -1,4 +1,5 @@
 #include "galenalink/job/job.hpp"
+#include "galenalink/job/job_limits.hpp"
 #include <algorithm>
 
 namespace galenalink::job {
@@ -18,7 +19,9 @@
     return std::nullopt;
   if (Spec.Times == 0)
     return AcceptedMs;
-  return Spec.StartAtMs + static_cast<wall_ms>(OpenedCount) * Spec.IntervalMs;
+  const auto Offset = std::min<std::uint64_t>(
+      std::uint64_t{OpenedCount} * Spec.IntervalMs, limits::MaxWallMs);
+  return Spec.StartAtMs + static_cast<wall_ms>(Offset);
 }
 
 occurrence &job::openNext() {
--- a/src/galenalink/job/job_record.cpp
+++ b/src/galenalink/job/job_record.cpp
@@ -1,5 +1,6 @@
+#include "galenalink/job/job_limits.hpp"
+#include "galenalink/job/json_fields.hpp"
 #include "galenalink/job/leader.hpp"
-#include <nlohmann/json.hpp>
 
 namespace galenalink::job {
 
@@ -7,6 +8,11 @@
 
 using nlohmann::json;
 
+/** Larger means of durations, in ms, and amounts of work are not plausible. */
+constexpr value_range<double> PositiveRange{0, 1e18};
+/** Natural logarithm of a ratio of durations. */
+constexpr value_range<double> LogRatioRange{-100, 100};
+
 /** Records are compact CBOR arrays, because storage is billed by size. */
 json toJson(const step_spec &Step) {
   const std::uint32_t Flags =
@@ -19,13 +25,21 @@
                       Step.TargetMs, Step.DisruptionBudget});
 }
 
+resources parseResources(const json &Cpu, const json &Memory, const json &Gpu) {
+  constexpr value_range<std::int64_t> Range{0, limits::MaxResource};
+  return {boundedInteger<std::int64_t>(Cpu, Range),
+          boundedInteger<std::int64_t>(Memory, Range),
+          boundedInteger<std::int64_t>(Gpu, Range)};
+}
+
 step_spec parseStep(const json &From) {
   step_spec Step;
-  Step.Count = From.at(0);
-  Step.Size = {From.at(1), From.at(2), From.at(3)};
-  Step.EstimateMs = From.at(4);
-  Step.DependsOn = From.at(5).get<std::vector<std::uint32_t>>();
-  const std::uint32_t Flags = From.at(6);
+  Step.Count = boundedInteger<std::uint32_t>(From.at(0));
+  Step.Size = parseResources(From.at(1), From.at(2), From.at(3));
+  Step.EstimateMs = boundedInteger<std::uint32_t>(From.at(4));
+  for (const auto &Each : From.at(5))
+    Step.DependsOn.push_back(boundedInteger<std::uint32_t>(Each));
+  const auto Flags = boundedInteger<std::uint32_t>(From.at(6));
   Step.Checkpointing = (Flags & 1U) != 0;
   Step.Gang = (Flags & 2U) != 0;
   Step.SameRack = (Flags & 4U) != 0;
@@ -34,13 +48,18 @@
   Step.BestEffort = (Flags & 32U) != 0;
   Step.Label = From.at(7);
   Step.Rack = From.at(8);
-  Step.MaxPerServer = From.at(9);
+  Step.MaxPerServer = boundedInteger<std::uint32_t>(From.at(9));
   Step.Image = From.at(10);
-  Step.TargetMs = From.at(11);
-  Step.DisruptionBudget = From.at(12);
+  Step.TargetMs = boundedInteger<std::uint32_t>(From.at(11));
+  Step.DisruptionBudget = boundedInteger<std::uint32_t>(From.at(12));
   return Step;
 }
 
+job_state parseState(const json &From) {
+  constexpr auto Last = static_cast<std::uint32_t>(job_state::Cancelled);
+  return static_cast<job_state>(boundedInteger<std::uint32_t>(From, {0, Last}));
+}
+
 std::string toText(const json &From) {
   const auto Bytes = json::to_cbor(From);
   return {Bytes.begin(), Bytes.end()};
@@ -71,12 +90,14 @@
     Step.Done += Step.Tasks[I].Done ? 1 : 0;
   }
   for (const auto &Each : From.at(1)) {
-    task &Task = Step.Tasks.at(Each.at(0));
-    Task.FailedRuns = Each.at(1).get<std::vector<std::uint64_t>>();
+    task &Task = Step.Tasks.at(boundedInteger<std::size_t>(Each.at(0)));
+    for (const auto &Run : Each.at(1))
+      Task.FailedRuns.push_back(boundedInteger<std::uint64_t>(Run));
     Task.Failures = static_cast<std::uint32_t>(Task.FailedRuns.size());
   }
   for (const auto &Each : From.at(2))
-    Step.Tasks.at(Each.at(0)).Checkpoint = Each.at(1);
+    Step.Tasks.at(boundedInteger<std::size_t>(Each.at(0))).Checkpoint =
+        Each.at(1);
 }
 
 } // namespace
@@ -94,16 +115,20 @@
 std::optional<job> parseJob(const std::string &Id,
                             const std::string_view Record) {
   try {
-    const json From = json::from_cbor(Record);
+    const json From = parseCbor(Record);
     job_spec Spec;
     Spec.Spec = From.at(3);
     for (const auto &Each : From.at(4))
       Spec.Steps.push_back(parseStep(Each));
-    Spec.Times = From.at(5);
-    Spec.StartAtMs = From.at(6);
-    Spec.IntervalMs = From.at(7);
-    return job{Id, From.at(0), From.at(1), std::move(Spec), From.at(2)};
-  } catch (const json::exception &) {
+    Spec.Times = boundedInteger<std::uint32_t>(From.at(5));
+    constexpr value_range<wall_ms> TimeRange{0, limits::MaxWallMs};
+    Spec.StartAtMs = boundedInteger<wall_ms>(From.at(6), TimeRange);
+    Spec.IntervalMs = boundedInteger<std::uint32_t>(From.at(7));
+    if (taskCount(Spec) > limits::MaxTasks)
+      return std::nullopt;
+    return job{Id, From.at(0), From.at(1), std::move(Spec),
+               boundedInteger<wall_ms>(From.at(2), TimeRange)};
+  } catch (const std::exception &) {
     return std::nullopt;
   }
 }
@@ -115,13 +140,14 @@
 
 std::optional<wave_progress> parseWave(const std::string_view Record) {
   try {
-    const json From = json::from_cbor(Record);
+    const json From = parseCbor(Record);
     wave_progress Wave;
-    Wave.DeadlineMs = From.at(0);
+    Wave.DeadlineMs =
+        boundedInteger<wall_ms>(From.at(0), {0, limits::MaxWallMs});
     Wave.Done = From.at(1).get<std::set<std::string>>();
     Wave.CompletedPublished = From.at(2);
     return Wave;
-  } catch (const json::exception &) {
+  } catch (const std::exception &) {
     return std::nullopt;
   }
 }
@@ -131,11 +157,15 @@
 }
 
 std::map<std::string, std::size_t> parseSizes(const std::string_view Record) {
+  std::map<std::string, std::size_t> Sizes;
   try {
-    return json::from_cbor(Record).get<std::map<std::string, std::size_t>>();
-  } catch (const json::exception &) {
-    return {};
+    const json From = parseCbor(Record);
+    for (const auto &[Pool, Size] : From.items())
+      Sizes[Pool] = boundedInteger<std::size_t>(Size);
+  } catch (const std::exception &) {
+    Sizes.clear();
   }
+  return Sizes;
 }
 
 std::string toRecord(const duration_estimator &Durations) {
@@ -148,11 +178,13 @@
 bool restoreDurations(const std::string_view Record, duration_estimator &Out) {
   try {
     std::map<std::string, duration_estimator::entry> Entries;
-    for (const auto &Each : json::from_cbor(Record))
-      Entries[Each.at(0)] = {Each.at(1), Each.at(2), Each.at(3)};
+    for (const auto &Each : parseCbor(Record))
+      Entries[Each.at(0)] = {boundedNumber(Each.at(1), PositiveRange),
+                             boundedNumber(Each.at(2), PositiveRange),
+                             boundedNumber(Each.at(3), LogRatioRange)};
     Out.restore(std::move(Entries));
     return true;
-  } catch (const json::exception &) {
+  } catch (const std::exception &) {
     return false;
   }
 }
@@ -166,12 +198,17 @@
 }
 
 std::vector<demand_peak> parsePeaks(const std::string_view Record) {
+  constexpr value_range<wall_ms> TimeRange{0, limits::MaxWallMs};
   std::vector<demand_peak> Peaks;
   try {
-    for (const auto &Each : json::from_cbor(Record))
-      Peaks.push_back({Each.at(0), Each.at(1), Each.at(2), Each.at(3),
-                       Each.at(4), Each.at(5)});
-  } catch (const json::exception &) {
+    for (const auto &Each : parseCbor(Record))
+      Peaks.push_back({Each.at(0),
+                       boundedInteger<wall_ms>(Each.at(1), TimeRange),
+                       boundedInteger<wall_ms>(Each.at(2), TimeRange),
+                       boundedNumber(Each.at(3), {0, limits::MaxWallMs}),
+                       boundedNumber(Each.at(4), PositiveRange),
+                       boundedInteger<std::uint32_t>(Each.at(5))});
+  } catch (const std::exception &) {
     Peaks.clear();
   }
   return Peaks;
@@ -195,11 +232,11 @@
 std::optional<job> parseEnded(const std::string &Id,
                               const std::string_view Progress) {
   try {
-    const json From = json::from_cbor(Progress);
+    const json From = parseCbor(Progress);
     job Job{Id, From.at(3), "", {}, 0};
     if (Job.restore(Progress) && Job.ended())
       return Job;
-  } catch (const json::exception &) {
+  } catch (const std::exception &) {
     // The progress record of an open job has no queue field.
   }
   return std::nullopt;
@@ -207,22 +244,26 @@
 
 bool job::restore(const std::string_view Progress) {
   try {
-    const json From = json::from_cbor(Progress);
-    State = static_cast<job_state>(From.at(0).get<std::uint32_t>());
-    const std::uint32_t StoredCount = From.at(1);
-    while (OpenedCount < StoredCount && OpenedCount < Spec.occurrences())
-      openNext();
-    std::vector<occurrence> Restored;
+    const json From = parseCbor(Progress);
+    const job_state Restored = parseState(From.at(0));
+    const auto StoredCount =
+        std::min(boundedInteger<std::uint32_t>(From.at(1)), Spec.occurrences());
+    // Only the open occurrences are restored: a job may have had millions.
     for (const auto &Each : From.at(2)) {
-      const std::uint32_t Number = Each.at(0);
-      occurrence &Occurrence = OpenOccurrences.at(Number);
+      const auto Number = boundedInteger<std::uint32_t>(Each.at(0));
+      if (Number < OpenedCount || Number >= StoredCount)
+        throw field_error{"unexpected occurrence"};
+      OpenedCount = Number;
+      occurrence &Occurrence = openNext();
       for (std::size_t I = 0; I < Occurrence.Steps.size(); ++I)
         restoreStep(Occurrence.Steps[I], Each.at(1).at(I));
-      Restored.push_back(Occurrence);
     }
-    OpenOccurrences = std::move(Restored);
+    OpenedCount = StoredCount;
+    State = Restored;
     return true;
   } catch (const std::exception &) {
+    OpenOccurrences.clear();
+    OpenedCount = 0;
     return false;
   }
 }
--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -1,4 +1,5 @@
 #include "galenalink/job/leader.hpp"
+#include "galenalink/job/job_limits.hpp"
 #include "galenalink/job/runs.hpp"
 #include <algorithm>
 
@@ -80,6 +81,9 @@
     const auto Due = Entry.Job.nextDue();
     if (!Due || *Due > Leader.Wall())
       return;
+    const std::size_t Open = Entry.Job.openOccurrences().size();
+    if (Open > 0 && (Open + 1) * taskCount(Entry.Job.spec()) > limits::MaxTasks)
+      return; // opened once earlier occurrences are done
     setObjective(Leader, Entry, Entry.Job.openNext());
     Leader.NeedsDispatch = true;
   }
--- a/src/galenalink/job/recovery.cpp
+++ b/src/galenalink/job/recovery.cpp
@@ -1,4 +1,5 @@
 #include "galenalink/job/recovery.hpp"
+#include "galenalink/job/job_limits.hpp"
 #include "galenalink/job/server_watch.hpp"
 #include "galenalink/telemetry/log.hpp"
 #include <charconv>
@@ -33,8 +34,11 @@
 void recoverWave(leader &Leader, const std::string &Number,
                  const std::string &Record) {
   auto Wave = parseWave(Record);
-  if (Wave)
-    Leader.Waves[std::stoull(Number)] = std::move(*Wave);
+  std::uint64_t Key = 0;
+  const char *End = Number.data() + Number.size();
+  const auto Parsed = std::from_chars(Number.data(), End, Key);
+  if (Wave && Parsed.ec == std::errc{} && Parsed.ptr == End)
+    Leader.Waves[Key] = std::move(*Wave);
   else
     Log.error("invalid record of a maintenance wave", {{"wave", Number}});
 }
@@ -67,7 +71,7 @@
 
 void recoverJob(leader &Leader, const std::string &Id,
                 const std::string &Record) {
-  auto Job = parseJob(Id, Record);
+  auto Job = isValidJobId(Id) ? parseJob(Id, Record) : std::nullopt;
   if (!Job) {
     Log.error("invalid job record", {{"job", Id}});
     return;
@@ -80,7 +84,7 @@
 void recoverProgress(leader &Leader, const std::string &Id,
                      const std::string &Record) {
   job_entry *Entry = Leader.findJob(Id);
-  if (Entry == nullptr) {
+  if (Entry == nullptr && isValidJobId(Id)) {
     // Compaction removes the job record of an ended job; its progress record
     // suffices.
     if (auto Ended = parseEnded(Id, Record)) {
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -1,8 +1,8 @@
 #include "galenalink/job/server_watch.hpp"
+#include "galenalink/job/json_fields.hpp"
 #include "galenalink/job/runs.hpp"
 #include "galenalink/telemetry/log.hpp"
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <set>
 
 namespace galenalink::job {
@@ -364,11 +364,11 @@
   registration Entry;
   Entry.Id = Id;
   try {
-    const auto From = nlohmann::json::from_cbor(Record);
+    const auto From = parseCbor(Record);
     Entry.Address = From.at(0);
+    Entry.StartedAtMs = boundedInteger<std::int64_t>(From.at(2));
     Entry.Pool = From.at(1);
-    Entry.StartedAtMs = From.at(2);
-  } catch (const nlohmann::json::exception &Error) {
+  } catch (const std::exception &Error) {
     Log.error("stored record of a backend server is not readable",
               {{"server", Id}, {"error", Error.what()}});
   }
@@ -388,7 +388,9 @@
 bool runsUnknown(const leader &Leader, const std::string_view Pool) {
   return std::ranges::any_of(Leader.Servers, [&](const auto &Each) {
     const server &Server = *Each.second;
-    return Server.Entry.Pool == Pool && Leader.Now() < Server.RunsUnknownUntil;
+    // A server whose record is unreadable may have served any pool.
+    return (Server.Entry.Pool == Pool || Server.Entry.Pool.empty()) &&
+           Leader.Now() < Server.RunsUnknownUntil;
   });
 }
 
