Check requests and replies between nodes like any foreign message

Replies were cast to enumerators without a check, so that a caller got no response to an unknown verdict; ids and jobs of requests were stored without the checks of the HTTP frontend; a wait of 9e18 ms overflowed the clock.

Before: odd_requests, huge_wait and odd_replies of test_job_node fail; after: test_job_node passes.

--- a/src/galenalink/job_node/peer_api.cpp
+++ b/src/galenalink/job_node/peer_api.cpp
@@ -1,6 +1,8 @@
 #include "galenalink/job_node/peer_api.hpp"
+#include "galenalink/job/job_limits.hpp"
+#include "galenalink/job/json_fields.hpp"
+#include <algorithm>
 #include <charconv>
-#include <nlohmann/json.hpp>
 
 namespace galenalink::job_node {
 
@@ -30,9 +32,18 @@
   const auto Text = Exchange.header(DeadlineHeader).value_or("");
   std::int64_t Ms = DefaultCallerTimeoutMs;
   std::from_chars(Text.data(), Text.data() + Text.size(), Ms);
+  Ms = std::clamp<std::int64_t>(Ms, 0, job::limits::MaxCallerTimeoutMs);
   return boot_clock::now() + std::chrono::milliseconds{Ms};
 }
 
+/** @param Last The last enumerator; the first one is 0.
+ * @throws job::field_error if the value names no enumerator. */
+template <typename Enum>
+Enum parseEnumerator(const nlohmann::json &Value, const Enum Last) {
+  return static_cast<Enum>(job::boundedInteger<std::uint32_t>(
+      Value, {0, static_cast<std::uint32_t>(Last)}));
+}
+
 } // namespace
 
 http::request toRequest(const caller_request &Request) {
@@ -85,13 +96,13 @@
   Request.Queue = http::decodeSegment(Path.substr(0, Slash));
   Request.Job = http::decodeSegment(Path.substr(Slash + 1));
   const auto Kind = kindOf(Exchange.method());
-  if (!Kind)
+  if (!Kind || !job::isValidJobId(Request.Job))
     return std::nullopt;
   Request.Kind = *Kind;
   if (Request.Kind != request_kind::Submit)
     return Request;
   const auto Job = job::parseJob(Request.Job, Exchange.body());
-  if (!Job)
+  if (!Job || !job::checkSpec(Job->spec()).empty())
     return std::nullopt;
   Request.Spec = Job->spec();
   return Request;
@@ -107,17 +118,17 @@
 
 std::optional<job::caller_reply> parseReply(const std::string_view Body) {
   try {
-    const auto Fields = nlohmann::json::from_cbor(Body);
+    const auto Fields = job::parseCbor(Body);
+    using verdict = job::caller_reply::verdict;
     job::caller_reply Reply;
-    Reply.Verdict = static_cast<job::caller_reply::verdict>(
-        Fields.at(0).get<std::uint32_t>());
-    Reply.State =
-        static_cast<job::job_state>(Fields.at(1).get<std::uint32_t>());
-    Reply.Pending = Fields.at(2);
-    Reply.RetryAfterMs = Fields.at(3);
+    Reply.Verdict = parseEnumerator(Fields.at(0), verdict::NotLeading);
+    Reply.State = parseEnumerator(Fields.at(1), job::job_state::Cancelled);
+    Reply.Pending = job::boundedInteger<decltype(Reply.Pending)>(Fields.at(2));
+    Reply.RetryAfterMs =
+        job::boundedInteger<decltype(Reply.RetryAfterMs)>(Fields.at(3));
     Reply.Reason = Fields.at(4);
     return Reply;
-  } catch (const nlohmann::json::exception &) {
+  } catch (const std::exception &) {
     return std::nullopt;
   }
 }
