Use a backend server's own registrations after one with a huge sequence number

A registration with a lower sequence number counts as a stale read. After one entry of another writer with a huge number, all entries of the backend server were ignored for ever.

The third consecutive older record of the same incarnation is used. An older incarnation is still ignored, since its return would make runs pass for lost.

--- a/src/galenalink/job_node/fleet_view.cpp
+++ b/src/galenalink/job_node/fleet_view.cpp
@@ -8,6 +8,10 @@
 
 constexpr telemetry::logger Log{"fleet"};
 
+/** So many consecutive records of an incarnation that are older than the known
+ * one are not stale reads: the known one is from another writer. */
+constexpr std::uint32_t MaxStaleRecords = 3;
+
 } // namespace
 
 bool fleet_view::applyOperatorRecords(
@@ -48,22 +52,36 @@
     auto Registration = Ports.DecodeRegistration(Record);
     if (!Registration) {
       Registrations.erase(Record.Key);
+      StaleRecords.erase(Record.Key);
       continue;
     }
     Present.insert(Record.Key);
-    const auto Found = Registrations.find(Record.Key);
-    const bool Stale =
-        Found != Registrations.end() &&
-        (Registration->StartedAtMs < Found->second.StartedAtMs ||
-         (Registration->StartedAtMs == Found->second.StartedAtMs &&
-          Registration->Sequence < Found->second.Sequence));
-    if (!Stale)
-      Registrations.insert_or_assign(Record.Key, std::move(*Registration));
+    applyRegistration(Record.Key, std::move(*Registration));
   }
   if (IsSnapshot)
     std::erase_if(Registrations, [&](const auto &Entry) {
       return !Present.contains(Entry.first);
     });
+  std::erase_if(StaleRecords, [&](const auto &Entry) {
+    return !Registrations.contains(Entry.first);
+  });
+}
+
+void fleet_view::applyRegistration(const std::string &Key,
+                                   job::registration Registration) {
+  const auto Found = Registrations.find(Key);
+  const bool Known = Found != Registrations.end();
+  // An incarnation that has ended must not return: its successor's runs would
+  // be taken for lost.
+  if (Known && Registration.StartedAtMs < Found->second.StartedAtMs)
+    return;
+  const bool Stale = Known &&
+                     Registration.StartedAtMs == Found->second.StartedAtMs &&
+                     Registration.Sequence < Found->second.Sequence;
+  if (Stale && ++StaleRecords[Key] < MaxStaleRecords)
+    return;
+  StaleRecords.erase(Key);
+  Registrations.insert_or_assign(Key, std::move(Registration));
 }
 
 std::vector<job::registration> fleet_view::registrations() const {
--- a/src/galenalink/job_node/fleet_view.hpp
+++ b/src/galenalink/job_node/fleet_view.hpp
@@ -28,10 +28,15 @@
   [[nodiscard]] std::vector<job::registration> registrations() const;
 
 private:
+  void applyRegistration(const std::string &Key,
+                         job::registration Registration);
+
   const job::ports &Ports;
   job::fleet_rules Rules;
   std::map<std::uint64_t, job::wave> Waves;
   std::map<std::string, job::registration> Registrations;
+  /** Number of consecutive older records of each key. */
+  std::map<std::string, std::uint32_t> StaleRecords;
 };
 
 /** @return The queue of the host with the longest prefix of the path;
--- a/test/galenalink/job_node/fleet_view.cpp
+++ b/test/galenalink/job_node/fleet_view.cpp
@@ -64,6 +64,24 @@
   BOOST_TEST(View.registrations().empty());
 }
 
+// Guards against an entry of another writer with a sequence number that the
+// backend server never reaches: its own entries were ignored for ever.
+BOOST_AUTO_TEST_CASE(registration_recovers_from_a_huge_sequence_number) {
+  const ports Ports = decodeNumericRecords();
+  fleet_view View{Ports};
+  View.applyRegistrations({{"i", "5"}}, true);
+  View.applyRegistrations({{"i", "9000000000000000"}}, false);
+  View.applyRegistrations({{"i", "6"}}, false);
+  View.applyRegistrations({{"i", "7"}}, false);
+  View.applyRegistrations({{"i", "8"}}, false);
+  BOOST_TEST(View.registrations().front().Sequence == 8U);
+  // The same with snapshots only.
+  View.applyRegistrations({{"i", "9000000000000000"}}, true);
+  for (const char *Sequence : {"9", "10", "11"})
+    View.applyRegistrations({{"i", Sequence}}, true);
+  BOOST_TEST(View.registrations().front().Sequence == 11U);
+}
+
 // Guards against matching a shorter prefix or a queue of another host.
 BOOST_AUTO_TEST_CASE(longest_path_prefix_is_matched) {
   fleet_rules Rules;
