--- a/test/soak/store_standin.cpp
+++ b/test/soak/store_standin.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::size_t LengthBytes = 4;
 constexpr std::size_t PageSize = 500;
+/** A page ends with the record that reaches this size. */
+constexpr std::size_t PageBytes = 1000000;
 constexpr std::size_t KeptResponses = 5;
 
 void appendNumber(std::string &Out, const std::uint64_t Value,
@@ -216,19 +218,21 @@
   const std::string AfterKey = Exchange.query("dependsOn").value_or("");
   json Items = json::array();
   bool HasMore = false;
+  std::size_t Bytes = 0;
   for (const auto &[Key, Each] : latestRecords(Records)) {
     if (!AfterKey.empty() && Key <= AfterKey)
       continue;
-    HasMore = Items.size() >= PageSize;
+    HasMore = Items.size() >= PageSize || Bytes >= PageBytes;
     if (HasMore)
       break;
+    Bytes += Each.second.size();
     Items.push_back({{"key", Key},
                      {"value", encodeBase64(Each.second)},
                      {"offset", Each.first}});
   }
   reply(Exchange, 200,
         json{{"items", Items}, {"hasMore", HasMore}, {"end", Records.size()}}
-            .dump());
+            .dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
 } // namespace galenalink::soak
--- a/test/soak/store_standin.hpp
+++ b/test/soak/store_standin.hpp
@@ -31,6 +31,10 @@
   /** @brief Appends a record to a keyed topic; no value removes the key. */
   void put(const std::string &Topic, const std::string &Key,
            const std::optional<std::string> &Value);
+  /** @brief Appends a record to a topic without keys. */
+  void append(const std::string &Topic, const std::string &Record) {
+    Topics[Topic].Records.push_back(Record);
+  }
   /** @return Latest value of a key. */
   [[nodiscard]] std::optional<std::string>
   latestValue(const std::string &Topic, const std::string &Key) const;
