--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -117,6 +117,9 @@
   for (auto &[Id, Entry] : Leader.OpenJobs) {
     if (Entry->Job.pool() != Pool || !Entry->Stored)
       continue;
+    // Whether its tasks need tickets is not known before any rules are read.
+    if (Entry->Job.rule() == nullptr && Leader.Rules.Version == 0)
+      continue;
     const bool Blocked =
         Entry->Recovered &&
         (Unknown || std::ranges::any_of(Entry->Job.formerPools(),
@@ -161,8 +164,9 @@
   job_entry &Entry = *Candidate.Entry;
   const step_spec &Spec = Entry.Job.spec().Steps[Candidate.Step];
   auto &Tasks = Candidate.Occurrence->Steps[Candidate.Step].Tasks;
+  const time_point Now = Leader.Now();
   for (std::uint32_t I = 0; I < Tasks.size(); ++I) {
-    if (!isWaiting(Entry.Job, Spec, Tasks[I], Leader.Now()))
+    if (!isWaiting(Entry.Job, Spec, Tasks[I], Now))
       continue;
     placement_request Request;
     Request.Step = &Spec;
@@ -356,21 +360,25 @@
 
 std::vector<server *> availableServers(leader &Leader,
                                        const std::string_view Pool) {
+  const time_point Now = Leader.Now();
   std::vector<server *> Servers;
   for (auto &[Id, Server] : Leader.Servers) {
-    if (Server->Entry.Pool == Pool && acceptsWork(*Server, Leader.Now()))
+    if (Server->Entry.Pool == Pool && acceptsWork(*Server, Now))
       Servers.push_back(Server.get());
   }
   return Servers;
 }
 
 void dispatch(leader &Leader) {
-  for (const pool_rule &Pool : Leader.Rules.Pools) {
-    const auto Due = Leader.DispatchDue.find(Pool.Name);
-    if (Due == Leader.DispatchDue.end() || Due->second > Leader.Now())
-      continue;
-    Leader.DispatchDue.erase(Due);
-    dispatchPool(Leader, Pool.Name);
+  // Starts may change the map.
+  std::vector<std::string> Pools;
+  for (const auto &[Pool, Due] : Leader.DispatchDue) {
+    if (Due <= Leader.Now())
+      Pools.push_back(Pool);
+  }
+  for (const std::string &Pool : Pools) {
+    Leader.DispatchDue.erase(Pool);
+    dispatchPool(Leader, Pool);
   }
 }
 
--- a/src/galenalink/job/job_record.cpp
+++ b/src/galenalink/job/job_record.cpp
@@ -79,7 +79,7 @@
     Rule.Advice = {boundedInteger<std::uint32_t>(Advice.at(0)),
                    boundedInteger<std::uint32_t>(Advice.at(1)),
                    boundedInteger<std::uint32_t>(Advice.at(2))};
-  Job.setRule(std::move(Rule), boundedInteger<std::uint64_t>(From.at(0)));
+  Job.setRule(Rule, boundedInteger<std::uint64_t>(From.at(0)));
 }
 
 std::string toText(const json &From) {
--- a/test/galenalink/job/odd_records.cpp
+++ b/test/galenalink/job/odd_records.cpp
@@ -42,7 +42,7 @@
 
 json jobFields(const job_spec &Spec = makeSpec()) {
   return json::from_cbor(
-      toRecord(job::job{"a", "press", "press", Spec, wall_ms{5}}));
+      toRecord(galenalink::job::job{"a", "press", "press", Spec, wall_ms{5}}));
 }
 
 struct one_pool : simulated_platform {
@@ -73,7 +73,7 @@
       duration_estimator Durations;
       if (Record != "\x80")
         BOOST_TEST(!restoreDurations(Record, Durations));
-      job::job Job{"a", "press", "press", makeSpec(), wall_ms{5}};
+      galenalink::job::job Job{"a", "press", "press", makeSpec(), wall_ms{5}};
       BOOST_TEST(!Job.restore(Record));
     }
   }
@@ -108,7 +108,7 @@
   const json Step = json::array({Done, json::array(), json::array()});
   const json Occurrence = json::array({0, json::array({Step})});
   const auto Restores = [](const json &Progress) {
-    job::job Job{"a", "press", "press", makeSpec(), wall_ms{5}};
+    galenalink::job::job Job{"a", "press", "press", makeSpec(), wall_ms{5}};
     const bool Restored = Job.restore(toBytes(Progress));
     if (!Restored) {
       BOOST_CHECK(Job.state() == job_state::Queued);
@@ -159,7 +159,7 @@
   Spec.Times = std::numeric_limits<std::uint32_t>::max();
   Spec.IntervalMs = std::numeric_limits<std::uint32_t>::max();
   Spec.StartAtMs = 1;
-  job::job Job{"a", "press", "press", Spec, wall_ms{5}};
+  galenalink::job::job Job{"a", "press", "press", Spec, wall_ms{5}};
   BOOST_REQUIRE(Job.restore(toBytes({1, Spec.Times - 1, json::array()})));
   BOOST_REQUIRE(Job.nextDue().has_value());
   BOOST_TEST(*Job.nextDue() > 0);
--- a/test/platform/decoder_properties.cpp
+++ b/test/platform/decoder_properties.cpp
@@ -74,7 +74,7 @@
   Spec.Steps.resize(2);
   Spec.Steps[0].Count = 9;
   Spec.Steps[1].Count = 1;
-  job::job Job{"a", "q", "p", Spec, wall_ms{1}};
+  galenalink::job::job Job{"a", "q", "p", Spec, wall_ms{1}};
   static_cast<void>(Job.restore(Message));
 }
 
@@ -86,7 +86,7 @@
   Spec.Steps[0].Count = 9;
   Spec.Steps[1].Count = 1;
   Spec.Steps[1].DependsOn = {0};
-  job::job Job{"a", "q", "p", Spec, wall_ms{1}};
+  galenalink::job::job Job{"a", "q", "p", Spec, wall_ms{1}};
   Job.setRule({}, 3);
   static_cast<void>(Job.openNext());
   static_cast<void>(Job.taskDone({"a", 0, 0, 1}));
@@ -138,7 +138,7 @@
     decodeEverywhere(Message);
     if (const auto Spec = parseJobBody(Message)) {
       RC_ASSERT(checkSpec(*Spec).empty());
-      const job::job Job{"a", "q", "p", *Spec, wall_ms{1}};
+      const galenalink::job::job Job{"a", "q", "p", *Spec, wall_ms{1}};
       const auto Again = parseJob("a", toRecord(Job));
       RC_ASSERT(Again.has_value());
       RC_ASSERT(Again->spec() == *Spec);
--- a/test/soak/fleet_standin.hpp
+++ b/test/soak/fleet_standin.hpp
@@ -19,6 +19,8 @@
   /** How it ends at that time. */
   std::string Outcome;
   task_history::index Record{0};
+  /** Reported progress, percent. */
+  std::uint32_t Percent{50};
 };
 
 /** @brief A VM with its backend server; each incarnation has its own id. */
