Look at a step's tasks only if it fits on a backend server

While a pool was full, each dispatch computed readiness, urgency and remaining time of every open job's steps before it found that none fits, and each submission computed the pool's load twice, once for the log line. The largest free amounts of the pool are compared first; a step that is larger waits for the dispatch that follows a release. One load a submission.

--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -42,7 +42,8 @@
 }
 
 admission decideAdmission(leader &Leader, const queue_rule &Rule,
-                          const std::string &Id, const job_spec &Spec) {
+                          const pool_load &Load, const std::string &Id,
+                          const job_spec &Spec) {
   admission_request Request;
   Request.CriticalPathMs = criticalPathMs(Leader, Rule.Name, &Rule, Spec);
   Request.ObjectiveMs = Rule.Stretch * Request.CriticalPathMs + Rule.SlackMs;
@@ -53,7 +54,6 @@
     Leader.Demand[Rule.Pool].recordArrival(Leader.Now(), Request.Work);
     Leader.Forecast.recordArrival(Rule.Pool, Request.Work, Leader.Wall());
   }
-  const pool_load Load = computePoolLoad(Leader, Rule.Pool);
   // Zero capacity means nothing before a new leader has contacted its backend
   // servers, so the job is accepted.
   if (Load.Capacity <= 0 &&
@@ -106,9 +106,8 @@
 }
 
 void logDecision(const leader &Leader, const queue_rule &Rule,
-                 const std::string &Id, const job_spec &Spec,
-                 const admission &Admission) {
-  const pool_load Load = computePoolLoad(Leader, Rule.Pool);
+                 const pool_load &Load, const std::string &Id,
+                 const job_spec &Spec, const admission &Admission) {
   const auto Number = [](const double Value) {
     return std::to_string(static_cast<std::int64_t>(Value));
   };
@@ -231,11 +230,12 @@
     Reply(makeRefusal("the store does not answer", BusyRetryMs));
     return;
   }
+  const pool_load Load = computePoolLoad(Leader, Rule->Pool);
   admission Admission;
   Admission.Verdict = admission_verdict::InTime;
   if (!Spec.isLongRunning() && Spec.Times == 0)
-    Admission = decideAdmission(Leader, *Rule, Id, Spec);
-  logDecision(Leader, *Rule, Id, Spec, Admission);
+    Admission = decideAdmission(Leader, *Rule, Load, Id, Spec);
+  logDecision(Leader, *Rule, Load, Id, Spec, Admission);
   if (Admission.Verdict == admission_verdict::Refused) {
     ++Leader.Counts->Refused;
     Reply(makeRefusal("the pool is full", Admission.RetryAfterMs));
--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -83,7 +83,10 @@
          Job.permitsRun(Step, Task);
 }
 
-void addCandidates(leader &Leader, job_entry &Entry,
+/** @param MaxFree The largest amount of each resource that is free on any one
+ * backend server. Larger steps wait for the dispatch that follows a release, so
+ * their tasks are not looked at. */
+void addCandidates(leader &Leader, job_entry &Entry, const resources &MaxFree,
                    std::vector<candidate> &Out) {
   const time_point Now = Leader.Now();
   const job_rule *Rule = Entry.Job.rule();
@@ -97,7 +100,10 @@
     for (std::uint32_t I = 0; I < Occurrence.Steps.size(); ++I) {
       const step &Step = Occurrence.Steps[I];
       const step_spec &Spec = Entry.Job.spec().Steps[I];
-      const bool Waits = !Step.done() && Entry.Job.ready(Occurrence, I) &&
+      const bool Fits =
+          server::chargedResources(Spec.Size, Spec.BestEffort).fits(MaxFree);
+      const bool Waits = Fits && !Step.done() &&
+                         Entry.Job.ready(Occurrence, I) &&
                          std::ranges::any_of(Step.Tasks, [&](const task &Each) {
                            return MayStart(Spec, Each);
                          });
@@ -110,8 +116,8 @@
   }
 }
 
-std::vector<candidate> candidatesOf(leader &Leader,
-                                    const std::string_view Pool) {
+std::vector<candidate> candidatesOf(leader &Leader, const std::string_view Pool,
+                                    const resources &MaxFree) {
   std::vector<candidate> Candidates;
   const bool Unknown = runsUnknown(Leader, Pool);
   for (auto &[Id, Entry] : Leader.OpenJobs) {
@@ -124,7 +130,7 @@
                                           return runsUnknown(Leader, Former);
                                         }));
     if (!Blocked)
-      addCandidates(Leader, *Entry, Candidates);
+      addCandidates(Leader, *Entry, MaxFree, Candidates);
   }
   std::ranges::sort(Candidates, {}, &candidate::rank);
   return Candidates;
@@ -299,16 +305,11 @@
   auto Servers = availableServers(Leader, Pool);
   if (Servers.empty())
     return;
-  // Starts only reduce what is free, so it remains an upper bound.
-  const resources MaxFree = maxFree(Servers);
-  for (const candidate &Each : candidatesOf(Leader, Pool)) {
+  for (const candidate &Each : candidatesOf(Leader, Pool, maxFree(Servers))) {
     const bool Full =
         Each.Urgency == urgency::Expired && loadOf(Servers) > MaxLoadForExpired;
     if (Full)
       break;
-    const step_spec &Step = Each.Entry->Job.spec().Steps[Each.Step];
-    if (!server::chargedResources(Step.Size, Step.BestEffort).fits(MaxFree))
-      continue;
     startStep(Leader, Each, Servers);
   }
 }
--- a/test/soak/fleet_standin.cpp
+++ b/test/soak/fleet_standin.cpp
@@ -176,7 +176,7 @@
     Vm.Running.push_back(
         {Task, Number, boot_clock::now() + std::chrono::milliseconds{Ms},
          Fails ? "failed" : "done", History.recordStart(Task, Vm.Id, Number),
-          Ms >= ServiceMs ? 100U : 50U});
+         Ms >= ServiceMs ? 100U : 50U});
   }
   replyJson(Exchange, 200,
             {{"clockMs", Vm.clockMs()}, {"born", Vm.StartedAtMs}});
