--- a/bench/leader_pass.cpp
+++ b/bench/leader_pass.cpp
@@ -231,7 +231,7 @@
       Step.MaxPerServer = 1;
       Step.DisruptionBudget = 4;
       Spec.Steps.push_back(Step);
-      Controller->submit(PoolNames[I % PoolNames.size()],
+      Controller->submit(PoolNames[I % PoolNames.size()], Rules.Version,
                          "service-" + std::to_string(I), Spec,
                          [](const caller_reply &) {});
     }
@@ -268,9 +268,10 @@
     Spec.Steps.push_back(Step);
     ++Submitted;
     measured("submit", [&] {
-      Controller->submit(Pool, Id, Spec, [this](const caller_reply &Reply) {
-        ++(Reply.Verdict == caller_reply::verdict::Ok ? Accepted : Refused);
-      });
+      Controller->submit(
+          Pool, Rules.Version, Id, Spec, [this](const caller_reply &Reply) {
+            ++(Reply.Verdict == caller_reply::verdict::Ok ? Accepted : Refused);
+          });
     });
     DispatchDue = true;
     if (std::uniform_real_distribution<>{}(Random) < CancelledShare)
