--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -123,6 +123,9 @@
   for (auto &[Id, Entry] : Leader.OpenJobs) {
     if (Entry->Job.pool() != Pool || !Entry->Stored)
       continue;
+    // Whether its tasks need tickets is not known before any rules are read.
+    if (Entry->Job.rule() == nullptr && Leader.Rules.Version == 0)
+      continue;
     const bool Blocked =
         Entry->Recovered &&
         (Unknown || std::ranges::any_of(Entry->Job.formerPools(),
@@ -368,12 +371,15 @@
 }
 
 void dispatch(leader &Leader) {
-  for (const pool_rule &Pool : Leader.Rules.Pools) {
-    const auto Due = Leader.DispatchDue.find(Pool.Name);
-    if (Due == Leader.DispatchDue.end() || Due->second > Leader.Now())
-      continue;
-    Leader.DispatchDue.erase(Due);
-    dispatchPool(Leader, Pool.Name);
+  // Starts may change the map.
+  std::vector<std::string> Pools;
+  for (const auto &[Pool, Due] : Leader.DispatchDue) {
+    if (Due <= Leader.Now())
+      Pools.push_back(Pool);
+  }
+  for (const std::string &Pool : Pools) {
+    Leader.DispatchDue.erase(Pool);
+    dispatchPool(Leader, Pool);
   }
 }
 
