--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -49,8 +49,9 @@
 }
 
 void requestDispatchOfAllPools(leader &Leader) {
-  for (const pool_rule &Pool : Leader.Rules.Pools)
-    requestDispatch(Leader, Pool.Name);
+  // The current rules may lack a pool that has accepted jobs.
+  for (const auto &[Id, Entry] : Leader.OpenJobs)
+    requestDispatch(Leader, Entry->Job.pool());
 }
 
 server &addServer(leader &Leader, const registration &Entry) {
