Maintain no VM whose runs a new leader has not read

Cause: a leader took the runs of a backend server that had not responded to it since its election for none. Such a VM ranked as the cheapest of a wave, counted as drained, and its maintenance was ordered within a second, which ended tasks beyond the disruption budget of their step (AVAIL).

Change: maintenance waits until the backend server has listed its runs, or until the leases of its earlier runs have expired.

Conclusion: fixed for maintenance.

--- a/src/galenalink/job/maintenance.cpp
+++ b/src/galenalink/job/maintenance.cpp
@@ -57,9 +57,13 @@
   if (Listed == Leader.Vms.end() || Listed->second.State != vm_state::Up ||
       Leader.PendingVmOrders.contains(Vm) || orderGapPending(Leader, Vm))
     return false;
-  // The runs on a VM are unknown until its backend server is known.
-  return Listed->second.Server.empty() ||
-         Leader.Servers.contains(Listed->second.Server);
+  if (Listed->second.Server.empty())
+    return true;
+  // The runs on a VM are unknown until its backend server is known and, if an
+  // earlier leader used it, has listed them.
+  const auto Server = Leader.Servers.find(Listed->second.Server);
+  return Server != Leader.Servers.end() &&
+         Leader.Now() >= Server->second->RunsUnknownUntil;
 }
 
 double poolBacklogMs(const leader &Leader, const std::string &Pool) {
--- /dev/null
+++ b/test/galenalink/job/unknown_runs.cpp
@@ -0,0 +1,47 @@
+#include "simulated_platform.hpp"
+#include <boost/test/unit_test.hpp>
+
+using namespace galenalink;
+using namespace galenalink::job;
+using namespace galenalink::test;
+
+namespace {
+
+constexpr duration Second = std::chrono::seconds{1};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(unknown_runs)
+
+// A successor ordered the maintenance of a VM whose backend server had not
+// responded to it yet. It took the runs that it did not know for none, so it
+// ended more tasks of a step than the step's disruption budget permits.
+BOOST_AUTO_TEST_CASE(successor_maintains_no_vm_whose_runs_are_unknown) {
+  simulated_platform Platform;
+  for (const char *Id : {"s0", "s1", "s2"})
+    Platform.addServer(Id, "press");
+  Platform.elect();
+  Platform.advance(Second);
+  job_spec Spec;
+  Spec.Spec = "text";
+  Spec.Steps = {makeStep(6, 2000, 0)};
+  Spec.Steps.front().LongRunning = true;
+  Spec.Steps.front().MaxPerServer = 2;
+  Spec.Steps.front().DisruptionBudget = 1;
+  BOOST_REQUIRE(Platform.submit("press", "a", Spec));
+  Platform.advance(3 * Second);
+  simulated_server &Slow = Platform.Servers.at("s0");
+  BOOST_REQUIRE(Slow.Running.size() == 2U);
+  Slow.Unresponsive = true;
+  Platform.elect();
+  Platform.Leader->setWaves({{1, wave{1, {"vm-s0"}, 20, 1}}});
+  Platform.advance(Second);
+  BOOST_TEST(Platform.VmOrders.empty());
+  // Once the leases of its runs have expired, the wave goes on.
+  Platform.advance(10 * Second);
+  BOOST_TEST(Platform.VmOrders.size() == 1U);
+  for (const auto &Each : Platform.Violations)
+    BOOST_ERROR(Each);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
