Start a moved job only once its new pool is stored

A successor without rules read the former pool alone and did not wait for the backend servers of the new one, so a task ran twice (TWICE). A slow store makes the gap long.

Change: the tasks of a moved job, copies too, wait until its record is stored.

Conclusion: fixed; a moved job waits for one append.

--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -115,7 +115,7 @@
   std::vector<candidate> Candidates;
   const bool Unknown = runsUnknown(Leader, Pool);
   for (auto &[Id, Entry] : Leader.OpenJobs) {
-    if (Entry->Job.pool() != Pool || !Entry->Stored)
+    if (Entry->Job.pool() != Pool || !Entry->Stored || !Entry->PoolStored)
       continue;
     // Whether its tasks need tickets is not known before any rules are read.
     if (Entry->Job.rule() == nullptr && Leader.Rules.Version == 0)
@@ -332,7 +332,7 @@
   task *Task = Entry == nullptr ? nullptr : Entry->Job.find(Id);
   const step_spec *Step = Entry == nullptr ? nullptr : Entry->Job.stepSpec(Id);
   if (Task == nullptr || Task->Done || Task->Runs != 1 || !Step->Speculative ||
-      !Entry->Job.permitsRun(*Step, *Task))
+      !Entry->PoolStored || !Entry->Job.permitsRun(*Step, *Task))
     return;
   placement_request Request;
   Request.Step = Step;
--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -172,13 +172,34 @@
       }));
 }
 
+namespace {
+
+/** @brief Keeps the tasks of a moved job from starting until its record, which
+ * was put before, is stored. */
+void awaitStoredPool(leader &Leader, job_entry &Entry) {
+  Entry.PoolStored = false;
+  Leader.Journal.whenStored(
+      [&Leader, Id = Entry.Job.id(), Pool = Entry.Job.pool()] {
+        job_entry *Found = Leader.findJob(Id);
+        if (Found == nullptr || Found->Job.pool() != Pool)
+          return;
+        Found->PoolStored = true;
+        requestDispatch(Leader, Pool);
+      });
+}
+
+} // namespace
+
 void applyRules(leader &Leader) {
   std::vector<job_entry *> Failed;
   for (auto &[Id, Entry] : Leader.OpenJobs) {
     const queue_rule *Rule = Leader.Rules.queue(Entry->Job.queue());
+    const std::string Pool = Entry->Job.pool();
     if (Rule == nullptr || !Entry->Job.adoptRule(*Rule, Leader.Rules.Version))
       continue;
     storeJob(Leader, Id);
+    if (Entry->Job.pool() != Pool)
+      awaitStoredPool(Leader, *Entry);
     setObjectives(Leader, *Entry);
     if (Entry->Job.failAtLimit())
       Failed.push_back(Entry);
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -130,6 +130,9 @@
   /** Accepted by an earlier leader: its runs may exist on any backend server of
    * the pool that has not responded to this leader yet. */
   bool Recovered{false};
+  /** The record in the store names the job's present pool. No task must start
+   * before: a successor would not look for its run in that pool. */
+  bool PoolStored{true};
   time_point EndedAt;
   /** Admitted although it may miss its objective, to run on capacity that jobs
    * within their objective leave free. */
--- a/test/galenalink/job/jobs_without_rules.cpp
+++ b/test/galenalink/job/jobs_without_rules.cpp
@@ -286,4 +286,38 @@
   BOOST_TEST(Platform.Starts == 2U);
 }
 
+// A task ran twice when its queue moved to another pool and its leader started
+// it there before the record of the job named that pool: a successor without
+// rules knew only the former pool and did not wait for the new one.
+BOOST_AUTO_TEST_CASE(moved_job_starts_only_once_its_pool_is_stored) {
+  one_running_task Platform;
+  Platform.addServer("t0", "post");
+  Platform.advance(Second);
+  Platform.StoreDown = true;
+  Platform.Leader->setRules(makeRulesOfOtherPool(3));
+  Platform.failRuns();
+  Platform.Servers.at("t0").Unresponsive = true;
+  Platform.StoreDown = false;
+  Platform.electWith({});
+  Platform.advance(2 * Second);
+  for (const auto &Each : Platform.Violations)
+    BOOST_ERROR(Each);
+  BOOST_TEST(Platform.countRunning({"a", 0, 0, 0}) == 1U);
+}
+
+// A moved job starts in its new pool once its record is stored.
+BOOST_AUTO_TEST_CASE(moved_job_starts_after_an_outage_of_the_store) {
+  one_running_task Platform;
+  Platform.addServer("t0", "post");
+  Platform.advance(Second);
+  Platform.StoreDown = true;
+  Platform.Leader->setRules(makeRulesOfOtherPool(3));
+  Platform.failRuns();
+  Platform.StoreDown = false;
+  Platform.advance(3 * Second);
+  BOOST_TEST(Platform.Servers.at("t0").Running.size() == 1U);
+  for (const auto &Each : Platform.Violations)
+    BOOST_ERROR(Each);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
