Apply no rules older than those of an earlier leader

Cause: a job's record is rewritten only if its rule or pool changes, so it may name an older version than the one that its leader decided with. A successor that had read only a version between the two adopted that one: with a lower limit there, it failed the job for good.

Change: the leader stores the newest version that it has applied, under one key that sorts before those of jobs, so that no append stores a decision of that version earlier. A successor applies no older rules to the open jobs; they keep the rule of their record until it has read that version.

Conclusion: fixed; one record more per version.

--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -191,6 +191,16 @@
 } // namespace
 
 void applyRules(leader &Leader) {
+  if (Leader.Rules.Version < Leader.AppliedRulesVersion)
+    return;
+  if (Leader.Rules.Version > Leader.AppliedRulesVersion) {
+    Leader.AppliedRulesVersion = Leader.Rules.Version;
+    // The key sorts before those of jobs, so that no append stores a decision
+    // by this version earlier.
+    Leader.Journal.put("c", [&Leader] {
+      return std::optional{std::to_string(Leader.AppliedRulesVersion)};
+    });
+  }
   std::vector<job_entry *> Failed;
   for (auto &[Id, Entry] : Leader.OpenJobs) {
     const queue_rule *Rule = Leader.Rules.queue(Entry->Job.queue());
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -161,6 +161,9 @@
   journal Journal;
 
   fleet_rules Rules;
+  /** Newest version of the rules that this or an earlier leader has applied to
+   * the jobs. Older rules are not applied. */
+  std::uint64_t AppliedRulesVersion{0};
   /** By job id. */
   std::map<std::string, std::unique_ptr<job_entry>> Jobs;
   /** Jobs that have not ended. */
--- a/src/galenalink/job/recovery.cpp
+++ b/src/galenalink/job/recovery.cpp
@@ -18,6 +18,7 @@
 constexpr char PeaksKey = 't';
 constexpr char DurationsKey = 'l';
 constexpr char VmOrderKey = 'v';
+constexpr char AppliedRulesKey = 'c';
 
 /** Age from which on a VM order is certainly no longer in effect. Includes a
  * margin for the differing wall clocks of the nodes. */
@@ -65,6 +66,14 @@
     Leader.RecentlyOrdered.insert(Vm);
 }
 
+void recoverAppliedRules(leader &Leader, const std::string & /*Id*/,
+                         const std::string &Record) {
+  const char *End = Record.data() + Record.size();
+  if (std::from_chars(Record.data(), End, Leader.AppliedRulesVersion).ec !=
+      std::errc{})
+    Log.error("invalid record of the applied rules version");
+}
+
 void recoverJob(leader &Leader, const std::string &Id,
                 const std::string &Record) {
   auto Job = parseJob(Id, Record);
@@ -117,6 +126,7 @@
   ForEachRecord(PeaksKey, recoverPeaks);
   ForEachRecord(DurationsKey, recoverDurations);
   ForEachRecord(VmOrderKey, recoverVmOrder);
+  ForEachRecord(AppliedRulesKey, recoverAppliedRules);
   for (auto &[Id, Entry] : Leader.OpenJobs) {
     setObjectives(Leader, *Entry);
     openDueOccurrences(Leader, *Entry);
--- a/test/galenalink/job/jobs_without_rules.cpp
+++ b/test/galenalink/job/jobs_without_rules.cpp
@@ -320,4 +320,20 @@
     BOOST_ERROR(Each);
 }
 
+// A version that leaves a queue unchanged does not change the records of its
+// jobs. A successor that had read only a version between the two judged the
+// jobs by that one.
+BOOST_AUTO_TEST_CASE(rules_older_than_those_applied_are_not_adopted) {
+  one_running_task Platform;
+  Platform.Leader->setRules(makeRules(4, 2));
+  Platform.advance(Second / 2);
+  Platform.electWith(makeRules(3, 1));
+  Platform.failRuns();
+  BOOST_CHECK(Platform.stateOf("a") == job_state::Running);
+  BOOST_TEST(Platform.Starts == 2U);
+  Platform.Leader->setRules(makeRules(5, 1));
+  Platform.advance(Second / 2);
+  BOOST_CHECK(Platform.stateOf("a") == job_state::Failed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
