Count maintenance that a former leader ordered against the cap

Cause: a successor counted as down only the VMs of its own orders and those listed in maintenance. A VM that its predecessor had ordered, but which the platform had not begun yet, counted as up, so the successor ordered another one and exceeded the cap of the wave (LIMIT) once the platform carried out the former order.

Change: for as long as the successor does not order such a VM itself (MinVmOrderGap after its election), the VM counts as down.

Conclusion: fixed for orders that the platform begins within that time.

--- a/src/galenalink/job/maintenance.cpp
+++ b/src/galenalink/job/maintenance.cpp
@@ -27,6 +27,9 @@
   const auto PendingOrder = Leader.PendingVmOrders.find(Vm);
   if (PendingOrder != Leader.PendingVmOrders.end())
     return PendingOrder->second.Wave == Wave.Wave.Number;
+  // The platform may still carry out an order of the earlier leader.
+  if (orderGapPending(Leader, Vm) && !Wave.Done.contains(Vm))
+    return true;
   const auto Listed = Leader.Vms.find(Vm);
   return Listed != Leader.Vms.end() &&
          Listed->second.State == vm_state::Maintenance;
--- a/test/galenalink/job/unknown_runs.cpp
+++ b/test/galenalink/job/unknown_runs.cpp
@@ -1,4 +1,5 @@
 #include "simulated_platform.hpp"
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 using namespace galenalink;
@@ -44,4 +45,40 @@
     BOOST_ERROR(Each);
 }
 
+// A successor did not count a VM whose maintenance its predecessor had ordered,
+// but which the platform had not begun yet, and exceeded the cap of the wave.
+BOOST_AUTO_TEST_CASE(successor_counts_orders_that_are_not_carried_out_yet) {
+  simulated_platform Platform;
+  for (const char *Id : {"s0", "s1", "s2"})
+    Platform.addServer(Id, "press");
+  const auto CarryOut = Platform.Ports.OrderVm;
+  std::optional<vm_order> Held;
+  Platform.Ports.OrderVm = [&](const vm_order &Order, const auto &Callback) {
+    if (Held)
+      CarryOut(Order, Callback);
+    else
+      Held = Order;
+  };
+  Platform.elect();
+  Platform.advance(Second);
+  const wave Wave{1, {"vm-s0", "vm-s1"}, 20, 1};
+  Platform.Leader->setWaves({{1, Wave}});
+  for (int I = 0; I < 100 && !Held; ++I)
+    Platform.advance(Second / 50);
+  BOOST_REQUIRE(Held.has_value());
+  Platform.elect();
+  Platform.Leader->setWaves({{1, Wave}});
+  Platform.advance(Second);
+  CarryOut(*Held, [](const vm_result &) {});
+  std::ptrdiff_t MostDown = 0;
+  for (int I = 0; I < 500; ++I) {
+    Platform.advance(Second / 50);
+    MostDown = std::max(
+        MostDown,
+        std::ranges::count(Platform.Vms, vm_state::Maintenance, &vm::State));
+  }
+  BOOST_TEST(MostDown == 1);
+  BOOST_TEST(Platform.VmOrders.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
