--- a/test/soak/fleet_standin.cpp
+++ b/test/soak/fleet_standin.cpp
@@ -10,6 +10,8 @@
 constexpr std::int64_t MaxLeaseMs = 6000;
 /** Duration of a move or a maintenance. */
 constexpr duration VmOrderTime = std::chrono::milliseconds{500};
+/** Tasks of at least this duration are services, which serve at once. */
+constexpr int ServiceMs = 3600000;
 constexpr duration CrashRecoveryTime = std::chrono::milliseconds{700};
 
 void replyJson(http::exchange &Exchange, const int Status, const json &Body) {
@@ -173,7 +175,8 @@
     const bool Fails = Random() % 100 < FailurePercent;
     Vm.Running.push_back(
         {Task, Number, boot_clock::now() + std::chrono::milliseconds{Ms},
-         Fails ? "failed" : "done", History.recordStart(Task, Vm.Id, Number)});
+         Fails ? "failed" : "done", History.recordStart(Task, Vm.Id, Number),
+          Ms >= ServiceMs ? 100U : 50U});
   }
   replyJson(Exchange, 200,
             {{"clockMs", Vm.clockMs()}, {"born", Vm.StartedAtMs}});
@@ -215,7 +218,7 @@
 void fleet_standin::replyHeartbeat(soak_vm &Vm, http::exchange &Exchange) {
   json Running = json::array();
   for (const auto &Each : Vm.Running)
-    Running.push_back({Each.Task, Each.Number, "", 50});
+    Running.push_back({Each.Task, Each.Number, "", Each.Percent});
   json Finished = json::array();
   for (const auto &Each : Vm.UnrecordedEnds)
     Finished.push_back({Each.Number, Each.Task, Each.Run, Each.Outcome, ""});
