--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -130,6 +130,9 @@
   /** Accepted by an earlier leader: its runs may exist on any backend server of
    * the pool that has not responded to this leader yet. */
   bool Recovered{false};
+  /** The record in the store names the job's present pool. No task must start
+   * before: a successor would not look for its run in that pool. */
+  bool PoolStored{true};
   time_point EndedAt;
   /** Admitted although it may miss its objective, to run on capacity that jobs
    * within their objective leave free. */
@@ -158,6 +161,9 @@
   journal Journal;
 
   fleet_rules Rules;
+  /** Newest version of the rules that this or an earlier leader has applied to
+   * the jobs. Older rules are not applied. */
+  std::uint64_t AppliedRulesVersion{0};
   /** By job id. */
   std::map<std::string, std::unique_ptr<job_entry>> Jobs;
   /** Jobs that have not ended. */
