--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -199,8 +199,8 @@
     return;
   if (Leader.Rules.Version > Leader.AppliedRulesVersion) {
     Leader.AppliedRulesVersion = Leader.Rules.Version;
-    // The key sorts before those of jobs, so that no append stores a decision
-    // by this version earlier.
+    // Put before the records that this version changes, so that no append
+    // stores them earlier.
     Leader.Journal.put("c", [&Leader] {
       return std::optional{std::to_string(Leader.AppliedRulesVersion)};
     });
