Start no job of unknown rule by rules older than those applied

What callers saw: nothing yet.

Cause: a job whose record does not hold its rule (record of an earlier version) waits until rules have been read, because its tasks may need tickets. Rules older than those of an earlier leader are no longer applied to jobs, but ended this wait, so the task was started without a rule.

Change: such a job waits until the leader's rules are applied.

--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -117,8 +117,11 @@
   for (auto &[Id, Entry] : Leader.OpenJobs) {
     if (Entry->Job.pool() != Pool || !Entry->Stored || !Entry->PoolStored)
       continue;
-    // Whether its tasks need tickets is not known before any rules are read.
-    if (Entry->Job.rule() == nullptr && Leader.Rules.Version == 0)
+    // Whether its tasks need tickets is not known before rules are applied.
+    const bool RulesApplied =
+        Leader.Rules.Version != 0 &&
+        Leader.Rules.Version >= Leader.AppliedRulesVersion;
+    if (Entry->Job.rule() == nullptr && !RulesApplied)
       continue;
     const bool Blocked =
         Entry->Recovered &&
--- a/test/galenalink/job/jobs_without_rules.cpp
+++ b/test/galenalink/job/jobs_without_rules.cpp
@@ -336,4 +336,20 @@
   BOOST_CHECK(Platform.stateOf("a") == job_state::Failed);
 }
 
+// A leader whose rules are older than those applied before must not start a
+// task whose record does not hold the rule of its queue: it may need a ticket.
+BOOST_AUTO_TEST_CASE(job_of_unknown_rule_waits_for_the_applied_rules) {
+  one_running_task Platform;
+  Platform.dropRuleFromRecord();
+  for (const char *Id : {"s0", "s1", "s2"})
+    Platform.crash(Id);
+  Platform.addServer("s3", "press");
+  Platform.electWith(makeRules(1, 2));
+  Platform.advance(15 * Second);
+  BOOST_TEST(Platform.Starts == 1U);
+  Platform.Leader->setRules(makeRules(2, 2));
+  Platform.advance(Second);
+  BOOST_TEST(Platform.Starts == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
