Soak: fixed ports on the nodes' own addresses

A node's three ports were drawn one after another and given back in between, so the same number could be drawn twice; that node then ended at every start.

Each node has its own loopback address and uses fixed ports.

--- a/test/soak/node_group.cpp
+++ b/test/soak/node_group.cpp
@@ -1,5 +1,4 @@
 #include "soak/node_group.hpp"
-#include "galenalink/http/server.hpp"
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -10,6 +9,10 @@
 
 namespace {
 
+// Each node has an address of its own, so all can use the same ports.
+constexpr std::uint16_t CallersPort = 8624;
+constexpr std::uint16_t ReadinessPort = 8622;
+constexpr std::uint16_t PeersPort = 8623;
 constexpr duration RestartDelay = std::chrono::milliseconds{300};
 
 /** @return Loopback address of a node. No other process binds it: the ports of
@@ -20,13 +23,6 @@
          std::to_string(Process % 250) + "." + std::to_string(1 + Node);
 }
 
-/** @return A port of the address that is currently free; 0 if there is none. */
-std::uint16_t freePort(http::loop &Loop, const std::string &Host) {
-  http::server Probe{Loop, {}, [](http::exchange) {}};
-  return tryOr([&]() -> result<std::uint16_t> { return Probe.listen(Host, 0); },
-               [](const error &) { return std::uint16_t{0}; });
-}
-
 } // namespace
 
 node_group::node_group(http::loop &Loop, disruption_log &Disruptions)
@@ -47,7 +43,7 @@
   node Node;
   Node.Name = "node-" + std::to_string(Nodes.size());
   const std::string Host = hostOf(Nodes.size());
-  const http::address Callers{Host, freePort(Loop, Host)};
+  const http::address Callers{Host, CallersPort};
   Node.CallersLink = std::make_unique<tcp_proxy>(Loop, Callers);
   Node.StoreLink = std::make_unique<tcp_proxy>(Loop, Store);
   Node.VmListLink = std::make_unique<tcp_proxy>(Loop, VmList);
@@ -55,8 +51,8 @@
       {"name", Node.Name},
       {"data_centre", "north"},
       {"callers", toString(Callers)},
-      {"readiness", Host + ":" + std::to_string(freePort(Loop, Host))},
-      {"peers", {{"host", Host}, {"port", freePort(Loop, Host)}}},
+      {"readiness", Host + ":" + std::to_string(ReadinessPort)},
+      {"peers", {{"host", Host}, {"port", PeersPort}}},
       {"store", toString(Node.StoreLink->address())},
       {"vm_list", toString(Node.VmListLink->address())},
       {"stop_deadline_s",
