--- a/bench/leader_pass.cpp
+++ b/bench/leader_pass.cpp
@@ -74,9 +74,9 @@
   pass_run(const std::size_t VmsPerPool, const double JobsPerSecond,
            const double Demand, const std::size_t Services)
       : JobsPerSecond{JobsPerSecond}, Services{Services} {
-    for (std::size_t I = 0; I < PoolNames.size(); ++I)
-      addPool(PoolNames[I], VmsPerPool);
-    const double Capacity =
+    for (const std::string &Name : PoolNames)
+      addPool(Name, VmsPerPool);
+    const auto Capacity =
         static_cast<double>(VmsPerPool * PoolNames.size() * ServerCpu);
     TaskCpu = static_cast<std::int64_t>(Demand * Capacity * 1000 / TaskMs /
                                         (JobsPerSecond * TasksPerJob));
