--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -83,7 +83,10 @@
          Job.permitsRun(Step, Task);
 }
 
-void addCandidates(leader &Leader, job_entry &Entry,
+/** @param MaxFree The largest amount of each resource that is free on any one
+ * backend server. Larger steps wait for the dispatch that follows a release, so
+ * their tasks are not looked at. */
+void addCandidates(leader &Leader, job_entry &Entry, const resources &MaxFree,
                    std::vector<candidate> &Out) {
   const time_point Now = Leader.Now();
   const job_rule *Rule = Entry.Job.rule();
@@ -97,7 +100,10 @@
     for (std::uint32_t I = 0; I < Occurrence.Steps.size(); ++I) {
       const step &Step = Occurrence.Steps[I];
       const step_spec &Spec = Entry.Job.spec().Steps[I];
-      const bool Waits = !Step.done() && Entry.Job.ready(Occurrence, I) &&
+      const bool Fits =
+          server::chargedResources(Spec.Size, Spec.BestEffort).fits(MaxFree);
+      const bool Waits = Fits && !Step.done() &&
+                         Entry.Job.ready(Occurrence, I) &&
                          std::ranges::any_of(Step.Tasks, [&](const task &Each) {
                            return MayStart(Spec, Each);
                          });
@@ -110,12 +116,18 @@
   }
 }
 
-std::vector<candidate> candidatesOf(leader &Leader,
-                                    const std::string_view Pool) {
+std::vector<candidate> candidatesOf(leader &Leader, const std::string_view Pool,
+                                    const resources &MaxFree) {
   std::vector<candidate> Candidates;
   const bool Unknown = runsUnknown(Leader, Pool);
   for (auto &[Id, Entry] : Leader.OpenJobs) {
-    if (Entry->Job.pool() != Pool || !Entry->Stored)
+    if (Entry->Job.pool() != Pool || !Entry->Stored || !Entry->PoolStored)
+      continue;
+    // Whether its tasks need tickets is not known before rules are applied.
+    const bool RulesApplied =
+        Leader.Rules.Version != 0 &&
+        Leader.Rules.Version >= Leader.AppliedRulesVersion;
+    if (Entry->Job.rule() == nullptr && !RulesApplied)
       continue;
     const bool Blocked =
         Entry->Recovered &&
@@ -124,7 +136,7 @@
                                           return runsUnknown(Leader, Former);
                                         }));
     if (!Blocked)
-      addCandidates(Leader, *Entry, Candidates);
+      addCandidates(Leader, *Entry, MaxFree, Candidates);
   }
   std::ranges::sort(Candidates, {}, &candidate::rank);
   return Candidates;
@@ -161,8 +173,9 @@
   job_entry &Entry = *Candidate.Entry;
   const step_spec &Spec = Entry.Job.spec().Steps[Candidate.Step];
   auto &Tasks = Candidate.Occurrence->Steps[Candidate.Step].Tasks;
+  const time_point Now = Leader.Now();
   for (std::uint32_t I = 0; I < Tasks.size(); ++I) {
-    if (!isWaiting(Entry.Job, Spec, Tasks[I], Leader.Now()))
+    if (!isWaiting(Entry.Job, Spec, Tasks[I], Now))
       continue;
     placement_request Request;
     Request.Step = &Spec;
@@ -298,16 +311,11 @@
   auto Servers = availableServers(Leader, Pool);
   if (Servers.empty())
     return;
-  // Starts only reduce what is free, so it remains an upper bound.
-  const resources MaxFree = maxFree(Servers);
-  for (const candidate &Each : candidatesOf(Leader, Pool)) {
+  for (const candidate &Each : candidatesOf(Leader, Pool, maxFree(Servers))) {
     const bool Full =
         Each.Urgency == urgency::Expired && loadOf(Servers) > MaxLoadForExpired;
     if (Full)
       break;
-    const step_spec &Step = Each.Entry->Job.spec().Steps[Each.Step];
-    if (!server::chargedResources(Step.Size, Step.BestEffort).fits(MaxFree))
-      continue;
     startStep(Leader, Each, Servers);
   }
 }
@@ -329,7 +337,7 @@
   task *Task = Entry == nullptr ? nullptr : Entry->Job.find(Id);
   const step_spec *Step = Entry == nullptr ? nullptr : Entry->Job.stepSpec(Id);
   if (Task == nullptr || Task->Done || Task->Runs != 1 || !Step->Speculative ||
-      !Entry->Job.permitsRun(*Step, *Task))
+      !Entry->PoolStored || !Entry->Job.permitsRun(*Step, *Task))
     return;
   placement_request Request;
   Request.Step = Step;
@@ -356,21 +364,25 @@
 
 std::vector<server *> availableServers(leader &Leader,
                                        const std::string_view Pool) {
+  const time_point Now = Leader.Now();
   std::vector<server *> Servers;
   for (auto &[Id, Server] : Leader.Servers) {
-    if (Server->Entry.Pool == Pool && acceptsWork(*Server, Leader.Now()))
+    if (Server->Entry.Pool == Pool && acceptsWork(*Server, Now))
       Servers.push_back(Server.get());
   }
   return Servers;
 }
 
 void dispatch(leader &Leader) {
-  for (const pool_rule &Pool : Leader.Rules.Pools) {
-    const auto Due = Leader.DispatchDue.find(Pool.Name);
-    if (Due == Leader.DispatchDue.end() || Due->second > Leader.Now())
-      continue;
-    Leader.DispatchDue.erase(Due);
-    dispatchPool(Leader, Pool.Name);
+  // Starts may change the map.
+  std::vector<std::string> Pools;
+  for (const auto &[Pool, Due] : Leader.DispatchDue) {
+    if (Due <= Leader.Now())
+      Pools.push_back(Pool);
+  }
+  for (const std::string &Pool : Pools) {
+    Leader.DispatchDue.erase(Pool);
+    dispatchPool(Leader, Pool);
   }
 }
 
--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -1,4 +1,5 @@
 #include "galenalink/job/leader.hpp"
+#include "galenalink/job/job_limits.hpp"
 #include "galenalink/job/runs.hpp"
 #include "galenalink/telemetry/log.hpp"
 #include <algorithm>
@@ -49,8 +50,9 @@
 }
 
 void requestDispatchOfAllPools(leader &Leader) {
-  for (const pool_rule &Pool : Leader.Rules.Pools)
-    requestDispatch(Leader, Pool.Name);
+  // The current rules may lack a pool that has accepted jobs.
+  for (const auto &[Id, Entry] : Leader.OpenJobs)
+    requestDispatch(Leader, Entry->Job.pool());
 }
 
 server &addServer(leader &Leader, const registration &Entry) {
@@ -110,6 +112,9 @@
     const auto Due = Entry.Job.nextDue();
     if (!Due || *Due > Leader.Wall())
       return;
+    const std::size_t Open = Entry.Job.openOccurrences().size();
+    if (Open > 0 && (Open + 1) * taskCount(Entry.Job.spec()) > limits::MaxTasks)
+      return; // opened once earlier occurrences are done
     setObjective(Leader, Entry, Entry.Job.openNext());
     requestDispatch(Leader, Entry.Job.pool());
   }
@@ -171,13 +176,44 @@
       }));
 }
 
+namespace {
+
+/** @brief Keeps the tasks of a moved job from starting until its record, which
+ * was put before, is stored. */
+void awaitStoredPool(leader &Leader, job_entry &Entry) {
+  Entry.PoolStored = false;
+  Leader.Journal.whenStored(
+      [&Leader, Id = Entry.Job.id(), Pool = Entry.Job.pool()] {
+        job_entry *Found = Leader.findJob(Id);
+        if (Found == nullptr || Found->Job.pool() != Pool)
+          return;
+        Found->PoolStored = true;
+        requestDispatch(Leader, Pool);
+      });
+}
+
+} // namespace
+
 void applyRules(leader &Leader) {
+  if (Leader.Rules.Version < Leader.AppliedRulesVersion)
+    return;
+  if (Leader.Rules.Version > Leader.AppliedRulesVersion) {
+    Leader.AppliedRulesVersion = Leader.Rules.Version;
+    // Put before the records that this version changes, so that no append
+    // stores them earlier.
+    Leader.Journal.put("c", [&Leader] {
+      return std::optional{std::to_string(Leader.AppliedRulesVersion)};
+    });
+  }
   std::vector<job_entry *> Failed;
   for (auto &[Id, Entry] : Leader.OpenJobs) {
     const queue_rule *Rule = Leader.Rules.queue(Entry->Job.queue());
+    const std::string Pool = Entry->Job.pool();
     if (Rule == nullptr || !Entry->Job.adoptRule(*Rule, Leader.Rules.Version))
       continue;
     storeJob(Leader, Id);
+    if (Entry->Job.pool() != Pool)
+      awaitStoredPool(Leader, *Entry);
     setObjectives(Leader, *Entry);
     if (Entry->Job.failAtLimit())
       Failed.push_back(Entry);
--- a/test/galenalink/job/jobs_without_rules.cpp
+++ b/test/galenalink/job/jobs_without_rules.cpp
@@ -245,4 +245,111 @@
   BOOST_CHECK(Older->Verdict == caller_reply::verdict::NoQueue);
 }
 
+// A leader without rules started no task, although the records of the accepted
+// jobs hold the pool and the rule of their queue.
+BOOST_AUTO_TEST_CASE(leader_without_rules_starts_tasks_of_recovered_jobs) {
+  one_running_task Platform;
+  Platform.electWith({});
+  Platform.failRuns();
+  BOOST_TEST(Platform.Starts == 2U);
+  Platform.failRuns();
+  BOOST_CHECK(Platform.stateOf("a") == job_state::Failed);
+  BOOST_TEST(Platform.Starts == 2U);
+}
+
+// An accepted job never ran again after a version had removed its queue and its
+// pool, although the backend servers of the pool were still there.
+BOOST_AUTO_TEST_CASE(removed_pool_still_runs_its_accepted_jobs) {
+  one_running_task Platform;
+  fleet_rules Rules = makeRulesOfOtherPool(3);
+  Rules.Queues.clear();
+  std::erase_if(Rules.Pools,
+                [](const pool_rule &Each) { return Each.Name == "press"; });
+  Platform.Leader->setRules(Rules);
+  Platform.failRuns();
+  BOOST_TEST(Platform.Starts == 2U);
+}
+
+// A leader without rules must not start a task whose record does not hold the
+// rule of its queue: the task may need a ticket.
+BOOST_AUTO_TEST_CASE(job_of_unknown_rule_waits_for_the_first_rules) {
+  one_running_task Platform;
+  Platform.dropRuleFromRecord();
+  for (const char *Id : {"s0", "s1", "s2"})
+    Platform.crash(Id);
+  Platform.addServer("s3", "press");
+  Platform.electWith({});
+  Platform.advance(15 * Second);
+  BOOST_TEST(Platform.Starts == 1U);
+  Platform.Leader->setRules(makeRules(2, 2));
+  Platform.advance(Second);
+  BOOST_TEST(Platform.Starts == 2U);
+}
+
+// A task ran twice when its queue moved to another pool and its leader started
+// it there before the record of the job named that pool: a successor without
+// rules knew only the former pool and did not wait for the new one.
+BOOST_AUTO_TEST_CASE(moved_job_starts_only_once_its_pool_is_stored) {
+  one_running_task Platform;
+  Platform.addServer("t0", "post");
+  Platform.advance(Second);
+  Platform.StoreDown = true;
+  Platform.Leader->setRules(makeRulesOfOtherPool(3));
+  Platform.failRuns();
+  Platform.Servers.at("t0").Unresponsive = true;
+  Platform.StoreDown = false;
+  Platform.electWith({});
+  Platform.advance(2 * Second);
+  for (const auto &Each : Platform.Violations)
+    BOOST_ERROR(Each);
+  BOOST_TEST(Platform.countRunning({"a", 0, 0, 0}) == 1U);
+}
+
+// A moved job starts in its new pool once its record is stored.
+BOOST_AUTO_TEST_CASE(moved_job_starts_after_an_outage_of_the_store) {
+  one_running_task Platform;
+  Platform.addServer("t0", "post");
+  Platform.advance(Second);
+  Platform.StoreDown = true;
+  Platform.Leader->setRules(makeRulesOfOtherPool(3));
+  Platform.failRuns();
+  Platform.StoreDown = false;
+  Platform.advance(3 * Second);
+  BOOST_TEST(Platform.Servers.at("t0").Running.size() == 1U);
+  for (const auto &Each : Platform.Violations)
+    BOOST_ERROR(Each);
+}
+
+// A version that leaves a queue unchanged does not change the records of its
+// jobs. A successor that had read only a version between the two judged the
+// jobs by that one.
+BOOST_AUTO_TEST_CASE(rules_older_than_those_applied_are_not_adopted) {
+  one_running_task Platform;
+  Platform.Leader->setRules(makeRules(4, 2));
+  Platform.advance(Second / 2);
+  Platform.electWith(makeRules(3, 1));
+  Platform.failRuns();
+  BOOST_CHECK(Platform.stateOf("a") == job_state::Running);
+  BOOST_TEST(Platform.Starts == 2U);
+  Platform.Leader->setRules(makeRules(5, 1));
+  Platform.advance(Second / 2);
+  BOOST_CHECK(Platform.stateOf("a") == job_state::Failed);
+}
+
+// A leader whose rules are older than those applied before must not start a
+// task whose record does not hold the rule of its queue: it may need a ticket.
+BOOST_AUTO_TEST_CASE(job_of_unknown_rule_waits_for_the_applied_rules) {
+  one_running_task Platform;
+  Platform.dropRuleFromRecord();
+  for (const char *Id : {"s0", "s1", "s2"})
+    Platform.crash(Id);
+  Platform.addServer("s3", "press");
+  Platform.electWith(makeRules(1, 2));
+  Platform.advance(15 * Second);
+  BOOST_TEST(Platform.Starts == 1U);
+  Platform.Leader->setRules(makeRules(2, 2));
+  Platform.advance(Second);
+  BOOST_TEST(Platform.Starts == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
