Release no runs by an incomplete list of a backend server

Cause: rows of a heartbeat response that could not be read were skipped, and the leader took the rest for complete. A run in a skipped row was released and its task started a second time (TWICE); an end in a skipped row was acknowledged with the newer ones.

Change: such a response is marked incomplete. The leader handles it like none: it releases nothing, acknowledges nothing, and extends no lease, so that the runs there end with their leases.

--- a/src/galenalink/job/ports.hpp
+++ b/src/galenalink/job/ports.hpp
@@ -117,6 +117,8 @@
   std::int64_t ClockMs{0};
   /** Start of the incarnation, ms since the Unix epoch; 0 if not reported. */
   std::int64_t StartedAtMs{0};
+  /** Some rows could not be read, so the lists below lack runs or ends. */
+  bool Incomplete{false};
   std::vector<listed_run> Running;
   std::vector<listed_end> Ends;
 };
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -250,7 +250,10 @@
     Server.HeartbeatDue = Leader.Now() + UnrecordedInterval;
     return;
   }
-  if (Result.Outcome == call_outcome::Done) {
+  // A run that is missing from an incomplete list may still exist, and an end
+  // behind one that is missing must not be acknowledged. Without a complete
+  // list the leases of the runs expire.
+  if (Result.Outcome == call_outcome::Done && !Result.Incomplete) {
     applyHeartbeatResult(Leader, Server, Result);
     return;
   }
--- a/test/galenalink/job/unknown_runs.cpp
+++ b/test/galenalink/job/unknown_runs.cpp
@@ -81,4 +81,44 @@
   BOOST_TEST(Platform.VmOrders.size() == 2U);
 }
 
+// A list of runs with an unreadable row was taken for complete: the run in that
+// row was released and its task started a second time.
+BOOST_AUTO_TEST_CASE(incomplete_list_of_runs_releases_none) {
+  simulated_platform Platform;
+  for (const char *Id : {"s0", "s1"})
+    Platform.addServer(Id, "press");
+  Platform.Duration = [](const task_id &, std::uint32_t) { return 60000.0; };
+  const auto List = Platform.Ports.Heartbeat;
+  bool Incomplete = false;
+  Platform.Ports.Heartbeat = [&](const heartbeat_order &Order,
+                                 const auto &Callback) {
+    List(Order, [&, Callback](const heartbeat_result &Complete) {
+      heartbeat_result Result = Complete;
+      if (Incomplete) {
+        Result.Incomplete = true;
+        Result.Running.clear();
+      }
+      Callback(Result);
+    });
+  };
+  Platform.elect();
+  Platform.advance(Second);
+  job_spec Spec;
+  Spec.Steps = {makeStep(1, 1000, 60000)};
+  BOOST_REQUIRE(Platform.submit("press", "a", Spec));
+  Platform.advance(Second);
+  BOOST_REQUIRE(Platform.Starts == 1U);
+  Incomplete = true;
+  Platform.advance(2 * Second);
+  BOOST_TEST(Platform.Starts == 1U);
+  Platform.elect();
+  Platform.advance(2 * Second);
+  BOOST_TEST(Platform.Starts == 1U);
+  Incomplete = false;
+  Platform.advance(2 * Second);
+  BOOST_TEST(Platform.countRunning({"a", 0, 0, 0}) == 1U);
+  for (const auto &Each : Platform.Violations)
+    BOOST_ERROR(Each);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/odd_messages.cpp
+++ b/test/platform/odd_messages.cpp
@@ -208,6 +208,7 @@
                                             R"("finished":[]})",
                                         Result));
       BOOST_TEST(Result.Running.size() == 1U);
+      BOOST_TEST(Result.Incomplete);
     }
   }
 }
@@ -231,6 +232,7 @@
                                  Result));
       BOOST_REQUIRE(Result.Ends.size() == 1U);
       BOOST_TEST(Result.Ends[0].Number == 6U);
+      BOOST_TEST(Result.Incomplete);
     }
   }
 }
