Keep the runs of a VM whose state cannot be read

Cause: a VM of a state that the leader does not know was decoded as down, and a VM with an unreadable field was left out of the list and so taken for removed.

Change: a VM of which only the name can be read is listed in the state Unknown, which ends no runs, permits no orders and leaves a wave open.

--- a/src/galenalink/job/ports.hpp
+++ b/src/galenalink/job/ports.hpp
@@ -259,13 +259,22 @@
 /** @brief A decoded record of the operator; `monostate` for an unknown kind. */
 using operator_record = std::variant<std::monostate, fleet_rules, wave>;
 
-enum class vm_state : std::uint8_t { Up, Moving, Maintenance, Down };
+enum class vm_state : std::uint8_t {
+  Up,
+  Moving,
+  Maintenance,
+  Down,
+  /** The list names it, but not in a readable way: it gets no orders, and its
+   * runs are not taken for ended. */
+  Unknown,
+};
 
-inline constexpr enum_names<vm_state, 4> VmStateNames{{
+inline constexpr enum_names<vm_state, 5> VmStateNames{{
     {vm_state::Up, "up"},
     {vm_state::Moving, "moving"},
     {vm_state::Maintenance, "maintenance"},
     {vm_state::Down, "down"},
+    {vm_state::Unknown, "unknown"},
 }};
 
 /** @brief A VM as listed by the platform. */
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -343,7 +343,8 @@
     if (Listed == ByName.end())
       continue;
     const vm &Vm = *Listed->second;
-    const bool Ended = Id != Vm.Server || Vm.State != vm_state::Up;
+    const bool Ended = Vm.State != vm_state::Unknown &&
+                       (Id != Vm.Server || Vm.State != vm_state::Up);
     if (!Ended || (Server->Runs.empty() && !Server->Synced))
       continue;
     markServerLost(Leader, *Server,
--- a/test/galenalink/job/unknown_runs.cpp
+++ b/test/galenalink/job/unknown_runs.cpp
@@ -121,4 +121,29 @@
     BOOST_ERROR(Each);
 }
 
+// A VM in a state that the leader does not know was taken for down: its runs
+// were released and their tasks started a second time.
+BOOST_AUTO_TEST_CASE(vm_of_unknown_state_keeps_its_runs) {
+  simulated_platform Platform;
+  for (const char *Id : {"s0", "s1"})
+    Platform.addServer(Id, "press");
+  Platform.Duration = [](const task_id &, std::uint32_t) { return 60000.0; };
+  Platform.elect();
+  Platform.advance(2 * Second);
+  job_spec Spec;
+  Spec.Steps = {makeStep(1, 1000, 60000)};
+  BOOST_REQUIRE(Platform.submit("press", "a", Spec));
+  Platform.advance(Second);
+  BOOST_REQUIRE(Platform.Starts == 1U);
+  for (auto &Vm : Platform.Vms) {
+    if (Vm.Server == "s0")
+      Vm.State = vm_state::Unknown;
+  }
+  Platform.advance(3 * Second);
+  BOOST_TEST(Platform.Starts == 1U);
+  BOOST_TEST(Platform.countRunning({"a", 0, 0, 0}) == 1U);
+  for (const auto &Each : Platform.Violations)
+    BOOST_ERROR(Each);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
