--- /dev/null
+++ b/src/galenalink/job_node/node_requests.cpp
@@ -0,0 +1,157 @@
+#include "galenalink/job_node/node.hpp"
+#include "galenalink/job_node/peer_api.hpp"
+#include "galenalink/job_node/reply_deadline.hpp"
+
+namespace galenalink::job_node {
+
+namespace {
+
+using verdict = job::caller_reply::verdict;
+
+/** Interval at which the forwarder retries and expires requests. */
+constexpr duration ForwarderTickInterval = std::chrono::milliseconds{25};
+/** The response has status 200 if the node is a healthy leader, otherwise 404.
+ * Its body names the process that the node knows as the leader. */
+constexpr std::string_view LeaderPath = "/v1/leader";
+constexpr duration ProbeTimeout = std::chrono::milliseconds{400};
+
+} // namespace
+
+void node::handleRequest(const caller_request &Request,
+                         job::reply_function Reply) {
+  auto RecordAndReply = [this, Kind = Request.Kind,
+                         StartedAt = boot_clock::now(),
+                         Reply = std::move(Reply)](
+                            const job::caller_reply &Result) {
+    Metrics.recordReply(Kind, Result.Verdict, boot_clock::now() - StartedAt);
+    Reply(Result);
+  };
+  const time_point ReplyDeadline = replyDeadlineFor(Request.Deadline);
+  auto ReplyOnce = withDeadline(Loop, ReplyDeadline, std::move(RecordAndReply));
+  caller_request Forwarded = Request;
+  Forwarded.Deadline = ReplyDeadline;
+  Forwarder.forward(Forwarded, std::move(ReplyOnce));
+  startForwarderTimer();
+}
+
+void node::serveLocally(const caller_request &Request,
+                        job::reply_function Reply) {
+  switch (Request.Kind) {
+  case request_kind::Submit:
+    Controller->submit(Request.Queue, Request.RulesVersion, Request.Job,
+                       Request.Spec, std::move(Reply));
+    break;
+  case request_kind::Query:
+    Reply(Controller->query(Request.Job));
+    break;
+  case request_kind::Cancel:
+    Controller->cancel(Request.Job, std::move(Reply));
+    break;
+  case request_kind::Pending:
+    Reply(Controller->pending(Request.Queue));
+    break;
+  }
+  scheduleDispatch();
+}
+
+void node::forwardRequest(const forward_target &To,
+                          const caller_request &Request,
+                          const time_point RespondBy,
+                          std::function<void(forward_result)> Callback) {
+  if (To.Address == peerAddress(Settings)) {
+    Loop.post([this, Request, Callback = std::move(Callback)] {
+      if (Controller)
+        serveLocally(Request, Callback);
+      else
+        Callback(forward_failure::NotAccepted);
+    });
+    return;
+  }
+  const auto Address = tryOr(
+      [&]() -> result<http::address> { return http::parseAddress(To.Address); },
+      [](const error &) { return http::address{}; });
+  PeerClient.send(
+      Address, toRequest(Request), RespondBy,
+      [this, Callback = std::move(Callback)](const http::answer &Answer) {
+        Callback(parsePeerResponse(Answer));
+      });
+}
+
+forward_result node::parsePeerResponse(const http::answer &Answer) {
+  if (const auto *Response = std::get_if<http::response>(&Answer)) {
+    if (const auto Reply = parseReply(Response->Body)) {
+      if (Reply->Verdict == verdict::NotLeading)
+        return forward_failure::NotAccepted;
+      ForwardFailedAt = NoDeadline;
+      return *Reply;
+    }
+  }
+  ForwardFailedAt = boot_clock::now();
+  const auto *Failure = std::get_if<http::failure>(&Answer);
+  const bool NotSent =
+      Failure != nullptr && Failure->Delivery == http::delivery::NotSent;
+  return NotSent ? forward_failure::NotAccepted : forward_failure::Unknown;
+}
+
+void node::startForwarderTimer() {
+  if (ForwarderTimer.pending())
+    return;
+  ForwarderTimer = Loop.every(ForwarderTickInterval, [this] {
+    Forwarder.tick();
+    if (Forwarder.idle())
+      ForwarderTimer.cancel();
+  });
+}
+
+void node::probeLeader(const job::leadership &Leader,
+                       std::function<void(probe_result)> Callback) {
+  http::request ProbeRequest;
+  ProbeRequest.Path = std::string{LeaderPath};
+  const auto Address = tryOr(
+      [&]() -> result<http::address> {
+        return http::parseAddress(Leader.Address);
+      },
+      [](const error &) { return http::address{}; });
+  PeerClient.send(
+      Address, std::move(ProbeRequest), boot_clock::now() + ProbeTimeout,
+      [Node = Leader.Node,
+       Callback = std::move(Callback)](const http::answer &Result) {
+        const auto *Response = std::get_if<http::response>(&Result);
+        if (Response != nullptr) {
+          const bool Leads = Response->Status == 200 && Response->Body == Node;
+          Callback(Leads ? probe_result::Healthy : probe_result::Unhealthy);
+          return;
+        }
+        // A refused connection means that no process listens there.
+        const auto &Failure = std::get<http::failure>(Result);
+        const bool Refused = Failure.Delivery == http::delivery::NotSent &&
+                             Failure.Error.Code == errc::Unavailable;
+        Callback(Refused ? probe_result::Unhealthy : probe_result::NoResponse);
+      });
+}
+
+void node::handlePeerRequest(http::exchange Exchange) {
+  if (Exchange.path() == LeaderPath) {
+    Exchange.reply(Elector.isHealthyLeader() ? 200 : 404, {},
+                   Elector.current().Node);
+    return;
+  }
+  const auto Request = parseRequest(Exchange);
+  if (!Request) {
+    Exchange.reply(400, {}, {});
+    return;
+  }
+  auto Shared = std::make_shared<http::exchange>(std::move(Exchange));
+  const auto SendReply = [Shared](const job::caller_reply &Reply) {
+    Shared->reply(200, {}, toBody(Reply));
+  };
+  if (!Controller) {
+    job::caller_reply Reply;
+    Reply.Verdict = verdict::NotLeading;
+    SendReply(Reply);
+    return;
+  }
+  serveLocally(*Request, withDeadline(Loop, Request->Deadline, SendReply));
+}
+
+} // namespace galenalink::job_node
--- a/src/galenalink/job_node/settings.hpp
+++ b/src/galenalink/job_node/settings.hpp
@@ -54,6 +54,11 @@
 [[nodiscard]] std::vector<config::diagnostic>
 parseSettings(std::string_view Name, std::string_view Text, settings &Out);
 
+/** @return The address of the node for other nodes, as `HOST:PORT`. */
+[[nodiscard]] inline std::string peerAddress(const settings &Settings) {
+  return Settings.Peers.Host + ":" + std::to_string(Settings.Peers.Port);
+}
+
 } // namespace galenalink::job_node
 
 #endif
