--- a/src/galenalink/job/callers.hpp
+++ b/src/galenalink/job/callers.hpp
@@ -9,7 +9,7 @@
 /** @brief Accepts a job, or refuses it immediately. Idempotent: resubmitting an
  * accepted job returns its current state.
  * @param KnownSince A version of the rules that has the queue; 0 for unknown.
- * A leader that has read none as new refuses a queue that it does not know. */
+ * A leader whose rules are older refuses a queue that they lack. */
 void submitJob(leader &Leader, const std::string &Queue,
                std::uint64_t KnownSince, const std::string &Id, job_spec Spec,
                reply_function Reply);
