--- a/test/galenalink/job/odd_records.cpp
+++ b/test/galenalink/job/odd_records.cpp
@@ -26,7 +26,7 @@
 std::vector<std::string> unreadableRecords() {
   std::vector<std::string> Records{"", "{", "\xff", std::string{"\x80"}};
   for (const char Each : {'\x81', '\x9f', '\xbf', '\xc1', '\x5f', '\x7f'})
-    Records.push_back(std::string(DeepLevels, Each));
+    Records.emplace_back(DeepLevels, Each);
   Records.emplace_back("\x9b\x7f\xff\xff\xff\xff\xff\xff\xff");
   Records.emplace_back("\x7b\x7f\xff\xff\xff\xff\xff\xff\xff");
   Records.emplace_back("\xbb\xff\xff\xff\xff\xff\xff\xff\xff");
--- a/test/platform/decoder_properties.cpp
+++ b/test/platform/decoder_properties.cpp
@@ -96,18 +96,18 @@
   wave_progress Wave;
   Wave.Done = {"m"};
   return {
-      R"({"spec":"text","steps":[{"count":4,"cpu":500,"labels":["a"]},)"
-      R"({"count":1,"dependsOn":[0],"gang":true}],"times":2,"startAtMs":5})",
-      R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/",)"
-      R"("service":"a","advice":{"decisionMs":3},"stretchFactor":1.6}],)"
-      R"("services":[{"name":"a","standby":true}]})",
+      (R"({"spec":"text","steps":[{"count":4,"cpu":500,"labels":["a"]},)"
+       R"({"count":1,"dependsOn":[0],"gang":true}],"times":2,"startAtMs":5})"),
+      (R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/",)"
+       R"("service":"a","advice":{"decisionMs":3},"stretchFactor":1.6}],)"
+       R"("services":[{"name":"a","standby":true}]})"),
       R"({"wave":1,"machines":["m","n"],"withinS":20,"cap":2})",
-      R"({"service":"a","address":"10.0.0.1:80","zone":"z","state":"ready",)"
-      R"("capacity":{"cpu":1000,"memMb":10},"labels":["a","r1"],"born":5})",
-      R"({"clockMs":9,"born":3,"running":[["a.0.1.2",4,"s",41,7]],)"
-      R"("finished":[[58,"a.0.1.3",1,"done",""]]})",
-      R"({"machines":[{"machine":"m","pool":"p","state":"up","id":"i",)"
-      R"("capacity":{"cpu":5},"labels":["a"]}],"nextToken":"t"})",
+      (R"({"service":"a","address":"10.0.0.1:80","zone":"z","state":"ready",)"
+       R"("capacity":{"cpu":1000,"memMb":10},"labels":["a","r1"],"born":5})"),
+      (R"({"clockMs":9,"born":3,"running":[["a.0.1.2",4,"s",41,7]],)"
+       R"("finished":[[58,"a.0.1.3",1,"done",""]]})"),
+      (R"({"machines":[{"machine":"m","pool":"p","state":"up","id":"i",)"
+       R"("capacity":{"cpu":5},"labels":["a"]}],"nextToken":"t"})"),
       R"({"good":[["i-1","t1"],["i-2","t2"]]})",
       R"({"reason":"old","born":5})",
       R"([1,"node","10.0.0.1:80",3])",
--- a/test/soak/odd_records_test.cpp
+++ b/test/soak/odd_records_test.cpp
@@ -195,10 +195,10 @@
           "[1e400]",
           R"([1,"x","127.0.0.1:99999",18446744073709551615])",
           R"({"version":18446744073709551615,"routes":[],"services":[]})",
-          R"({"service":"first","address":"127.0.0.1:65536","zone":"north",)"
-          R"("state":"ready","capacity":{"cpu":16000},"seq":1e300})",
-          R"({"service":"first","address":"127.0.0.1:1","zone":"north",)"
-          R"("state":"ready","capacity":{"cpu":-1e300},"born":-5})"};
+          (R"({"service":"first","address":"127.0.0.1:65536","zone":"north",)"
+           R"("state":"ready","capacity":{"cpu":16000},"seq":1e300})"),
+          (R"({"service":"first","address":"127.0.0.1:1","zone":"north",)"
+           R"("state":"ready","capacity":{"cpu":-1e300},"born":-5})")};
 }
 
 } // namespace
