Deny no job while leadership is not confirmed

What callers saw: a cancel of an accepted job was answered 410, and the job ran on (soak, SOAK_SEED=1013 SOAK_SECONDS=13 with 4 nodes, 2 of 5 runs).

Cause: a leader that has been paused still leads in its own view until it reads the leader log. It answered as it resumed, from its own jobs: a job that its successor had accepted does not exist there. A node that was cut off from the store still forwarded to it.

Evidence: kept logs of one run. node-2, epoch 1, is silent up to 843.99; node-0 is elected with epoch 6 at 842.64; the job is accepted at 842.98; node-1, which still knows epoch 1, gets no-job for its cancel at 843.994 after 803 ms; node-2 is deposed at 843.993.

Change: a leader denies a job only if its leadership was confirmed within the last second, in which no successor can have accepted jobs. Otherwise the request counts as not taken and goes to the next leader.

The seed is kept.

--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -248,13 +248,23 @@
             Admission.Verdict == admission_verdict::Deferred, std::move(Reply));
 }
 
+namespace {
+
+/** @return That the job does not exist, or that another node may lead: a
+ * replaced leader does not know the jobs that its successor has accepted. */
+caller_reply replyForUnknownJob(const leader &Leader) {
+  caller_reply Reply;
+  Reply.Verdict =
+      isLeadershipConfirmed(Leader) ? verdict::NoJob : verdict::NotLeading;
+  return Reply;
+}
+
+} // namespace
+
 caller_reply queryJob(const leader &Leader, const std::string &Id) {
   const job_entry *Entry = Leader.findJob(Id);
-  if (Entry == nullptr) {
-    caller_reply Reply;
-    Reply.Verdict = verdict::NoJob;
-    return Reply;
-  }
+  if (Entry == nullptr)
+    return replyForUnknownJob(Leader);
   const bool Started = Entry->StoredState == job_state::Queued &&
                        Entry->Job.state() != job_state::Queued;
   return makeOkReply(Started ? job_state::Running : Entry->StoredState);
@@ -263,9 +273,7 @@
 void cancelJob(leader &Leader, const std::string &Id, reply_function Reply) {
   job_entry *Entry = Leader.findJob(Id);
   if (Entry == nullptr) {
-    caller_reply NotFound;
-    NotFound.Verdict = verdict::NoJob;
-    Reply(NotFound);
+    Reply(replyForUnknownJob(Leader));
     return;
   }
   if (Entry->Job.cancel()) {
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -200,8 +200,8 @@
   /** Start of the current capacity surplus of each pool that has one. */
   std::map<std::string, time_point> SurplusSince;
   time_point LeadingSince;
-  /** Whether leadership was confirmed so recently that no successor can send VM
-   * orders yet. */
+  /** Whether leadership was confirmed so recently that no successor can accept
+   * jobs or send VM orders yet; if not set, it always is. */
   std::function<bool()> LeadershipConfirmed;
   /** Pools in which a task may be able to start, and from when on. */
   std::map<std::string, time_point> DispatchDue;
@@ -234,6 +234,9 @@
   }
 };
 
+[[nodiscard]] inline bool isLeadershipConfirmed(const leader &Leader) {
+  return !Leader.LeadershipConfirmed || Leader.LeadershipConfirmed();
+}
 /** @brief Requests that tasks of the pool are started if they can be placed,
  * after a change that may allow it. */
 void requestDispatch(leader &Leader, const std::string &Pool,
--- a/src/galenalink/job/vm_orders.cpp
+++ b/src/galenalink/job/vm_orders.cpp
@@ -151,8 +151,7 @@
 }
 
 bool mayOrderVms(const leader &Leader) {
-  return Leader.VmsRequestedAt != NoDeadline &&
-         (!Leader.LeadershipConfirmed || Leader.LeadershipConfirmed());
+  return Leader.VmsRequestedAt != NoDeadline && isLeadershipConfirmed(Leader);
 }
 
 bool orderGapPending(const leader &Leader, const std::string &Vm) {
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -15,8 +15,8 @@
 constexpr duration VmListInterval = std::chrono::milliseconds{1000};
 constexpr duration VmListIntervalWithPendingOrders =
     std::chrono::milliseconds{300};
-/** For this long after a confirmed append no successor can order VMs: the
- * election timeout is longer, and a new leader must recover first. */
+/** For this long after a confirmed append no successor can accept jobs or order
+ * VMs: the election timeout is longer, and a new leader must recover first. */
 constexpr duration ConfirmationValidity = std::chrono::milliseconds{1000};
 /** Delay before a failed recovery is retried. */
 constexpr duration RecoveryRetryDelay = std::chrono::milliseconds{100};
--- a/src/galenalink/job_node/node_requests.cpp
+++ b/src/galenalink/job_node/node_requests.cpp
@@ -60,10 +60,15 @@
                           std::function<void(forward_result)> Callback) {
   if (To.Address == peerAddress(Settings)) {
     Loop.post([this, Request, Callback = std::move(Callback)] {
-      if (Controller)
-        serveLocally(Request, Callback);
-      else
+      if (!Controller) {
         Callback(forward_failure::NotAccepted);
+        return;
+      }
+      serveLocally(Request, [Callback](const job::caller_reply &Reply) {
+        Callback(Reply.Verdict == verdict::NotLeading
+                     ? forward_result{forward_failure::NotAccepted}
+                     : forward_result{Reply});
+      });
     });
     return;
   }
--- a/test/galenalink/job/simulated_platform.cpp
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -212,6 +212,7 @@
   auto State = std::make_unique<leader>(
       Ports, Settings, Epoch, [this] { return Now; },
       [this] { return WallStart + toMs(Now); }, [this] { Fenced = true; });
+  State->LeadershipConfirmed = [this] { return LeadershipConfirmed; };
   Leader = std::make_unique<controller>(std::move(State), Records, Rules);
 }
 
--- a/test/galenalink/job/simulated_platform.hpp
+++ b/test/galenalink/job/simulated_platform.hpp
@@ -87,6 +87,8 @@
   /** Each maintained VM with its wave; a repeated order has no effect. */
   std::set<std::pair<std::string, std::uint64_t>> Maintained;
   bool Fenced{false};
+  /** Whether the leader's latest claim or heartbeat is recent. */
+  bool LeadershipConfirmed{true};
 
   simulated_server &addServer(const std::string &Id, const std::string &Pool,
                               std::int64_t Cpu = 32000);
--- a/test/galenalink/job/unknown_runs.cpp
+++ b/test/galenalink/job/unknown_runs.cpp
@@ -146,4 +146,28 @@
     BOOST_ERROR(Each);
 }
 
+// A leader that had been paused answered a cancel as it resumed, before it
+// learned of its successor: it denied a job that the successor had accepted, so
+// that the caller took a job for cancelled which ran on.
+BOOST_AUTO_TEST_CASE(unconfirmed_leader_denies_no_job) {
+  using verdict = caller_reply::verdict;
+  simulated_platform Platform;
+  Platform.addServer("s0", "press");
+  Platform.elect();
+  Platform.advance(Second);
+  const auto Cancel = [&] {
+    std::optional<verdict> Verdict;
+    Platform.Leader->cancel(
+        "a", [&](const caller_reply &Reply) { Verdict = Reply.Verdict; });
+    Platform.advance(Second);
+    return Verdict;
+  };
+  Platform.LeadershipConfirmed = false;
+  BOOST_CHECK(Platform.Leader->query("a").Verdict == verdict::NotLeading);
+  BOOST_CHECK(Cancel() == verdict::NotLeading);
+  Platform.LeadershipConfirmed = true;
+  BOOST_CHECK(Platform.Leader->query("a").Verdict == verdict::NoJob);
+  BOOST_CHECK(Cancel() == verdict::NoJob);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/soak/soak_test.cpp
+++ b/test/soak/soak_test.cpp
@@ -167,11 +167,15 @@
 struct kept_seed {
   std::uint64_t Seed;
   std::size_t Nodes;
+  /** Duration of the phases with faults, s. */
+  std::uint64_t FaultSeconds;
   const char *Cause;
 };
 
 const std::vector<kept_seed> KeptSeeds{
-    {4, 4, "leader without the operator's rules took 1 as the attempt limit"},
+    {4, 4, 20,
+     "leader without the operator's rules took 1 as the attempt limit"},
+    {1013, 4, 13, "replaced leader denied a job of its successor to a cancel"},
 };
 
 void runSoak(const soak_options &Options) {
@@ -206,6 +210,7 @@
       soak_options Options;
       Options.Seed = Each.Seed;
       Options.Nodes = Each.Nodes;
+      Options.FaultTime = Each.FaultSeconds * Second;
       runSoak(Options);
     }
   }
