--- a/test/galenalink/schedule/shard_history.cpp
+++ b/test/galenalink/schedule/shard_history.cpp
@@ -251,7 +251,7 @@
   for (std::uint64_t Id = 1; Id <= 7; ++Id)
     ForeignAttempts.push_back({node_id{2}, Id});
   BOOST_TEST(Shard.reconcileAttempts(Vm, ForeignAttempts, Start).Added == 7);
-  const auto DataCentre = [&](const std::uint64_t Id) {
+  const auto Place = [&](const std::uint64_t Id) {
     BOOST_TEST(Shard
                    .enqueue({item_id{Id}, Queue, Team,
                              Start + std::chrono::seconds{9}},
@@ -259,8 +259,8 @@
                    .admitted());
     return Shard.next({node_id{1}, Id}, Start).has_value();
   };
-  BOOST_TEST(DataCentre(1));
-  BOOST_TEST(!DataCentre(2));
+  BOOST_TEST(Place(1));
+  BOOST_TEST(!Place(2));
   ForeignAttempts.pop_back();
   ForeignAttempts.push_back({node_id{1}, 1});
   BOOST_TEST(Shard.reconcileAttempts(Vm, ForeignAttempts, Start).Released == 1);
