Leave a start without a response to the next list of runs

Cause: after four start orders without a response the leader stopped the run, although the order may have been carried out; on a full link or a busy loop responses of good backend servers are late. Change: such a run waits for a list of runs that is requested afterwards. If the list names it, it is kept; otherwise it is stopped, which revokes a start that is still under way. Only a run that is not needed any more is stopped at once.

--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -18,7 +18,7 @@
 /** Time limit for the response to an order. Responses take a few ms; a lost
  * order delays its task by this limit. */
 constexpr duration OrderTimeout = std::chrono::milliseconds{350};
-/** Attempts to send one start order before the run is stopped instead. */
+/** Attempts to send one start order before a list of runs must settle it. */
 constexpr std::uint32_t MaxStartsSent = 4;
 /** Delay before a task is started again after a refused start. */
 constexpr duration RefusedBackoff = std::chrono::milliseconds{100};
@@ -39,6 +39,17 @@
 void onStartRefused(leader &Leader, server &Server, const run_id &Run,
                     const order_result &Result) {
   ++Leader.Counts->StartsRefused;
+/**
+ * @brief Leaves a run, whose start may have been carried out, to the next list
+ * of runs that is requested from now on: if that names the run, it is kept,
+ * otherwise it is stopped, which also revokes a start that is still under way.
+ */
+void awaitListOfRuns(const leader &Leader, server &Server, run &Run) {
+  Run.State = run_state::Unconfirmed;
+  Run.UnconfirmedSince = Leader.Now();
+  Server.HeartbeatDue = std::min(Server.HeartbeatDue, Leader.Now());
+}
+
   const time_point Now = Leader.Now();
   if (Result.Reason == start_refusal::Unavailable)
     Server.Health.recordFault(Now);
@@ -54,8 +65,7 @@
     return;
   }
   if (Found.StartsSent > 1) {
-    Found.State = run_state::Unconfirmed;
-    stopRun(Leader, Server, Run);
+    awaitListOfRuns(Leader, Server, Found);
     return;
   }
   releaseRun(Leader, Server, Run);
@@ -65,10 +75,9 @@
 void sendStart(leader &Leader, server &Server, const run_id &RunId);
 
 /**
- * @brief Handles a start order without a response. The backend server may still
- * carry it out, so the task can't be started elsewhere. A retry with the same
- * run number is idempotent and likely to get a response; only a stop revokes
- * the order.
+ * @brief Handles a start order without a response. The backend server may have
+ * carried it out or may still do so, so the task can't be started elsewhere. A
+ * retry with the same run number is idempotent and likely to get a response.
  */
 void onStartTimeout(leader &Leader, server &Server, const run_id &Run) {
   ++Leader.Counts->StartsUnknown;
@@ -77,14 +86,18 @@
   if (Found.State != run_state::Starting)
     return;
   const job_entry *Entry = Leader.findJob(Run.Task.Job);
-  const bool Needed = Entry != nullptr && !Entry->Job.ended() &&
-                      !Server.Cordoned && !Server.Entry.Draining;
-  if (Needed && Found.StartsSent < MaxStartsSent) {
-    sendStart(Leader, Server, Run);
+  const bool Needed = Entry != nullptr && !Entry->Job.ended();
+  if (!Needed) {
+    Found.State = run_state::Unconfirmed;
+    stopRun(Leader, Server, Run);
     return;
   }
-  Found.State = run_state::Unconfirmed;
-  stopRun(Leader, Server, Run);
+  const bool Retry = !Server.Cordoned && !Server.Entry.Draining &&
+                     Found.StartsSent < MaxStartsSent;
+  if (Retry)
+    sendStart(Leader, Server, Run);
+  else
+    awaitListOfRuns(Leader, Server, Found);
 }
 
 void onStartResponse(leader &Leader, const std::string &ServerId,
@@ -359,7 +372,9 @@
 
 void resendStops(leader &Leader, server &Server) {
   for (auto &[Id, Run] : Server.Runs) {
-    if (Run.State == run_state::Stopping || Run.State == run_state::Unconfirmed)
+    const bool NotListed = Run.State == run_state::Unconfirmed &&
+                           Server.HeartbeatSentAt >= Run.UnconfirmedSince;
+    if (Run.State == run_state::Stopping || NotListed)
       stopRun(Leader, Server, Id);
   }
 }
--- a/src/galenalink/job/server.hpp
+++ b/src/galenalink/job/server.hpp
@@ -15,8 +15,8 @@
   Running,
   /** It is being stopped; its resources are still reserved. */
   Stopping,
-  /** The start order had no response; it may be carried out later. Named
-   * "unclear" outside the code. */
+  /** The start order had no response; it may have been carried out, or be
+   * carried out later. Named "unclear" outside the code. */
   Unconfirmed,
 };
 
@@ -39,6 +39,8 @@
   /** When the start or the stop was confirmed; `NoDeadline` before. */
   time_point StartConfirmedAt{NoDeadline};
   time_point StopConfirmedAt{NoDeadline};
+  /** Since when it is `Unconfirmed`. */
+  time_point UnconfirmedSince{NoDeadline};
   /** When the run should end on a backend server of normal speed. */
   time_point ExpectedEnd;
   /** Checkpoint that it was started from. */
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -143,7 +143,9 @@
     Run.LastListing = Server.Listings;
     if (Run.StartConfirmedAt == NoDeadline)
       Run.StartConfirmedAt = Leader.Now();
-    if (Run.State == run_state::Starting)
+    const bool BeingStopped = Run.StopSent || Run.StopConfirmedAt != NoDeadline;
+    if (Run.State == run_state::Starting ||
+        (Run.State == run_state::Unconfirmed && !BeingStopped))
       Run.State = run_state::Running;
     if (Run.Percent != Listed.Percent || Run.ProgressAt == time_point{}) {
       Run.Percent = Listed.Percent;
--- a/test/galenalink/job/unknown_runs.cpp
+++ b/test/galenalink/job/unknown_runs.cpp
@@ -170,4 +170,81 @@
   BOOST_CHECK(Cancel() == verdict::NoJob);
 }
 
+// A leader whose process was suspended between the decision on a VM order and
+// the store's response sent the order after a successor had taken over.
+BOOST_AUTO_TEST_CASE(unconfirmed_leader_orders_no_vm) {
+  simulated_platform Platform;
+  for (const char *Id : {"s0", "s1"})
+    Platform.addServer(Id, "press");
+  const auto Append = Platform.Ports.Append;
+  Platform.Ports.Append = [&](std::uint64_t Epoch, std::uint64_t Sequence,
+                              const std::vector<keyed_record> &Records,
+                              time_point Deadline, const auto &Callback) {
+    const bool HasOrder =
+        std::ranges::any_of(Records, [](const keyed_record &Each) {
+          return Each.Key.starts_with("v");
+        });
+    if (HasOrder)
+      Platform.LeadershipConfirmed = false;
+    Append(Epoch, Sequence, Records, Deadline, Callback);
+  };
+  Platform.elect();
+  Platform.advance(Second);
+  Platform.Leader->setWaves({{1, wave{1, {"vm-s0"}, 20, 1}}});
+  Platform.advance(5 * Second);
+  BOOST_TEST(!Platform.LeadershipConfirmed);
+  BOOST_TEST(Platform.VmOrders.empty());
+}
+
+// The start of a task that was at work had no response because the leader's
+// link was full. After its last repeat the leader stopped the run, which took
+// the step below its disruption budget, instead of asking for the list of runs.
+BOOST_AUTO_TEST_CASE(start_without_a_response_is_settled_by_the_list_of_runs) {
+  simulated_platform Platform;
+  for (const char *Id : {"s0", "s1"})
+    Platform.addServer(Id, "press");
+  const auto List = Platform.Ports.Heartbeat;
+  const auto Stop = Platform.Ports.Stop;
+  std::vector<std::function<void()>> Held;
+  bool Holds = false;
+  Platform.Ports.Heartbeat = [&](const heartbeat_order &Order,
+                                 const auto &Callback) {
+    List(Order, [&, Callback](const heartbeat_result &Result) {
+      if (Holds)
+        Held.push_back([Callback, Result] { Callback(Result); });
+      else
+        Callback(Result);
+    });
+  };
+  int Stops = 0;
+  Platform.Ports.Stop = [&](const stop_order &Order, const auto &Callback) {
+    ++Stops;
+    Stop(Order, Callback);
+  };
+  Platform.elect();
+  Platform.advance(Second);
+  Holds = true;
+  Platform.advance(Second);
+  for (auto &[Id, Server] : Platform.Servers)
+    Server.DropsStartResponses = true;
+  job_spec Spec;
+  Spec.Spec = "text";
+  Spec.Steps = {makeStep(2, 2000, 0)};
+  Spec.Steps.front().LongRunning = true;
+  Spec.Steps.front().DisruptionBudget = 1;
+  BOOST_REQUIRE(Platform.submit("press", "a", Spec));
+  Platform.advance(2 * Second);
+  BOOST_TEST(Platform.countServing("a", 2) == 2U);
+  // These lists were requested before the starts and cannot name the runs.
+  Holds = false;
+  for (const auto &Each : std::exchange(Held, {}))
+    Each();
+  Platform.advance(2 * Second);
+  BOOST_TEST(Stops == 0);
+  BOOST_TEST(Platform.Starts == 2U);
+  BOOST_TEST(Platform.countServing("a", 2) == 2U);
+  for (const auto &Each : Platform.Violations)
+    BOOST_ERROR(Each);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
