Send no VM order after leadership was last confirmed too long ago

What could happen: a leader that is suspended between deciding on a VM order and the event that writes it sends the order after a successor has been elected, so that two holders order one VM. Cause: the confirmation of leadership was checked when the order was decided; neither the wait for the store nor the connection to the platform checked it again.

--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -200,9 +200,9 @@
   /** Start of the current capacity surplus of each pool that has one. */
   std::map<std::string, time_point> SurplusSince;
   time_point LeadingSince;
-  /** Whether leadership was confirmed so recently that no successor can accept
-   * jobs or send VM orders yet; if not set, it always is. */
-  std::function<bool()> LeadershipConfirmed;
+  /** Returns until when no successor can accept jobs or send VM orders; if not
+   * set, that is forever. */
+  std::function<time_point()> LeadershipConfirmedUntil;
   /** Pools in which a task may be able to start, and from when on. */
   std::map<std::string, time_point> DispatchDue;
   /** Callbacks hold it weakly to detect that the leader no longer exists. */
@@ -235,7 +235,8 @@
 };
 
 [[nodiscard]] inline bool isLeadershipConfirmed(const leader &Leader) {
-  return !Leader.LeadershipConfirmed || Leader.LeadershipConfirmed();
+  return !Leader.LeadershipConfirmedUntil ||
+         Leader.Now() < Leader.LeadershipConfirmedUntil();
 }
 /** @brief Requests that tasks of the pool are started if they can be placed,
  * after a change that may allow it. */
--- a/src/galenalink/job/ports.hpp
+++ b/src/galenalink/job/ports.hpp
@@ -308,6 +308,9 @@
   std::string Pool;
   /** Wave that the maintenance belongs to. */
   std::uint64_t Wave{0};
+  /** It must not be sent at or after this time, when a successor may have been
+   * elected. */
+  time_point SendBy{time_point::max()};
 };
 
 /**
--- a/src/galenalink/job/vm_orders.cpp
+++ b/src/galenalink/job/vm_orders.cpp
@@ -106,7 +106,11 @@
   pending_vm_order &PendingOrder = Leader.PendingVmOrders.at(Vm);
   PendingOrder.Sent = true;
   PendingOrder.OrderedAt = Leader.Now();
-  Leader.Ports.OrderVm({Vm, Leader.Epoch, PendingOrder.Pool, PendingOrder.Wave},
+  vm_order Order{Vm, Leader.Epoch, PendingOrder.Pool, PendingOrder.Wave};
+  // The process may be suspended until a successor orders VMs.
+  if (Leader.LeadershipConfirmedUntil)
+    Order.SendBy = Leader.LeadershipConfirmedUntil();
+  Leader.Ports.OrderVm(Order,
                        Leader.guarded([&Leader, Vm](const vm_result &Result) {
                          handleResponse(Leader, Vm, Result);
                        }));
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -224,8 +224,8 @@
       Ports, leaderSettings(Settings), Epoch, [] { return boot_clock::now(); },
       [] { return wallNow(); },
       [this] { Loop.post([this] { Elector.markFenced(); }); });
-  State->LeadershipConfirmed = [this] {
-    return boot_clock::now() < Elector.confirmedAt() + ConfirmationValidity;
+  State->LeadershipConfirmedUntil = [this] {
+    return Elector.confirmedAt() + ConfirmationValidity;
   };
   State->Counts = Counts;
   State->AfterEvent = [this] { scheduleDispatch(); };
--- a/test/galenalink/job/simulated_platform.cpp
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -150,7 +150,10 @@
     });
   };
   Ports.OrderVm = [this](const vm_order &Order, const auto &Callback) {
-    schedule(Latency, [this, Order, Callback] { Callback(orderVm(Order)); });
+    schedule(Latency, [this, Order, Callback] {
+      Callback(Now < Order.SendBy ? orderVm(Order)
+                                  : vm_result{call_outcome::Refused, false});
+    });
   };
 }
 
@@ -212,7 +215,9 @@
   auto State = std::make_unique<leader>(
       Ports, Settings, Epoch, [this] { return Now; },
       [this] { return WallStart + toMs(Now); }, [this] { Fenced = true; });
-  State->LeadershipConfirmed = [this] { return LeadershipConfirmed; };
+  State->LeadershipConfirmedUntil = [this] {
+    return LeadershipConfirmed ? time_point::max() : NoDeadline;
+  };
   Leader = std::make_unique<controller>(std::move(State), Records, Rules);
 }
 
