Index the backend servers of a leader by pool

Cause: perf of a leading process with 1,100 VMs and 1,819 starts a second: a fifth of its time went into walks over all backend servers, to find those of one pool (dispatch after each event, admission) and those whose runs are unknown. Change: lists by pool, in the order of ids as before; the check for unknown runs ends with the last time they can be.

--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -142,10 +142,9 @@
 
 pool_load computePoolLoad(const leader &Leader, const std::string_view Pool) {
   pool_load Load;
-  for (const auto &[Id, Server] : Leader.Servers) {
-    const bool AcceptsWork = Server->Entry.Pool == Pool && Server->Registered &&
-                             Server->Synced && !Server->Entry.Draining &&
-                             !Server->Cordoned;
+  for (const server *Server : Leader.ServersByPool.of(Pool)) {
+    const bool AcceptsWork = Server->Registered && Server->Synced &&
+                             !Server->Entry.Draining && !Server->Cordoned;
     if (!AcceptsWork)
       continue;
     Load.Capacity += static_cast<double>(Server->Entry.Capacity.Cpu);
--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -366,9 +366,9 @@
                                        const std::string_view Pool) {
   const time_point Now = Leader.Now();
   std::vector<server *> Servers;
-  for (auto &[Id, Server] : Leader.Servers) {
-    if (Server->Entry.Pool == Pool && acceptsWork(*Server, Now))
-      Servers.push_back(Server.get());
+  for (server *Each : Leader.ServersByPool.of(Pool)) {
+    if (acceptsWork(*Each, Now))
+      Servers.push_back(Each);
   }
   return Servers;
 }
--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -57,12 +57,30 @@
 
 server &addServer(leader &Leader, const registration &Entry) {
   auto &Slot = Leader.Servers[Entry.Id];
+  if (Slot)
+    Leader.ServersByPool.remove(*Slot);
   Slot = std::make_unique<server>();
   Slot->Entry = Entry;
   Slot->Locations = &Leader.RunLocations;
+  Leader.ServersByPool.add(*Slot);
   return *Slot;
 }
 
+void removeServer(leader &Leader, const std::string &Id) {
+  const auto Found = Leader.Servers.find(Id);
+  if (Found == Leader.Servers.end())
+    return;
+  Leader.ServersByPool.remove(*Found->second);
+  Leader.Servers.erase(Found);
+}
+
+void setRegistration(leader &Leader, server &Server,
+                     const registration &Entry) {
+  Leader.ServersByPool.remove(Server);
+  Server.Entry = Entry;
+  Leader.ServersByPool.add(Server);
+}
+
 job_entry &addJob(leader &Leader, job Job) {
   const std::string Id = Job.id();
   auto &Slot = Leader.Jobs[Id];
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -8,6 +8,8 @@
 #include "galenalink/job/peak_forecast.hpp"
 #include "galenalink/job/server.hpp"
 #include "galenalink/job/tickets.hpp"
+#include "galenalink/job/server_index.hpp"
+#include "galenalink/job/start_window.hpp"
 #include <memory>
 #include <set>
 #include <unordered_map>
@@ -169,7 +171,8 @@
   /** Jobs that have not ended. */
   std::map<std::string, job_entry *> OpenJobs;
   run_locations RunLocations;
-  /** By id of the backend server's incarnation. */
+  /** By id of the backend server's incarnation. Change it by `addServer` and
+   * `removeServer` only. */
   std::map<std::string, std::unique_ptr<server>> Servers;
   /** Task durations by queue. */
   duration_estimator Durations;
@@ -181,6 +184,9 @@
   /** Shared with the node, so that counters never decrease when a new epoch
    * starts. */
   std::shared_ptr<counters> Counts{std::make_shared<counters>()};
+  server_index ServersByPool;
+  /** From then on no backend server has `RunsUnknownUntil` in the future. */
+  time_point AllRunsKnownAt{NoDeadline};
   /** VMs by name, from the latest list; empty before the first one. */
   std::map<std::string, vm> Vms;
   /** When the latest list was requested; `NoDeadline` before the first one. */
@@ -267,6 +273,9 @@
 /** @brief Writes the job's record to the store. */
 void storeJob(leader &Leader, const std::string &Id);
 /** @brief Applies the current rules to the open jobs of their queues, which may
+void removeServer(leader &Leader, const std::string &Id);
+/** @brief Replaces the registration, which may name another pool. */
+void setRegistration(leader &Leader, server &Server, const registration &Entry);
  * move them to another pool; existing runs stay where they are. Fails the jobs
  * that have reached a limit which was not known before. */
 void applyRules(leader &Leader);
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -86,7 +86,7 @@
              {{"server", Entry.Id},
               {"remaining_ms", static_cast<std::uint64_t>(Entry.RemainingMs)},
               {"runs", Server.Runs.size()}});
-  Server.Entry = Entry;
+  setRegistration(Leader, Server, Entry);
   Server.Registered = true;
   Server.MissingSince = NoDeadline;
   recordServer(Leader, Server);
@@ -367,7 +367,7 @@
     Log.info("backend server removed", {{"server", Id}});
     Leader.Journal.put(serverKey(Id),
                        [] { return std::optional<std::string>{}; });
-    Leader.Servers.erase(Id);
+    removeServer(Leader, Id);
   }
 }
 
@@ -406,3 +406,7 @@
 }
 
 } // namespace galenalink::job
+  Leader.AllRunsKnownAt =
+      std::max(Leader.AllRunsKnownAt, Server.RunsUnknownUntil);
+  if (Now >= Leader.AllRunsKnownAt)
+    return false;
