Bound a node's connections at the size of the large site

What callers saw: beside 147 nodes the leader closed connections of other nodes when it accepted them, and their requests were sent again on new ones; with 1,100 backend servers it held 4,348 descriptors, and most nodes have 4,100. Evidence: client/oldest_idle_connection_is_closed_beyond_the_limit.

--- a/src/galenalink/http/client.cpp
+++ b/src/galenalink/http/client.cpp
@@ -55,15 +55,27 @@
   /** Set when a byte of the current request was handed to the kernel. */
   bool Wrote{false};
   time_point IdleSince;
+  /** Its client's idle connections, oldest first, while it is one of them. */
+  std::list<connection *> *IdleOrder{nullptr};
+  std::list<connection *>::iterator IdlePosition;
 
   connection() = default;
   connection(const connection &) = delete;
   connection &operator=(const connection &) = delete;
   ~connection() {
+    leaveIdleOrder();
     if (Http != nullptr)
       evhttp_connection_free(Http);
   }
 
+  void joinIdleOrder(std::list<connection *> &Order) {
+    IdleOrder = &Order;
+    IdlePosition = Order.insert(Order.end(), this);
+  }
+  void leaveIdleOrder() noexcept {
+    if (IdleOrder != nullptr)
+      std::exchange(IdleOrder, nullptr)->erase(IdlePosition);
+  }
   /** @brief Whether it is open and holds no bytes beyond the last answer. */
   [[nodiscard]] bool usable() const noexcept {
     bufferevent *Stream = evhttp_connection_get_bufferevent(Http);
@@ -103,6 +115,9 @@
 struct client::impl {
   loop &Loop;
   client_options Options;
+  traffic Traffic;
+  /** Idle connections of all pools, oldest first. */
+  std::list<connection *> IdleOrder;
   std::map<address, pool> Pools;
   timer Sweep;
   /** Expires with the client; posted functions check it. */
@@ -117,6 +132,7 @@
   [[nodiscard]] std::unique_ptr<connection> open(pool &Pool);
   void done(connection &Connection, evhttp_request *Request);
   void release(connection &Connection);
+  void closeExcessIdle();
   void startWaiting(pool &Pool);
   void finish(const std::shared_ptr<call::state> &State, answer Answer);
   delivery abandon(call::state &State) noexcept;
@@ -174,6 +190,7 @@
   pool &Pool = *State->Pool;
   while (!Pool.Idle.empty()) {
     if (Pool.Idle.back()->usable()) {
+      Pool.Idle.back()->leaveIdleOrder();
       Pool.Busy.splice(Pool.Busy.end(), Pool.Idle, std::prev(Pool.Idle.end()));
       start(Pool, std::prev(Pool.Busy.end()), State);
       return;
@@ -218,10 +235,20 @@
       bufferevent_get_output(
           evhttp_connection_get_bufferevent(Connection->Http)),
       [](evbuffer *, const evbuffer_cb_info *Info, void *Arg) {
-        if (Info->n_deleted > 0)
-          static_cast<connection *>(Arg)->Wrote = true;
+        if (Info->n_deleted == 0)
+          return;
+        auto *Self = static_cast<connection *>(Arg);
+        Self->Wrote = true;
+        Self->Client->Traffic.Sent += Info->n_deleted;
       },
       Connection.get());
+  evbuffer_add_cb(
+      bufferevent_get_input(
+          evhttp_connection_get_bufferevent(Connection->Http)),
+      [](evbuffer *, const evbuffer_cb_info *Info, void *Arg) {
+        static_cast<client::impl *>(Arg)->Traffic.Received += Info->n_added;
+      },
+      this);
   return Connection;
 }
 
@@ -284,6 +311,8 @@
   if (Connection.usable()) {
     Connection.IdleSince = boot_clock::now();
     Pool.Idle.splice(Pool.Idle.end(), Pool.Busy, Connection.Position);
+    Connection.joinIdleOrder(IdleOrder);
+    closeExcessIdle();
     if (!Sweep.pending())
       Sweep = Loop.every(SweepInterval, [this] { sweep(); });
   } else {
@@ -292,6 +321,13 @@
   startWaiting(Pool);
 }
 
+void client::impl::closeExcessIdle() {
+  while (IdleOrder.size() > Options.MaxIdle) {
+    connection &Oldest = *IdleOrder.front();
+    Oldest.Pool->Idle.erase(Oldest.Position);
+  }
+}
+
 void client::impl::startWaiting(pool &Pool) {
   while (!Pool.Waiting.empty() && Pool.Busy.size() < Options.MaxConnections) {
     const auto State = Pool.Waiting.front();
@@ -406,6 +442,8 @@
   return call{State};
 }
 
+const traffic &client::exchanged() const noexcept { return Impl->Traffic; }
+
 std::size_t client::connections(const address &Address) const {
   const auto Found = Impl->Pools.find(Address);
   return Found == Impl->Pools.end()
--- a/src/galenalink/http/client.hpp
+++ b/src/galenalink/http/client.hpp
@@ -6,6 +6,7 @@
 #include "galenalink/http/fwd.hpp"
 #include "galenalink/http/message.hpp"
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -14,6 +15,9 @@
 struct client_options {
   /** Open connections to one address, idle ones included. */
   std::size_t MaxConnections{64};
+  /** Idle connections to all addresses; beyond that, the one that has been idle
+   * for longest is closed. */
+  std::size_t MaxIdle{4096};
   /** Requests to one address that wait for a connection. */
   std::size_t MaxWaiting{1024};
   std::size_t MaxHeaderBytes{16U << 10U};
@@ -30,10 +34,6 @@
    * busy; callbacks keep their turn.
    */
   bool BeforeOtherEvents{false};
-};
-
-/** @brief Handle of a request in progress; destroying it cancels nothing. */
-class call {
   /** Callbacks, too, are called ahead of other events. It is meant for short
    * ones that must not wait while the loop is busy. */
   bool UrgentCallbacks{false};
@@ -43,6 +43,10 @@
 struct traffic {
   std::uint64_t Sent{0};
   std::uint64_t Received{0};
+};
+
+/** @brief Handle of a request in progress; destroying it cancels nothing. */
+class call {
 public:
   struct state;
 
@@ -83,6 +87,7 @@
   call send(const address &Address, request Request, time_point Deadline,
             callback Callback);
 
+  [[nodiscard]] const traffic &exchanged() const noexcept;
   /** @return Open connections to the address, idle ones included. */
   [[nodiscard]] std::size_t connections(const address &Address) const;
   /** @brief Closes the idle connections to an address that is gone. */
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -120,9 +120,18 @@
                       std::function<void(probe_result)> Callback) {
                  probeLeader(Leader, std::move(Callback));
                }}},
-      PeerServer{Loop,
-                 {},
+      PeerServer{Loop, peerServerOptions(),
                  [this](http::exchange Exchange) {
+/** Nodes of the largest deployment times the connections that each may open to
+ * the leader, with room for probes. */
+constexpr std::size_t MaxPeerConnections = 4096;
+
+http::server_options peerServerOptions() {
+  http::server_options Options;
+  Options.MaxConnections = MaxPeerConnections;
+  return Options;
+}
+
                    handlePeerRequest(std::move(Exchange));
                  }},
       PeerClient{Loop, peerOptions()},
--- a/src/galenalink/job_node/settings.cpp
+++ b/src/galenalink/job_node/settings.cpp
@@ -13,6 +13,8 @@
 constexpr range TimeRange{1, 3600000, "ms"};
 constexpr range SecondsRange{0, 3600, "s"};
 constexpr range ProcessorShareRange{0, 1, ""};
+constexpr range DescriptorRange{256, 1000000, ""};
+constexpr range LinkRange{0, 1000000, "Mbit/s"};
 constexpr range ProcessorSpeedRange{1, 1000, ""};
 
 void checkAddress(reader &Reader, const std::string_view Key,
@@ -57,6 +59,8 @@
       .decimal("stop_deadline_s", Out.StopDeadlineS, SecondsRange)
       .decimal("processor_share", Out.ProcessorShare, ProcessorShareRange)
       .decimal("processor_speed", Out.ProcessorSpeed, ProcessorSpeedRange)
+      .number("max_descriptors", Out.MaxDescriptors, DescriptorRange)
+      .decimal("link_mbit", Out.LinkMbit, LinkRange)
       .decimal("move_s", Out.MoveS, SecondsRange)
       .decimal("maintenance_s", Out.MaintenanceS, SecondsRange)
       .number("holder_pause_ms", Out.MinVmOrderGapMs, TimeRange)
--- a/src/galenalink/job_node/settings.hpp
+++ b/src/galenalink/job_node/settings.hpp
@@ -34,6 +34,10 @@
    * time as a multiple of one core. */
   double ProcessorShare{1};
   double ProcessorSpeed{1};
+  /** Descriptors that the process may open. */
+  std::uint32_t MaxDescriptors{4096};
+  /** Bandwidth of the node's link, Mbit/s. */
+  double LinkMbit{1000};
   /** Duration of a VM's move to another pool and of its maintenance, s. */
   double MoveS{1.5};
   double MaintenanceS{2};
--- a/test/galenalink/http/client.cpp
+++ b/test/galenalink/http/client.cpp
@@ -355,4 +355,33 @@
   BOOST_TEST(Calls == 0);
 }
 
+// A client of more than a thousand servers kept so many idle connections that
+// the process came close to its limit of descriptors.
+BOOST_AUTO_TEST_CASE(oldest_idle_connection_is_closed_beyond_the_limit) {
+  loop Loop;
+  const auto Handler = [](exchange Exchange) { Exchange.reply(200, {}, "ok"); };
+  std::vector<std::unique_ptr<server>> Servers;
+  std::vector<address> Addresses;
+  for (int I = 0; I < 3; ++I) {
+    Servers.push_back(
+        std::make_unique<server>(Loop, server_options{}, Handler));
+    const auto Port = tryOr([&] { return Servers.back()->listen(Loopback, 0); },
+                            [](const error &) { return std::uint16_t{0}; });
+    Addresses.push_back({Loopback, Port});
+  }
+  client_options Options;
+  Options.MaxIdle = 2;
+  http::client Client{Loop, Options};
+  for (const address &Each : Addresses) {
+    bool Answered = false;
+    Client.send(Each, {method::Get, "/", {}, ""}, boot_clock::now() + 10s,
+                [&](const answer &) { Answered = true; });
+    BOOST_REQUIRE(wait(Loop, [&] { return Answered; }));
+  }
+  BOOST_REQUIRE(
+      wait(Loop, [&] { return Client.connections(Addresses[2]) == 1; }));
+  BOOST_TEST(Client.connections(Addresses[0]) == 0U);
+  BOOST_TEST(Client.connections(Addresses[1]) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
