Bound a leader's start orders and refuse jobs that it cannot begin

Cause: metastable overload. All starts that fitted the pools were sent at once; responses were handled after their timeouts, each repeat closed a connection and opened another, and jobs were accepted without bound meanwhile. Change: a start window bounds the orders without a response by processor time and the bytes on the link (orders 0.6 of the link); pools take turns. While starts are held and the waiting jobs take over 0.3 s to begin, or replies wait over 0.4 s for the store, or a pass of the control loop is over 0.2 s late, new jobs are refused at once with the measured time to drain; queries, cancels and repeats of accepted jobs are served. Heartbeats are sent in portions, the ones due for longest first.

--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -71,6 +71,7 @@
   Job.setRule(Rule, Leader.Rules.Version);
   job_entry &Entry = addJob(Leader, std::move(Job));
   Entry.Deferred = Deferred;
+  ++Leader.WaitingJobs;
   Entry.OnStored.push_back(std::move(Reply));
   openDueOccurrences(Leader, Entry);
   storeJob(Leader, Id);
@@ -165,7 +166,9 @@
 void promoteDeferredJobs(leader &Leader) {
   std::map<std::string, pool_load> Loads;
   const time_point Now = Leader.Now();
+  Leader.WaitingJobs = 0;
   for (auto &[Id, Entry] : Leader.OpenJobs) {
+    Leader.WaitingJobs += Entry->Job.state() == job_state::Queued ? 1 : 0;
     if (!Entry->Deferred || Entry->Job.openOccurrences().empty())
       continue;
     const auto [Load, Added] = Loads.try_emplace(Entry->Job.pool());
@@ -189,6 +192,30 @@
   }
 }
 
+namespace {
+
+leader_backlog backlogOf(const leader &Leader) {
+  leader_backlog Backlog;
+  Backlog.StartsHeldSince = Leader.StartsHeldSince;
+  Backlog.OldestReplyAt =
+      Leader.Journal.currentLoad().OldestAt.value_or(NoDeadline);
+  Backlog.LoopDelay = Leader.LoopDelay;
+  Backlog.WaitingJobs = Leader.WaitingJobs;
+  return Backlog;
+}
+
+} // namespace
+
+std::optional<caller_reply> refuseIfOverloaded(leader &Leader) {
+  const leader_backlog Backlog = backlogOf(Leader);
+  const time_point Now = Leader.Now();
+  if (Leader.OverloadGate.accepts(Backlog, Now))
+    return std::nullopt;
+  ++Leader.Counts->RefusedOverloaded;
+  return makeRefusal("the leader is overloaded",
+                     Leader.OverloadGate.retryAfterMs(Backlog, Now));
+}
+
 void submitJob(leader &Leader, const std::string &Queue,
                const std::uint64_t KnownSince, const std::string &Id,
                job_spec Spec, reply_function Reply) {
@@ -221,6 +248,10 @@
     Reply(makeRefusal("too many tasks or jobs", BusyRetryMs));
     return;
   }
+  if (auto Refusal = refuseIfOverloaded(Leader)) {
+    Reply(*Refusal);
+    return;
+  }
   if (!Leader.Journal.healthy()) {
     Log.warning("admission", {{"job", Id},
                               {"queue", Queue},
--- a/src/galenalink/job/callers.hpp
+++ b/src/galenalink/job/callers.hpp
@@ -13,6 +13,9 @@
 void submitJob(leader &Leader, const std::string &Queue,
                std::uint64_t KnownSince, const std::string &Id, job_spec Spec,
                reply_function Reply);
+/** @return A refusal if the leader is too far behind to accept a new job. It
+ * must not be sent for a job that was accepted before. */
+[[nodiscard]] std::optional<caller_reply> refuseIfOverloaded(leader &Leader);
 [[nodiscard]] caller_reply queryJob(const leader &Leader,
                                     const std::string &Id);
 void cancelJob(leader &Leader, const std::string &Id, reply_function Reply);
--- a/src/galenalink/job/controller.cpp
+++ b/src/galenalink/job/controller.cpp
@@ -59,6 +59,11 @@
   submitJob(*Leader, Queue, KnownSince, Id, std::move(Spec), std::move(Reply));
 }
 
+std::optional<caller_reply> controller::refuseUnparsed(const std::string &Id) {
+  return Leader->findJob(Id) == nullptr ? refuseIfOverloaded(*Leader)
+                                        : std::nullopt;
+}
+
 caller_reply controller::query(const std::string &Id) const {
   return queryJob(*Leader, Id);
 }
@@ -78,7 +83,8 @@
   }
 }
 
-void controller::tick() {
+void controller::tick(const duration LoopDelay) {
+  Leader->LoopDelay = LoopDelay;
   openScheduledOccurrences();
   watchServers(*Leader);
   const time_point Now = Leader->Now();
--- a/src/galenalink/job/controller.hpp
+++ b/src/galenalink/job/controller.hpp
@@ -27,12 +27,20 @@
    * unknown. */
   void submit(const std::string &Queue, std::uint64_t KnownSince,
               const std::string &Id, job_spec Spec, reply_function Reply);
+  /** @return The reply to a submission that is refused because the leader is
+   * overloaded; `nullopt` if it must be looked at in full. */
+  [[nodiscard]] std::optional<caller_reply>
+  refuseUnparsed(const std::string &Id);
+  [[nodiscard]] bool knows(const std::string &Id) const noexcept {
+    return Leader->findJob(Id) != nullptr;
+  }
   [[nodiscard]] caller_reply query(const std::string &Id) const;
   void cancel(const std::string &Id, reply_function Reply);
   [[nodiscard]] caller_reply pending(const std::string &Queue) const;
 
-  /** @brief Makes one pass of the control loop; call every few ms. */
-  void tick();
+  /** @brief Makes one pass of the control loop; call every few ms.
+   * @param LoopDelay By how much the event loop delayed this pass. */
+  void tick(duration LoopDelay = duration{0});
   /** @brief Starts tasks that can be placed and writes pending records; call
    * after each event. */
   void dispatchAndFlush();
--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -177,6 +177,8 @@
   for (std::uint32_t I = 0; I < Tasks.size(); ++I) {
     if (!isWaiting(Entry.Job, Spec, Tasks[I], Now))
       continue;
+    if (!Leader.StartWindow.open())
+      return;
     placement_request Request;
     Request.Step = &Spec;
     Request.Task = {Entry.Job.id(), Candidate.Occurrence->Number,
@@ -312,12 +314,16 @@
   if (Servers.empty())
     return;
   for (const candidate &Each : candidatesOf(Leader, Pool, maxFree(Servers))) {
+    if (!Leader.StartWindow.open())
+      break;
     const bool Full =
         Each.Urgency == urgency::Expired && loadOf(Servers) > MaxLoadForExpired;
     if (Full)
       break;
     startStep(Leader, Each, Servers);
   }
+  if (!Leader.StartWindow.open())
+    requestDispatch(Leader, Pool);
 }
 
 bool isStalled(const run &Run, const time_point Now) {
@@ -373,17 +379,43 @@
   return Servers;
 }
 
-void dispatch(leader &Leader) {
-  // Starts may change the map.
+namespace {
+
+/** @return Pools in which a task may be able to start, beginning after the one
+ * that was served last. */
+std::vector<std::string> duePools(const leader &Leader) {
   std::vector<std::string> Pools;
   for (const auto &[Pool, Due] : Leader.DispatchDue) {
     if (Due <= Leader.Now())
       Pools.push_back(Pool);
   }
+  std::ranges::rotate(
+      Pools, std::ranges::upper_bound(Pools, Leader.LastDispatchedPool));
+  return Pools;
+}
+
+} // namespace
+
+void dispatch(leader &Leader) {
+  const time_point Now = Leader.Now();
+  Leader.StartWindow.expire(Now);
+  const auto Pools = duePools(Leader);
+  const bool WasHeld = Leader.StartsHeldSince != NoDeadline;
+  const bool Proceeds =
+      WasHeld ? Leader.StartWindow.hasRoom() : Leader.StartWindow.open();
+  bool Held = !Pools.empty();
   for (const std::string &Pool : Pools) {
+    if (!Proceeds || !Leader.StartWindow.open())
+      break;
     Leader.DispatchDue.erase(Pool);
     dispatchPool(Leader, Pool);
+    Leader.LastDispatchedPool = Pool;
+    Held = !Leader.StartWindow.open();
   }
+  if (!Held)
+    Leader.StartsHeldSince = NoDeadline;
+  else if (!WasHeld)
+    Leader.StartsHeldSince = Now;
 }
 
 void handleStragglers(leader &Leader) {
--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -40,8 +40,8 @@
                const std::function<void()> &OnFenced)
     : Ports{Ports}, Settings{std::move(Settings)}, Epoch{Epoch},
       Now{std::move(Now)}, Wall{std::move(Wall)}, OnFenced{OnFenced},
-      Journal{{Ports.Append, this->Now, OnFenced}, Epoch}, LeadingSince{
-                                                               this->Now()} {}
+      Journal{{Ports.Append, this->Now, OnFenced}, Epoch},
+      LeadingSince{this->Now()}, StartWindow{this->Settings.Starts} {}
 
 void requestDispatch(leader &Leader, const std::string &Pool,
                      const time_point Due) {
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -5,6 +5,7 @@
 #include "galenalink/job/duration_estimator.hpp"
 #include "galenalink/job/job.hpp"
 #include "galenalink/job/journal.hpp"
+#include "galenalink/job/overload_gate.hpp"
 #include "galenalink/job/peak_forecast.hpp"
 #include "galenalink/job/server.hpp"
 #include "galenalink/job/tickets.hpp"
@@ -72,6 +73,9 @@
 
 /** @brief Counters of a node since its start, for metrics. */
 struct counters {
+  start_limits Starts;
+  /** Heartbeats sent in one pass of the control loop, every 20 ms. */
+  std::size_t MaxHeartbeatsPerPass{256};
   std::uint64_t AdmittedInTime{0};
   std::uint64_t AdmittedDeferred{0};
   std::uint64_t Refused{0};
@@ -79,6 +83,8 @@
   std::uint64_t StartsRefused{0};
   std::uint64_t StartsUnknown{0};
   /** Ended runs by outcome. */
+  /** Jobs refused because the leader was overloaded. */
+  std::uint64_t RefusedOverloaded{0};
   std::map<run_outcome, std::uint64_t> Ends;
   /** Jobs that failed because a task reached its attempt limit. */
   std::uint64_t JobsFailed{0};
@@ -215,6 +221,17 @@
   std::shared_ptr<bool> LifetimeToken{std::make_shared<bool>(true)};
 
   [[nodiscard]] job_entry *findJob(const std::string &Id) const {
+  /** Pool that was served last; the others come first the next time. */
+  std::string LastDispatchedPool;
+  start_window StartWindow;
+  /** Since when tasks that fit wait for the window; `NoDeadline` if none does.
+   */
+  time_point StartsHeldSince{NoDeadline};
+  overload_gate OverloadGate;
+  /** By how much the last pass of the control loop was late. */
+  duration LoopDelay{0};
+  /** Open jobs of which no task has started; counted anew every 200 ms. */
+  std::size_t WaitingJobs{0};
     const auto Found = Jobs.find(Id);
     return Found == Jobs.end() ? nullptr : Found->second.get();
   }
--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -22,6 +22,9 @@
 constexpr std::uint32_t MaxStartsSent = 4;
 /** Delay before a task is started again after a refused start. */
 constexpr duration RefusedBackoff = std::chrono::milliseconds{100};
+/** Size of a start order without the specification of its job, including the
+ * headers of the request. */
+constexpr std::size_t StartOrderOverheadBytes = 600;
 
 std::string runName(const run_id &Run) {
   return Run.Task.Job + "." + std::to_string(Run.Task.Occurrence) + "." +
@@ -36,9 +39,6 @@
     Task->NotBefore = Leader.Now() + Delay;
 }
 
-void onStartRefused(leader &Leader, server &Server, const run_id &Run,
-                    const order_result &Result) {
-  ++Leader.Counts->StartsRefused;
 /**
  * @brief Leaves a run, whose start may have been carried out, to the next list
  * of runs that is requested from now on: if that names the run, it is kept,
@@ -50,6 +50,9 @@
   Server.HeartbeatDue = std::min(Server.HeartbeatDue, Leader.Now());
 }
 
+void onStartRefused(leader &Leader, server &Server, const run_id &Run,
+                    const order_result &Result) {
+  ++Leader.Counts->StartsRefused;
   const time_point Now = Leader.Now();
   if (Result.Reason == start_refusal::Unavailable)
     Server.Health.recordFault(Now);
@@ -118,10 +121,16 @@
   if (const std::string *Ticket =
           Leader.Tickets.ticket(stepIdOf(RunId.Task), Server.Entry, Now))
     Order.Ticket = *Ticket;
-  Leader.Ports.Start(Order, Leader.guarded([&Leader, Id = Server.Entry.Id,
-                                            RunId](const order_result &Result) {
-    onStartResponse(Leader, Id, RunId, Result);
-  }));
+  const auto WindowId = Leader.StartWindow.acquire(
+      StartOrderOverheadBytes + Order.Spec.size() + Order.Checkpoint.size() +
+          Order.Ticket.size(),
+      Now);
+  Leader.Ports.Start(Order,
+                     Leader.guarded([&Leader, Id = Server.Entry.Id, RunId,
+                                     WindowId](const order_result &Result) {
+                       Leader.StartWindow.release(WindowId);
+                       onStartResponse(Leader, Id, RunId, Result);
+                     }));
 }
 
 void onStartResponse(leader &Leader, const std::string &ServerId,
@@ -288,6 +297,10 @@
       Now + duration{static_cast<std::int64_t>(ExpectedMs * 1000)};
   const run_id RunId{Id, Number};
   Server.addRun(RunId, Run);
+  if (Entry.Job.state() == job_state::Queued) {
+    Leader.OverloadGate.recordJobStart(Now);
+    Leader.WaitingJobs -= std::min<std::size_t>(Leader.WaitingJobs, 1);
+  }
   Entry.Job.markStarted();
   sendStart(Leader, Server, RunId);
 }
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -296,14 +296,29 @@
                          }));
 }
 
-/** @brief Sends a due heartbeat and checks the lease.
+/** @brief Sends the heartbeats that have been due for longest; the others wait
+ * for the next pass. A new leader thus adopts the runs of its backend servers
+ * in portions, with time for other events in between. */
+void sendHeartbeats(leader &Leader, std::vector<server *> &Due) {
+  const std::size_t Count =
+      std::min(Due.size(), Leader.Settings.MaxHeartbeatsPerPass);
+  const auto DueAt = [](const server *Each) { return Each->HeartbeatDue; };
+  std::ranges::partial_sort(
+      Due, Due.begin() + static_cast<std::ptrdiff_t>(Count), {}, DueAt);
+  for (std::size_t I = 0; I < Count; ++I)
+    sendHeartbeat(Leader, *Due[I]);
+}
+
+/** @brief Checks the lease and whether a heartbeat is due.
+ * @param Due Receives the backend server if a heartbeat is due.
  * @return Whether the backend server can be removed. */
-bool watchServer(leader &Leader, server &Server, const time_point Now) {
+bool watchServer(leader &Leader, server &Server, const time_point Now,
+                 std::vector<server *> &Due) {
   if (Server.HeartbeatFailures > 0 && !Server.Runs.empty() &&
       Now >= Server.Lease.expiry())
     markServerLost(Leader, Server, "lease expired");
   if (!Server.HeartbeatPending && Now >= Server.HeartbeatDue)
-    sendHeartbeat(Leader, Server);
+    Due.push_back(&Server);
   const bool Missing =
       !Server.Registered && Server.MissingSince != NoDeadline &&
       Now >= Server.MissingSince + Leader.Settings.RegistrationGrace;
@@ -359,10 +374,12 @@
 void watchServers(leader &Leader) {
   const time_point Now = Leader.Now();
   std::vector<std::string> Removable;
+  std::vector<server *> Due;
   for (auto &[Id, Server] : Leader.Servers) {
-    if (watchServer(Leader, *Server, Now))
+    if (watchServer(Leader, *Server, Now, Due))
       Removable.push_back(Id);
   }
+  sendHeartbeats(Leader, Due);
   for (const auto &Id : Removable) {
     Log.info("backend server removed", {{"server", Id}});
     Leader.Journal.put(serverKey(Id),
@@ -393,10 +410,14 @@
   Server.RunsUnknownUntil = Leader.Now() +
                             duration{static_cast<std::int64_t>(Longest)} +
                             RetryInterval;
+  Leader.AllRunsKnownAt =
+      std::max(Leader.AllRunsKnownAt, Server.RunsUnknownUntil);
 }
 
 bool runsUnknown(const leader &Leader, const std::string_view Pool) {
   const time_point Now = Leader.Now();
+  if (Now >= Leader.AllRunsKnownAt)
+    return false;
   return std::ranges::any_of(Leader.Servers, [&](const auto &Each) {
     const server &Server = *Each.second;
     // A server whose record is unreadable may have served any pool.
@@ -406,7 +427,3 @@
 }
 
 } // namespace galenalink::job
-  Leader.AllRunsKnownAt =
-      std::max(Leader.AllRunsKnownAt, Server.RunsUnknownUntil);
-  if (Now >= Leader.AllRunsKnownAt)
-    return false;
--- a/src/galenalink/job_node/loop_delay.hpp
+++ b/src/galenalink/job_node/loop_delay.hpp
@@ -21,7 +21,8 @@
     if (LastAt == NoDeadline)
       WindowEnd = Now + Window;
     else
-      Current = std::max<duration>(Current, Now - LastAt - Interval);
+      Latest = std::max<duration>(Now - LastAt - Interval, duration{0});
+    Current = std::max(Current, Latest);
     LastAt = Now;
     if (Now < WindowEnd)
       return false;
@@ -29,12 +30,15 @@
     WindowEnd = Now + Window;
     return true;
   }
+  /** @return Delay of the last call. */
+  [[nodiscard]] duration latest() const noexcept { return Latest; }
   /** @return Longest delay in the last complete window. */
   [[nodiscard]] duration longest() const noexcept { return Last; }
 
 private:
   duration Interval;
   duration Window;
+  duration Latest{0};
   duration Current{0};
   duration Last{0};
   time_point LastAt{NoDeadline};
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -53,6 +53,53 @@
   return std::chrono::duration<double>(Value).count();
 }
 
+/** Start orders under way for each core that the node may use. An order with
+ * its end costs some 0.2 ms, so that a full window delays other work by less
+ * than 50 ms. */
+constexpr double StartsPerCore = 200;
+constexpr double MinStarts = 16;
+constexpr double MaxStarts = 256;
+/** Share of the link that start orders may fill. The rest is for heartbeats,
+ * the journal and replies. */
+constexpr double StartsLinkShare = 0.6;
+/** One start order has up to this size. */
+constexpr double MinStartBytes = 5000;
+constexpr double BytesPerSecondPerMbit = 125000;
+
+/** Size of a VM in the list of VMs. */
+constexpr double VmListEntryBytes = 250;
+/** Share of the link that the list of VMs may fill. */
+constexpr double VmListLinkShare = 0.1;
+
+duration minVmListInterval(const settings &Settings, const std::size_t Vms) {
+  const double BytesPerSecond =
+      std::max(Settings.LinkMbit, 1.0) * BytesPerSecondPerMbit;
+  return fromSeconds(static_cast<double>(Vms) * VmListEntryBytes /
+                     (BytesPerSecond * VmListLinkShare));
+}
+
+/** Heartbeats of one pass for each core that the node may use. */
+constexpr double HeartbeatsPerCore = 400;
+constexpr double MinHeartbeats = 32;
+
+std::size_t maxHeartbeatsPerPass(const settings &Settings) {
+  const double Cores = Settings.ProcessorShare * Settings.ProcessorSpeed;
+  return static_cast<std::size_t>(
+      std::max(HeartbeatsPerCore * Cores, MinHeartbeats));
+}
+
+job::start_limits startLimits(const settings &Settings) {
+  const double Cores = Settings.ProcessorShare * Settings.ProcessorSpeed;
+  const double BytesPerPeriod = Settings.LinkMbit * BytesPerSecondPerMbit *
+                                toSeconds(job::start_window::Period);
+  job::start_limits Limits;
+  Limits.Orders = static_cast<std::size_t>(
+      std::clamp(StartsPerCore * Cores, MinStarts, MaxStarts));
+  Limits.Bytes = static_cast<std::size_t>(
+      std::max(BytesPerPeriod * StartsLinkShare, MinStartBytes));
+  return Limits;
+}
+
 job::leader_settings leaderSettings(const settings &Settings) {
   job::leader_settings Leader;
   Leader.Node = Settings.Name;
@@ -61,6 +108,8 @@
   Leader.MinVmOrderGap = std::chrono::milliseconds{Settings.MinVmOrderGapMs};
   Leader.MoveTime = fromSeconds(Settings.MoveS);
   Leader.MaintenanceTime = fromSeconds(Settings.MaintenanceS);
+  Leader.Starts = startLimits(Settings);
+  Leader.MaxHeartbeatsPerPass = maxHeartbeatsPerPass(Settings);
   return Leader;
 }
 
@@ -273,7 +322,7 @@
     return;
   if (LoopDelay.record(boot_clock::now()))
     logLoad();
-  Controller->tick();
+  Controller->tick(LoopDelay.latest());
   if (boot_clock::now() >= NextVmListAt && !ListingVms)
     listVms();
 }
--- a/test/galenalink/job/simulated_platform.cpp
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -212,6 +212,7 @@
     Records.Records.push_back({Key, Value});
   leader_settings Settings;
   Settings.Node = "node-" + std::to_string(Epoch);
+  Settings.Starts = StartLimits;
   auto State = std::make_unique<leader>(
       Ports, Settings, Epoch, [this] { return Now; },
       [this] { return WallStart + toMs(Now); }, [this] { Fenced = true; });
@@ -368,7 +369,7 @@
   return Result;
 }
 
-void simulated_platform::step() {
+void simulated_platform::step(const duration LoopDelay) {
   for (auto &[Id, Server] : Servers)
     endDueRuns(Server);
   if (!Leader || Fenced)
@@ -380,21 +381,32 @@
   }
   Leader->setRegistrations(Registered);
   Leader->setVms(Vms, Now);
-  Leader->tick();
+  Leader->tick(LoopDelay);
 }
 
 void simulated_platform::advance(const duration Time) {
   const time_point End = Now + Time;
+  time_point TickDue = Now + TickInterval;
   while (Now < End) {
-    Now += TickInterval;
-    while (!Events.empty() && Events.begin()->first <= Now) {
+    // A turn of the loop handles the events that are due when it begins.
+    const bool Behind =
+        EventCost.count() > 0 && !Events.empty() && Events.begin()->first < Now;
+    if (!Behind)
+      Now = std::max(Now, TickDue);
+    const time_point TurnBegin = Now;
+    while (!Events.empty() && Events.begin()->first <= TurnBegin) {
       const auto Call = std::move(Events.begin()->second);
       Events.erase(Events.begin());
       Call();
+      Now += EventCost;
       if (Leader && !Fenced)
         Leader->dispatchAndFlush();
     }
-    step();
+    if (Now < TickDue)
+      continue;
+    LongestLoopDelay = std::max<duration>(LongestLoopDelay, Now - TickDue);
+    step(Now - TickDue);
+    TickDue = Now + TickInterval;
   }
 }
 
--- a/test/galenalink/job/simulated_platform.hpp
+++ b/test/galenalink/job/simulated_platform.hpp
@@ -112,10 +112,18 @@
 
   std::unique_ptr<job::controller> Leader;
   std::uint64_t Epoch{0};
+  /** Processor time of the leader for each event; 0 for a leader that is never
+   * busy. */
+  duration EventCost{0};
+  /** Longest delay of the leader's periodic work. */
+  duration LongestLoopDelay{0};
+  job::start_limits StartLimits;
 
-private:
+  /** @brief Calls a function as an event of the leader's loop. */
   void schedule(duration Delay, std::function<void()> Function);
-  void step();
+
+private:
+  void step(duration LoopDelay);
   void endRun(simulated_server &Server, const job::run_id &Run,
               job::run_outcome Outcome);
   void endDueRuns(simulated_server &Server);
