Keep refused submissions and the list of VMs off a slow link

Cause: bytes. Change: for 1 s after a refusal a node sends submissions without their bodies first; a leader that may accept one asks for it. The list of VMs fills at most a tenth of the link. Repeats of forwarded requests back off from 50 to 400 ms. Evidence: requests_across_leader_changes/body_is_withheld_from_a_leader_that_refuses and body_is_sent_after_a_failure.

--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -8,9 +8,9 @@
 #include "galenalink/job/overload_gate.hpp"
 #include "galenalink/job/peak_forecast.hpp"
 #include "galenalink/job/server.hpp"
-#include "galenalink/job/tickets.hpp"
 #include "galenalink/job/server_index.hpp"
 #include "galenalink/job/start_window.hpp"
+#include "galenalink/job/tickets.hpp"
 #include <memory>
 #include <set>
 #include <unordered_map>
@@ -31,6 +31,9 @@
     Unknown,
     /** Between nodes only: the addressed node is not the leader. */
     NotLeading,
+    /** Between nodes only: the job is not known yet, so that its submission
+     * must be sent with its body. */
+    BodyNeeded,
   };
   verdict Verdict{verdict::Unknown};
   job_state State{job_state::Queued};
@@ -42,13 +45,14 @@
   std::string Reason;
 };
 
-inline constexpr enum_names<caller_reply::verdict, 6> VerdictNames{{
+inline constexpr enum_names<caller_reply::verdict, 7> VerdictNames{{
     {caller_reply::verdict::Ok, "ok"},
     {caller_reply::verdict::Refused, "refused"},
     {caller_reply::verdict::NoQueue, "no-queue"},
     {caller_reply::verdict::NoJob, "no-job"},
     {caller_reply::verdict::Unknown, "unknown"},
     {caller_reply::verdict::NotLeading, "not-leading"},
+    {caller_reply::verdict::BodyNeeded, "body-needed"},
 }};
 
 using reply_function = std::function<void(const caller_reply &)>;
@@ -69,22 +73,22 @@
   duration MaintenanceTime{std::chrono::milliseconds{2000}};
   /** Minimum time between orders for one VM by two different leaders. */
   duration MinVmOrderGap{std::chrono::milliseconds{3000}};
+  start_limits Starts;
+  /** Heartbeats sent in one pass of the control loop, every 20 ms. */
+  std::size_t MaxHeartbeatsPerPass{256};
 };
 
 /** @brief Counters of a node since its start, for metrics. */
 struct counters {
-  start_limits Starts;
-  /** Heartbeats sent in one pass of the control loop, every 20 ms. */
-  std::size_t MaxHeartbeatsPerPass{256};
   std::uint64_t AdmittedInTime{0};
   std::uint64_t AdmittedDeferred{0};
   std::uint64_t Refused{0};
+  /** Jobs refused because the leader was overloaded. */
+  std::uint64_t RefusedOverloaded{0};
   std::uint64_t Starts{0};
   std::uint64_t StartsRefused{0};
   std::uint64_t StartsUnknown{0};
   /** Ended runs by outcome. */
-  /** Jobs refused because the leader was overloaded. */
-  std::uint64_t RefusedOverloaded{0};
   std::map<run_outcome, std::uint64_t> Ends;
   /** Jobs that failed because a task reached its attempt limit. */
   std::uint64_t JobsFailed{0};
@@ -180,6 +184,9 @@
   /** By id of the backend server's incarnation. Change it by `addServer` and
    * `removeServer` only. */
   std::map<std::string, std::unique_ptr<server>> Servers;
+  server_index ServersByPool;
+  /** From then on no backend server has `RunsUnknownUntil` in the future. */
+  time_point AllRunsKnownAt{NoDeadline};
   /** Task durations by queue. */
   duration_estimator Durations;
   ticket_cache Tickets;
@@ -190,9 +197,6 @@
   /** Shared with the node, so that counters never decrease when a new epoch
    * starts. */
   std::shared_ptr<counters> Counts{std::make_shared<counters>()};
-  server_index ServersByPool;
-  /** From then on no backend server has `RunsUnknownUntil` in the future. */
-  time_point AllRunsKnownAt{NoDeadline};
   /** VMs by name, from the latest list; empty before the first one. */
   std::map<std::string, vm> Vms;
   /** When the latest list was requested; `NoDeadline` before the first one. */
@@ -217,10 +221,6 @@
   std::function<time_point()> LeadershipConfirmedUntil;
   /** Pools in which a task may be able to start, and from when on. */
   std::map<std::string, time_point> DispatchDue;
-  /** Callbacks hold it weakly to detect that the leader no longer exists. */
-  std::shared_ptr<bool> LifetimeToken{std::make_shared<bool>(true)};
-
-  [[nodiscard]] job_entry *findJob(const std::string &Id) const {
   /** Pool that was served last; the others come first the next time. */
   std::string LastDispatchedPool;
   start_window StartWindow;
@@ -232,6 +232,10 @@
   duration LoopDelay{0};
   /** Open jobs of which no task has started; counted anew every 200 ms. */
   std::size_t WaitingJobs{0};
+  /** Callbacks hold it weakly to detect that the leader no longer exists. */
+  std::shared_ptr<bool> LifetimeToken{std::make_shared<bool>(true)};
+
+  [[nodiscard]] job_entry *findJob(const std::string &Id) const {
     const auto Found = Jobs.find(Id);
     return Found == Jobs.end() ? nullptr : Found->second.get();
   }
@@ -269,6 +273,9 @@
 /** @brief Adds a backend server, in place of an earlier one with its id, which
  * must have no runs. */
 server &addServer(leader &Leader, const registration &Entry);
+void removeServer(leader &Leader, const std::string &Id);
+/** @brief Replaces the registration, which may name another pool. */
+void setRegistration(leader &Leader, server &Server, const registration &Entry);
 /** @brief Adds a job to the leader's job maps. */
 job_entry &addJob(leader &Leader, job Job);
 /** @brief Stores the job's progress; callers see the new state once it is
@@ -290,9 +297,6 @@
 /** @brief Writes the job's record to the store. */
 void storeJob(leader &Leader, const std::string &Id);
 /** @brief Applies the current rules to the open jobs of their queues, which may
-void removeServer(leader &Leader, const std::string &Id);
-/** @brief Replaces the registration, which may name another pool. */
-void setRegistration(leader &Leader, server &Server, const registration &Entry);
  * move them to another pool; existing runs stay where they are. Fails the jobs
  * that have reached a limit which was not known before. */
 void applyRules(leader &Leader);
--- a/src/galenalink/job_node/caller_request.hpp
+++ b/src/galenalink/job_node/caller_request.hpp
@@ -25,6 +25,8 @@
   std::string Job;
   /** Set only for `Submit`. */
   job::job_spec Spec;
+  /** The submission is sent to the leader without `Spec`. */
+  bool BodyWithheld{false};
   /** The caller stops waiting for a reply at this time. */
   time_point Deadline;
 };
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -123,6 +123,16 @@
              {"open_jobs_without_rule", countOpenJobsWithoutRule(Leader)}});
 }
 
+/** Nodes of the largest deployment times the connections that each may open to
+ * the leader, with room for probes. */
+constexpr std::size_t MaxPeerConnections = 4096;
+
+http::server_options peerServerOptions() {
+  http::server_options Options;
+  Options.MaxConnections = MaxPeerConnections;
+  return Options;
+}
+
 http::client_options peerOptions() {
   http::client_options Options;
   Options.MaxConnections = 8;
@@ -171,16 +181,6 @@
                }}},
       PeerServer{Loop, peerServerOptions(),
                  [this](http::exchange Exchange) {
-/** Nodes of the largest deployment times the connections that each may open to
- * the leader, with room for probes. */
-constexpr std::size_t MaxPeerConnections = 4096;
-
-http::server_options peerServerOptions() {
-  http::server_options Options;
-  Options.MaxConnections = MaxPeerConnections;
-  return Options;
-}
-
                    handlePeerRequest(std::move(Exchange));
                  }},
       PeerClient{Loop, peerOptions()},
@@ -348,9 +348,13 @@
 void node::listVms() {
   ListingVms = true;
   const time_point RequestedAt = boot_clock::now();
-  NextVmListAt = RequestedAt + (Controller->hasPendingVmOrders()
-                                    ? VmListIntervalWithPendingOrders
-                                    : VmListInterval);
+  const duration Interval = Controller->hasPendingVmOrders()
+                                ? VmListIntervalWithPendingOrders
+                                : VmListInterval;
+  NextVmListAt =
+      RequestedAt +
+      std::max(Interval,
+               minVmListInterval(Settings, Controller->state().Vms.size()));
   Ports.ListVms([this, RequestedAt](const job::vms_result &Result) {
     ListingVms = false;
     if (!Controller)
--- a/src/galenalink/job_node/node.hpp
+++ b/src/galenalink/job_node/node.hpp
@@ -9,6 +9,7 @@
 #include "galenalink/job_node/leader_elector.hpp"
 #include "galenalink/job_node/loop_delay.hpp"
 #include "galenalink/job_node/node_metrics.hpp"
+#include "galenalink/job_node/peer_api.hpp"
 #include "galenalink/job_node/request_forwarder.hpp"
 #include "galenalink/job_node/settings.hpp"
 
@@ -62,6 +63,10 @@
   forward_result parsePeerResponse(const http::answer &Answer);
   void startForwarderTimer();
   void handlePeerRequest(http::exchange Exchange);
+  /** @brief Serves a submission as far as that needs no body.
+   * @return Whether it has replied, or will do so. */
+  [[nodiscard]] bool serveSubmissionHead(const submission_head &Head,
+                                         const job::reply_function &Reply);
   void probeLeader(const job::leadership &Leader,
                    std::function<void(probe_result)> Callback);
 
--- a/src/galenalink/job_node/node_requests.cpp
+++ b/src/galenalink/job_node/node_requests.cpp
@@ -15,6 +15,12 @@
 constexpr std::string_view LeaderPath = "/v1/leader";
 constexpr duration ProbeTimeout = std::chrono::milliseconds{400};
 
+job::caller_reply replyOf(const verdict Verdict) {
+  job::caller_reply Reply;
+  Reply.Verdict = Verdict;
+  return Reply;
+}
+
 } // namespace
 
 void node::handleRequest(const caller_request &Request,
@@ -135,25 +141,46 @@
       });
 }
 
+bool node::serveSubmissionHead(const submission_head &Head,
+                               const job::reply_function &Reply) {
+  if (Controller->knows(Head.Job)) {
+    Controller->submit(Head.Queue, 0, Head.Job, {},
+                       withDeadline(Loop, Head.Deadline, Reply));
+    return true;
+  }
+  if (const auto Refusal = Controller->refuseUnparsed(Head.Job)) {
+    Reply(*Refusal);
+    return true;
+  }
+  if (Head.BodyWithheld)
+    Reply(replyOf(verdict::BodyNeeded));
+  return Head.BodyWithheld;
+}
+
 void node::handlePeerRequest(http::exchange Exchange) {
   if (Exchange.path() == LeaderPath) {
     Exchange.reply(Elector.isHealthyLeader() ? 200 : 404, {},
                    Elector.current().Node);
     return;
   }
-  const auto Request = parseRequest(Exchange);
-  if (!Request) {
-    Exchange.reply(400, {}, {});
-    return;
-  }
   auto Shared = std::make_shared<http::exchange>(std::move(Exchange));
   const auto SendReply = [Shared](const job::caller_reply &Reply) {
     Shared->reply(200, {}, toBody(Reply));
   };
+  const auto Head = parseSubmissionHead(*Shared);
+  if (Head && !Controller) {
+    SendReply(replyOf(verdict::NotLeading));
+    return;
+  }
+  if (Head && serveSubmissionHead(*Head, SendReply))
+    return;
+  const auto Request = parseRequest(*Shared);
+  if (!Request) {
+    Shared->reply(400, {}, {});
+    return;
+  }
   if (!Controller) {
-    job::caller_reply Reply;
-    Reply.Verdict = verdict::NotLeading;
-    SendReply(Reply);
+    SendReply(replyOf(verdict::NotLeading));
     return;
   }
   serveLocally(*Request, withDeadline(Loop, Request->Deadline, SendReply));
--- a/src/galenalink/job_node/peer_api.cpp
+++ b/src/galenalink/job_node/peer_api.cpp
@@ -14,6 +14,8 @@
 constexpr std::string_view DeadlineHeader = "Galenalink-Deadline-Ms";
 /** Carries the version of the rules by which the queue was chosen. */
 constexpr std::string_view RulesVersionHeader = "Galenalink-Rules-Version";
+/** Marks a submission whose body is sent only if the leader asks for it. */
+constexpr std::string_view BodyHeader = "Galenalink-Body";
 /** Used if the header is missing or not a number. */
 constexpr std::int64_t DefaultCallerTimeoutMs = 3000;
 
@@ -54,8 +56,33 @@
   return Version;
 }
 
+struct job_path {
+  std::string Queue;
+  std::string Job;
+};
+
+std::optional<job_path> parseJobPath(std::string_view Path) {
+  if (!Path.starts_with(JobsPath))
+    return std::nullopt;
+  Path.remove_prefix(JobsPath.size());
+  const auto Slash = Path.find('/');
+  if (Slash == std::string_view::npos)
+    return std::nullopt;
+  return job_path{http::decodeSegment(Path.substr(0, Slash)),
+                  http::decodeSegment(Path.substr(Slash + 1))};
+}
+
 } // namespace
 
+std::optional<submission_head>
+parseSubmissionHead(const http::exchange &Exchange) {
+  const auto Target = parseJobPath(Exchange.path());
+  if (!Target || kindOf(Exchange.method()) != request_kind::Submit)
+    return std::nullopt;
+  return submission_head{Target->Queue, Target->Job, requestDeadline(Exchange),
+                         Exchange.header(BodyHeader).has_value()};
+}
+
 http::request toRequest(const caller_request &Request) {
   http::request HttpRequest;
   HttpRequest.Method = methodOf(Request.Kind);
@@ -70,7 +97,9 @@
       {std::string{DeadlineHeader}, std::to_string(Remaining.count())});
   HttpRequest.Headers.push_back(
       {std::string{RulesVersionHeader}, std::to_string(Request.RulesVersion)});
-  if (Request.Kind == request_kind::Submit)
+  if (Request.BodyWithheld)
+    HttpRequest.Headers.push_back({std::string{BodyHeader}, "withheld"});
+  else if (Request.Kind == request_kind::Submit)
     HttpRequest.Body = toRecord(
         job::job{Request.Job, Request.Queue, "", Request.Spec, wall_ms{0}});
   return HttpRequest;
@@ -94,20 +123,17 @@
   caller_request Request;
   Request.Deadline = requestDeadline(Exchange);
   Request.RulesVersion = rulesVersion(Exchange);
-  std::string_view Path = Exchange.path();
+  const std::string_view Path = Exchange.path();
   if (Path.starts_with(QueuesPath)) {
     Request.Kind = request_kind::Pending;
     Request.Queue = http::decodeSegment(Path.substr(QueuesPath.size()));
     return Request;
   }
-  if (!Path.starts_with(JobsPath))
-    return std::nullopt;
-  Path.remove_prefix(JobsPath.size());
-  const auto Slash = Path.find('/');
-  if (Slash == std::string_view::npos)
+  const auto Target = parseJobPath(Path);
+  if (!Target)
     return std::nullopt;
-  Request.Queue = http::decodeSegment(Path.substr(0, Slash));
-  Request.Job = http::decodeSegment(Path.substr(Slash + 1));
+  Request.Queue = Target->Queue;
+  Request.Job = Target->Job;
   const auto Kind = kindOf(Exchange.method());
   if (!Kind || !job::isValidJobId(Request.Job))
     return std::nullopt;
@@ -134,7 +160,7 @@
     const auto Fields = job::parseCbor(Body);
     using verdict = job::caller_reply::verdict;
     job::caller_reply Reply;
-    Reply.Verdict = parseEnumerator(Fields.at(0), verdict::NotLeading);
+    Reply.Verdict = parseEnumerator(Fields.at(0), verdict::BodyNeeded);
     Reply.State = parseEnumerator(Fields.at(1), job::job_state::Cancelled);
     Reply.Pending = job::boundedInteger<decltype(Reply.Pending)>(Fields.at(2));
     Reply.RetryAfterMs =
--- a/src/galenalink/job_node/request_forwarder.cpp
+++ b/src/galenalink/job_node/request_forwarder.cpp
@@ -1,5 +1,6 @@
 #include "galenalink/job_node/request_forwarder.hpp"
 #include "galenalink/telemetry/log.hpp"
+#include <algorithm>
 #include <vector>
 
 namespace galenalink::job_node {
@@ -12,8 +13,12 @@
  * leader change takes about this long; a longer wait would cost the caller more
  * than a retry. */
 constexpr duration MaxLeaderWait = std::chrono::milliseconds{400};
-/** Delay before a request that was not accepted is sent again. */
-constexpr duration RetryDelay = std::chrono::milliseconds{50};
+/** Delay before a request without a reply is sent again; doubled with each
+ * failure up to the limit, so that repeats do not keep a leader overloaded. */
+constexpr duration FirstRetryDelay = std::chrono::milliseconds{50};
+constexpr std::uint32_t MaxDoublings = 3;
+/** How long submissions are sent without their bodies after a refusal. */
+constexpr duration RefusalMemory = std::chrono::milliseconds{1000};
 /** Timeout of one send. An established connection may hang while new ones work,
  * and a retry is idempotent. */
 constexpr duration ResponseTimeout = std::chrono::milliseconds{900};
@@ -59,6 +64,9 @@
   if (Leader.Epoch == 0 || Entry.SendInFlight != 0 || Now < Entry.RetryAt)
     return;
   Entry.SendInFlight = ++LastSendId;
+  Entry.Request.BodyWithheld = Entry.Request.Kind == request_kind::Submit &&
+                               !Entry.BodyNeeded && Entry.Failures == 0 &&
+                               Now < WithholdBodiesUntil;
   Hooks.Send(
       Leader, Entry.Request,
       std::min(Entry.Request.Deadline, Now + ResponseTimeout),
@@ -83,6 +91,14 @@
                          Reply->Verdict == job::caller_reply::verdict::Ok;
     if (!Applies)
       return;
+    if (Reply->Verdict == job::caller_reply::verdict::BodyNeeded) {
+      Entry.BodyNeeded = true;
+      Entry.SendInFlight = 0;
+      send(Id, Entry);
+      return;
+    }
+    if (Reply->Verdict == job::caller_reply::verdict::Refused)
+      WithholdBodiesUntil = Hooks.Now() + RefusalMemory;
     const bool MayStillBeAccepted =
         Reply->Verdict != job::caller_reply::verdict::Ok &&
         Entry.UnansweredEpoch != 0 && Entry.UnansweredEpoch == Leader.Epoch;
@@ -103,7 +119,10 @@
   if (Failure == forward_failure::Unknown)
     Entry.UnansweredEpoch = Leader.Epoch;
   Entry.SendInFlight = 0;
-  Entry.RetryAt = Hooks.Now() + RetryDelay;
+  Entry.RetryAt =
+      Hooks.Now() +
+      FirstRetryDelay * (1U << std::min(Entry.Failures, MaxDoublings));
+  ++Entry.Failures;
 }
 
 void request_forwarder::complete(const request_map::iterator Entry,
@@ -123,6 +142,8 @@
     Entry.MaybeAccepted = Entry.MaybeAccepted || Entry.SendInFlight != 0;
     Entry.SendInFlight = 0;
     Entry.RetryAt = Hooks.Now();
+    Entry.Failures = 0;
+    Entry.BodyNeeded = false;
     send(Id, Entry);
   }
 }
--- a/src/galenalink/job_node/request_forwarder.hpp
+++ b/src/galenalink/job_node/request_forwarder.hpp
@@ -73,6 +73,8 @@
     /** When it is refused unless a leader may have accepted it. */
     time_point RefuseAt;
     time_point RetryAt;
+    /** Sends to the present leader that failed. */
+    std::uint32_t Failures{0};
     /** Id of the send that waits for its response; 0 for none. */
     std::uint64_t SendInFlight{0};
     /** Whether a leader may have accepted it; it must not be refused then. */
@@ -80,6 +82,8 @@
     /** Epoch of the leader that did not respond to a send; the send may still
      * arrive there. 0 for none. */
     std::uint64_t UnansweredEpoch{0};
+    /** The leader may accept the submission and needs its body. */
+    bool BodyNeeded{false};
   };
   using request_map = std::map<std::uint64_t, open_request>;
 
@@ -93,6 +97,10 @@
   request_map Requests;
   std::uint64_t LastRequestId{0};
   std::uint64_t LastSendId{0};
+  /** The leader has refused jobs recently: until then, submissions are first
+   * sent without their bodies, so that the ones it refuses as well do not fill
+   * its link. */
+  time_point WithholdBodiesUntil{NoDeadline};
   std::shared_ptr<bool> LifetimeToken{std::make_shared<bool>(true)};
 };
 
--- a/test/galenalink/job_node/request_forwarder.cpp
+++ b/test/galenalink/job_node/request_forwarder.cpp
@@ -12,6 +12,7 @@
 
 struct sent_request {
   forward_target To;
+  bool BodyWithheld{false};
   std::function<void(forward_result)> Respond;
 };
 
@@ -21,9 +22,9 @@
   std::vector<caller_reply> Replies;
   request_forwarder Forwarder{
       {[this] { return Now; },
-       [this](const forward_target &To, const caller_request &, time_point,
-              std::function<void(forward_result)> Respond) {
-         Sent.push_back({To, std::move(Respond)});
+       [this](const forward_target &To, const caller_request &Request,
+              time_point, std::function<void(forward_result)> Respond) {
+         Sent.push_back({To, Request.BodyWithheld, std::move(Respond)});
        }}};
 
   void submit() {
@@ -166,4 +167,45 @@
   BOOST_CHECK(Fixture.Replies[0].Verdict == verdict::Ok);
 }
 
+// Callers came back to an overloaded leader with kilobytes of specification
+// that it refused again; on a slow link they delayed its heartbeats and
+// appends.
+BOOST_AUTO_TEST_CASE(body_is_withheld_from_a_leader_that_refuses) {
+  forwarder_fixture Fixture;
+  Fixture.Forwarder.setLeader(FirstLeader);
+  Fixture.submit();
+  BOOST_REQUIRE(Fixture.Sent.size() == 1U);
+  BOOST_TEST(!Fixture.Sent[0].BodyWithheld);
+  Fixture.Sent[0].Respond(replyOf(verdict::Refused));
+  Fixture.submit();
+  BOOST_REQUIRE(Fixture.Sent.size() == 2U);
+  BOOST_TEST(Fixture.Sent[1].BodyWithheld);
+  Fixture.Sent[1].Respond(replyOf(verdict::BodyNeeded));
+  BOOST_REQUIRE(Fixture.Sent.size() == 3U);
+  BOOST_TEST(!Fixture.Sent[2].BodyWithheld);
+  Fixture.Sent[2].Respond(replyOf(verdict::Ok));
+  BOOST_REQUIRE(Fixture.Replies.size() == 2U);
+  BOOST_CHECK(Fixture.Replies[1].Verdict == verdict::Ok);
+  Fixture.advance(1100);
+  Fixture.submit();
+  BOOST_REQUIRE(Fixture.Sent.size() == 4U);
+  BOOST_TEST(!Fixture.Sent[3].BodyWithheld);
+}
+
+// A leader of an earlier version rejects a submission without a body; it must
+// get the body with the repeat.
+BOOST_AUTO_TEST_CASE(body_is_sent_after_a_failure) {
+  forwarder_fixture Fixture;
+  Fixture.Forwarder.setLeader(FirstLeader);
+  Fixture.submit();
+  Fixture.Sent[0].Respond(replyOf(verdict::Refused));
+  Fixture.submit();
+  BOOST_REQUIRE(Fixture.Sent.size() == 2U);
+  BOOST_TEST(Fixture.Sent[1].BodyWithheld);
+  Fixture.Sent[1].Respond(forward_failure::Unknown);
+  Fixture.advance(100);
+  BOOST_REQUIRE(Fixture.Sent.size() == 3U);
+  BOOST_TEST(!Fixture.Sent[2].BodyWithheld);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
