Show a leader's overload in metrics and in its log line

Change: gauges of start orders under way, of the time for which starts have been held and of waiting jobs; the verdict 'overloaded' of admissions; the same values in the line 'leader is behind'.

--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -328,10 +328,14 @@
 }
 
 void node::logLoad() const {
-  const auto Journal = Controller->state().Journal.currentLoad();
+  const job::leader &State = Controller->state();
+  const auto Journal = State.Journal.currentLoad();
   const time_point Now = boot_clock::now();
   const duration Age = Now - Journal.OldestAt.value_or(Now);
-  if (std::max(Age, LoopDelay.longest()) < MinLoggedDelay)
+  const duration Held = State.StartsHeldSince == NoDeadline
+                            ? duration{0}
+                            : Now - State.StartsHeldSince;
+  if (std::max({Age, Held, LoopDelay.longest()}) < MinLoggedDelay)
     return;
   const auto Ms = [](const duration Value) {
     return static_cast<std::uint64_t>(
@@ -339,9 +343,12 @@
   };
   Log.info("leader is behind", {{"loop_delay_ms", Ms(LoopDelay.longest())},
                                 {"journal_age_ms", Ms(Age)},
+                                {"starts_held_ms", Ms(Held)},
                                 {"journal_records", Journal.Records},
                                 {"journal_batch_bytes", Journal.BatchBytes},
                                 {"journal_callbacks", Journal.Callbacks},
+                                {"starts_in_flight", State.StartWindow.size()},
+                                {"waiting_jobs", State.WaitingJobs},
                                 {"forwarded", Forwarder.size()}});
 }
 
@@ -386,6 +393,10 @@
     Gauges.LoopDelayS = toSeconds(LoopDelay.longest());
     Gauges.JournalRecords = Journal.Records;
     Gauges.JournalAgeS = toSeconds(Now - Journal.OldestAt.value_or(Now));
+    Gauges.StartsInFlight = State.StartWindow.size();
+    Gauges.WaitingJobs = State.WaitingJobs;
+    if (State.StartsHeldSince != NoDeadline)
+      Gauges.StartsHeldS = toSeconds(Now - State.StartsHeldSince);
   }
   return Metrics.render(*Counts, Gauges);
 }
--- a/src/galenalink/job_node/node_metrics.cpp
+++ b/src/galenalink/job_node/node_metrics.cpp
@@ -41,6 +41,8 @@
                  {{"verdict", "deferred"}}, Counts.AdmittedDeferred);
   advanceCounter("galenalink_admissions_total", Admissions,
                  {{"verdict", "refused"}}, Counts.Refused);
+  advanceCounter("galenalink_admissions_total", Admissions,
+                 {{"verdict", "overloaded"}}, Counts.RefusedOverloaded);
   advanceCounter("galenalink_starts_total", "Runs ordered.", {}, Counts.Starts);
   advanceCounter("galenalink_starts_failed_total",
                  "Orders of runs that failed.", {{"outcome", "refused"}},
@@ -101,6 +103,15 @@
   Set("galenalink_forwarded_requests",
       "Requests of callers that wait for the leader's reply.",
       Gauges.ForwardedRequests);
+  Set("galenalink_starts_in_flight",
+      "Start orders without a response; leader only.", Gauges.StartsInFlight);
+  Set("galenalink_starts_held_seconds",
+      "Time for which tasks that fit have waited because the leader can't "
+      "start them faster; leader only.",
+      Gauges.StartsHeldS);
+  Set("galenalink_waiting_jobs",
+      "Accepted jobs of which no task has started; leader only.",
+      Gauges.WaitingJobs);
   return Metrics.render();
 }
 
--- a/src/galenalink/job_node/node_metrics.hpp
+++ b/src/galenalink/job_node/node_metrics.hpp
@@ -24,6 +24,12 @@
   /** Age of the oldest reply that waits for the journal, s. */
   double JournalAgeS{0};
   std::size_t ForwardedRequests{0};
+  /** Start orders without a response. */
+  std::size_t StartsInFlight{0};
+  /** Time for which tasks that fit have waited for the start window, s. */
+  double StartsHeldS{0};
+  /** Open jobs of which no task has started. */
+  std::size_t WaitingJobs{0};
 };
 
 /** @brief Metrics of one node. */
