--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -389,8 +389,10 @@
     if (Due <= Leader.Now())
       Pools.push_back(Pool);
   }
-  std::ranges::rotate(
-      Pools, std::ranges::upper_bound(Pools, Leader.LastDispatchedPool));
+  std::rotate(
+      Pools.begin(),
+      std::upper_bound(Pools.begin(), Pools.end(), Leader.LastDispatchedPool),
+      Pools.end());
   return Pools;
 }
 
--- a/src/galenalink/job/overload_gate.hpp
+++ b/src/galenalink/job/overload_gate.hpp
@@ -71,8 +71,9 @@
   [[nodiscard]] double drainMs(const leader_backlog &Backlog,
                                const time_point Now) noexcept {
     advance(Now);
-    const double PerSecond =
-        std::max<double>(std::max(Current, Previous), 1) / WindowSeconds;
+    const auto Started =
+        std::max<std::uint64_t>(std::max(Current, Previous), 1);
+    const double PerSecond = static_cast<double>(Started) / WindowSeconds;
     return static_cast<double>(Backlog.WaitingJobs) * 1000 / PerSecond;
   }
   [[nodiscard]] static bool exceeds(const time_point Since,
