Do not refuse jobs because the store is slow

What callers would have seen: with a store that takes 0.3 s for an append, more than half of the jobs refused as overload on an idle leader; found by reading the overload gate before the landing. Cause: the gate took a reply that waits over 0.4 s for the store for overload; one append in flight and the next take 0.6 s. Change: the limit is 0.9 s, after which the nodes repeat their requests.

--- a/src/galenalink/job/overload_gate.hpp
+++ b/src/galenalink/job/overload_gate.hpp
@@ -61,7 +61,9 @@
   /** Longer than the start of one large job takes at a busy leader. */
   static constexpr duration MaxStartsHeld = std::chrono::milliseconds{300};
   static constexpr double MaxDrainMs = 300;
-  static constexpr duration MaxReplyAge = std::chrono::milliseconds{400};
+  /** Later replies do not reach the nodes that forwarded the requests before
+   * these repeat them. A slow store alone delays replies by up to 0.6 s. */
+  static constexpr duration MaxReplyAge = std::chrono::milliseconds{900};
   static constexpr duration MaxLoopDelay = std::chrono::milliseconds{200};
   static constexpr duration Window = std::chrono::seconds{1};
   static constexpr double WindowSeconds = 1;
--- a/test/galenalink/job/simulated_platform.hpp
+++ b/test/galenalink/job/simulated_platform.hpp
@@ -67,6 +67,8 @@
   std::map<std::string, std::string> Stored;
   /** Appends are not carried out and get no response. */
   bool StoreDown{false};
+  /** Time of an append. */
+  duration AppendTime{std::chrono::milliseconds{8}};
   /** Actual duration of a task, ms, from its declared estimate. */
   std::function<double(const job::task_id &, std::uint32_t EstimateMs)>
       Duration;
