Wait for leases that a replaced leader renewed after its successor's election

Cause: a successor takes the runs of a backend server that does not respond for ended after the longest lease, counted from its own start. Change: the wait is 1 s longer. Evidence: unknown_runs/successor_waits_for_leases_that_its_predecessor_renewed failed before (task runs twice). Ruled out: a lost lease record; the run's list named both starts.

--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -29,6 +29,10 @@
  * its capacity may not be known yet either. */
 constexpr resources UnknownSize{std::int64_t{1} << 30, std::int64_t{1} << 30,
                                 0};
+/** How long a replaced leader that the store does not serve may go on renewing
+ * leases: until a backend server that its successor has contacted rejects it.
+ */
+constexpr duration FormerLeaderOverlap = std::chrono::milliseconds{1000};
 /** Local time per unit of time on the slowest permitted clock. */
 constexpr double MaxClockStretch = 1.0 / 0.98;
 
@@ -407,7 +411,7 @@
   Server.HeartbeatDue = Leader.Now();
   const auto Longest =
       static_cast<double>(Leader.Settings.Lease.count()) * MaxClockStretch;
-  Server.RunsUnknownUntil = Leader.Now() +
+  Server.RunsUnknownUntil = Leader.Now() + FormerLeaderOverlap +
                             duration{static_cast<std::int64_t>(Longest)} +
                             RetryInterval;
   Leader.AllRunsKnownAt =
--- a/test/galenalink/job/unknown_runs.cpp
+++ b/test/galenalink/job/unknown_runs.cpp
@@ -247,4 +247,37 @@
     BOOST_ERROR(Each);
 }
 
+// A leader that the store did not serve renewed the leases of a backend server
+// after its successor had been elected, which could not reach that server. The
+// successor started the tasks elsewhere before these leases had expired.
+BOOST_AUTO_TEST_CASE(successor_waits_for_leases_that_its_predecessor_renewed) {
+  simulated_platform Platform;
+  for (const char *Id : {"s0", "s1"})
+    Platform.addServer(Id, "press");
+  Platform.Duration = [](const task_id &, std::uint32_t) { return 60000.0; };
+  Platform.elect();
+  Platform.advance(Second);
+  job_spec Spec;
+  Spec.Spec = "text";
+  Spec.Steps = {makeStep(2, 20000, 60000)};
+  BOOST_REQUIRE(Platform.submit("press", "a", Spec));
+  Platform.advance(Second);
+  simulated_server &Cut = Platform.Servers.at("s0");
+  BOOST_REQUIRE(Cut.Running.size() == 1U);
+  Cut.Unresponsive = true;
+  Platform.elect();
+  Platform.advance(Second / 2);
+  const auto NowMs = std::chrono::duration_cast<std::chrono::milliseconds>(
+                         Platform.Now.time_since_epoch())
+                         .count();
+  Cut.LeaseEndMs = std::max<std::int64_t>(Cut.LeaseEndMs, NowMs + 4500);
+  // The other half of the pool gets room for the second task.
+  Platform.addServer("s2", "press");
+  Platform.advance(10 * Second);
+  BOOST_TEST(Platform.countRunning({"a", 0, 0, 0}) == 1U);
+  BOOST_TEST(Platform.countRunning({"a", 0, 0, 1}) == 1U);
+  for (const auto &Each : Platform.Violations)
+    BOOST_ERROR(Each);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
