--- a/review/standins/fleet.cpp
+++ b/review/standins/fleet.cc
@@ -1,4 +1,4 @@
-#include "fleet.hpp"
+#include "fleet.hh"
 #include <algorithm>
 #include <cstdio>
 
--- a/review/standins/fleet.hpp
+++ b/review/standins/fleet.hh
@@ -1,7 +1,7 @@
 #ifndef REVIEW_FLEET_HPP
 #define REVIEW_FLEET_HPP
 
-#include "store.hpp"
+#include "store.hh"
 #include <deque>
 #include <fstream>
 #include <functional>
--- a/review/standins/stop.cpp
+++ b/review/standins/stop.cc
@@ -1,4 +1,4 @@
-#include "world.hpp"
+#include "world.hh"
 #include <iostream>
 #include <random>
 
--- a/review/standins/store.cpp
+++ b/review/standins/store.cc
@@ -1,4 +1,4 @@
-#include "store.hpp"
+#include "store.hh"
 #include <boost/archive/iterators/base64_from_binary.hpp>
 #include <boost/archive/iterators/transform_width.hpp>
 #include <nlohmann/json.hpp>
--- a/review/standins/world.cpp
+++ b/review/standins/world.cc
@@ -1,4 +1,4 @@
-#include "world.hpp"
+#include "world.hh"
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cstdlib>
--- a/review/standins/world.hpp
+++ b/review/standins/world.hh
@@ -1,7 +1,7 @@
 #ifndef REVIEW_WORLD_HPP
 #define REVIEW_WORLD_HPP
 
-#include "fleet.hpp"
+#include "fleet.hh"
 #include "galenalink/http/client.hpp"
 #include "system/process.hpp"
 
