--- a/review/standins/stop.cc
+++ b/review/standins/stop.cc
@@ -36,11 +36,11 @@
                ? treatment::Reset
                : treatment::Serve;
   };
-  for (int I = 0; I < 54; ++I) {
+  for (int I = 0; I < 108; ++I) {
     World.submit(
         "proofdesk",
         R"({"spec":"lasts","steps":[{"count":24,"cpu":400,"memMb":500,"estimateMs":1000,"longRunning":true}]})");
-    World.pass(0.1);
+    World.pass(0.05);
   }
   Breaks = false;
   World.Record.line("executor i-1 is sound again");
