--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Runs a case: run-case.sh CASE NUMBER. Exit status 1 if the rule was broken, 0
-# if it held, 2 if the case could not run.
+# Runs a case: run-case.sh CASE RECORD, with TROUBLE in the environment. The
+# stand-ins start the nodes with the command of the deploy file, write RECORD and
+# end the nodes. Exit status as in the cases' run.sh.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 [ -x review/build/standins ] && [ -x target/apps/galenalinkd ] || exit 2
--- a/review/standins/ends.cc
+++ b/review/standins/ends.cc
@@ -21,7 +21,7 @@
   if (World.Trouble) {
     World.Record.line("the store is down");
     World.Store.setFault(store_fault::Unresponsive);
-    World.pass(4.5);
+    World.pass(4.4);
     World.Store.setFault(store_fault::None);
     World.Record.line("the store is back");
   }
--- a/review/standins/fleet.cc
+++ b/review/standins/fleet.cc
@@ -143,6 +143,9 @@
     return;
   }
   if (Treatment == treatment::Reset) {
+    if (Exchange.path() != "/hold")
+      Record.line(std::string{Exchange.path()} + " to " + Executor.Id +
+                  " breaks: " + Exchange.body());
     Exchange.abort();
     return;
   }
@@ -237,6 +240,8 @@
 void fleet::stop(executor &Executor, const json &Body) {
   const std::string Task = Body.at("task");
   const std::uint64_t Number = Body.at("run");
+  Record.line("stop of " + Task + " run " + std::to_string(Number) + " on " +
+              Executor.Id);
   const auto Found = Executor.Running.find({Task, Number});
   if (Found != Executor.Running.end())
     end(Executor, Found, "stopped");
@@ -301,6 +306,7 @@
 
 void fleet::list(http::exchange Exchange) {
   if (Exchange.method() == http::method::Post) {
+    Record.line("order for a machine: " + Exchange.body());
     replyJson(Exchange, 409, {{"reason", "busy"}});
     return;
   }
--- a/review/standins/main.cc
+++ b/review/standins/main.cc
@@ -7,7 +7,7 @@
 int lostStop(world &World);
 } // namespace review
 
-/** Runs one case: `standins CASE NUMBER DIRECTORY`, in the repository's root.
+/** Runs one case: `standins CASE RECORD DIRECTORY`, in the repository's root.
  */
 int main(int Count, char **Words) {
   if (Count != 4)
--- a/review/standins/record.cc
+++ b/review/standins/record.cc
@@ -39,7 +39,7 @@
     World.Record.line("all nodes lose power");
     for (auto &Each : World.Nodes)
       Each.Process->kill();
-    World.pass(9.5);
+    World.pass(9.4);
     for (std::size_t I = 0; I < World.Nodes.size(); ++I)
       World.startNode(I);
   }
--- a/review/standins/stop.cc
+++ b/review/standins/stop.cc
@@ -13,7 +13,7 @@
   constexpr double StopS = 0.4;
   constexpr double ContactS = 3.0;
   World.publish({"proofdesk"}, 4, 2500);
-  for (int I = 0; I < 3; ++I)
+  for (int I = 0; I < 10; ++I)
     World.Fleet.add("proofdesk", 32000, 131072);
   // 1.4 ms between zones, one way.
   World.Fleet.AnswerDelay = std::chrono::milliseconds{3};
@@ -39,7 +39,7 @@
   for (int I = 0; I < 108; ++I) {
     World.submit(
         "proofdesk",
-        R"({"spec":"lasts","steps":[{"count":24,"cpu":400,"memMb":500,"estimateMs":1000,"longRunning":true}]})");
+        R"({"spec":"lasts","steps":[{"count":40,"cpu":400,"memMb":500,"estimateMs":1000,"longRunning":true}]})");
     World.pass(0.05);
   }
   Breaks = false;
--- a/review/standins/world.cc
+++ b/review/standins/world.cc
@@ -16,7 +16,7 @@
  * be started again with it. */
 std::uint16_t freePort() {
   static std::uint16_t Next =
-      static_cast<std::uint16_t>(20000 + ::getpid() % 9000);
+      static_cast<std::uint16_t>(20000 + ::getpid() * 37 % 9000);
   while (true) {
     if (++Next > 31000)
       Next = 20000;
@@ -43,11 +43,11 @@
 
 } // namespace
 
-world::world(const std::string &Case, const std::string &Directory)
+world::world(const std::string &RecordPath, const std::string &Directory)
     : Trouble{std::string{std::getenv("TROUBLE") ? std::getenv("TROUBLE")
                                                  : "1"} != "0"},
-      Record{"review/" + Case + "/record.txt"}, Store{Loop},
-      Fleet{Loop, Store, Record}, Client{Loop, {}}, Directory{Directory} {
+      Record{RecordPath}, Store{Loop}, Fleet{Loop, Store, Record},
+      Client{Loop, {}}, Directory{Directory} {
   Record.line(Trouble ? "with the disruption" : "without the disruption");
 }
 
@@ -174,6 +174,10 @@
   http::request Request;
   Request.Method = Method;
   Request.Path = "/" + Job.Queue + "/" + Job.Id;
+  Record.line(std::string{Method == http::method::Post     ? "POST"
+                          : Method == http::method::Delete ? "DELETE"
+                                                           : "GET"} +
+              " of " + Job.Id + " sent to " + Nodes[NextNode].Name);
   Request.Headers = {{"X-Deadline-Ms", "3000"}};
   if (Method == http::method::Post) {
     Request.Headers.push_back({"Content-Type", "application/json"});
@@ -222,7 +226,6 @@
 }
 
 void world::cancel(client_job &Job) {
-  Record.line("DELETE of " + Job.Id + " sent");
   send(http::method::Delete, Job,
        [this, &Job](const int Status, const std::string &) {
          Record.line("DELETE of " + Job.Id + " answered " +
--- a/review/standins/world.hh
+++ b/review/standins/world.hh
@@ -32,7 +32,7 @@
 /** @brief Nodes, stand-ins and clients of one case. */
 class world {
 public:
-  world(const std::string &Case, const std::string &Directory);
+  world(const std::string &RecordPath, const std::string &Directory);
   ~world();
 
   /** @brief Writes `op/config` with these queues, each with its own pool. */
