Repeat a stop that was lost while the start was in flight

Cause: stopRun left a run whose start was in flight in the state Starting. When the start was confirmed the run became Running, and resendStops repeats stops of Stopping and Unconfirmed runs only. A list of runs confirmed an Unconfirmed run of an ended job in the same way.

Change: a run keeps the request to stop it until the stop is confirmed, and confirming its start leads to Stopping. Related path: a start without a response is no longer repeated for a run that is to be stopped or whose task is done.

--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -88,8 +88,9 @@
   struct run &Found = Server.Runs.at(Run);
   if (Found.State != run_state::Starting)
     return;
-  const job_entry *Entry = Leader.findJob(Run.Task.Job);
-  const bool Needed = Entry != nullptr && !Entry->Job.ended();
+  job_entry *Entry = Leader.findJob(Run.Task.Job);
+  const bool Needed =
+      !Found.StopRequested && Entry != nullptr && Entry->Job.needsRun(Run.Task);
   if (!Needed) {
     Found.State = run_state::Unconfirmed;
     stopRun(Leader, Server, Run);
@@ -158,7 +159,7 @@
   case call_outcome::Done:
     Started->StartConfirmedAt = Leader.Now();
     if (Started->State == run_state::Starting)
-      Started->State = run_state::Running;
+      Started->confirmStart();
     break;
   case call_outcome::Refused:
     onStartRefused(Leader, Server, Run, Result);
@@ -311,6 +312,7 @@
       Found->second.StopConfirmedAt != NoDeadline)
     return;
   run &Run = Found->second;
+  Run.StopRequested = true;
   Run.StopSent = true;
   if (Run.State == run_state::Running)
     Run.State = run_state::Stopping;
@@ -387,7 +389,7 @@
   for (auto &[Id, Run] : Server.Runs) {
     const bool NotListed = Run.State == run_state::Unconfirmed &&
                            Server.HeartbeatSentAt >= Run.UnconfirmedSince;
-    if (Run.State == run_state::Stopping || NotListed)
+    if (Run.StopRequested || NotListed)
       stopRun(Leader, Server, Id);
   }
 }
--- a/src/galenalink/job/server.hpp
+++ b/src/galenalink/job/server.hpp
@@ -47,6 +47,9 @@
   std::string StartedFrom;
   /** Attempts to send the start order. */
   std::uint32_t StartsSent{0};
+  /** The stop order is repeated until it is confirmed, whatever becomes of the
+   * start order meanwhile. */
+  bool StopRequested{false};
   /** A stop order is in flight. */
   bool StopSent{false};
   /** Progress, percent; 100 for a long-running task that is serving. */
@@ -63,6 +66,12 @@
   bool PaceSent{false};
   /** Number of the latest heartbeat response that listed the run as running. */
   std::uint64_t LastListing{0};
+
+  /** @brief Applies the information that the start order was carried out. */
+  void confirmStart() noexcept {
+    if (State == run_state::Starting || State == run_state::Unconfirmed)
+      State = StopRequested ? run_state::Stopping : run_state::Running;
+  }
 };
 
 /** @brief Sums over the runs of a backend server. */
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -139,18 +139,30 @@
   return Adopted;
 }
 
+/** @brief Applies that the backend server lists a run as running. A run that
+ * was being stopped only because its start was not confirmed is kept, unless
+ * the stop may take effect yet. */
+void confirmListedRun(const leader &Leader, const run_id &Id, run &Run) {
+  if (Run.StartConfirmedAt == NoDeadline)
+    Run.StartConfirmedAt = Leader.Now();
+  if (Run.State == run_state::Unconfirmed) {
+    const bool BeingStopped = Run.StopSent || Run.StopConfirmedAt != NoDeadline;
+    if (BeingStopped)
+      return;
+    job_entry *Entry = Leader.findJob(Id.Task.Job);
+    if (Entry != nullptr && Entry->Job.needsRun(Id.Task))
+      Run.StopRequested = false;
+  }
+  Run.confirmStart();
+}
+
 void applyRunningRuns(leader &Leader, server &Server,
                       const heartbeat_result &Result) {
   for (const auto &Listed : Result.Running) {
     run *Known = Server.findRun(Listed.Run);
     run &Run = Known != nullptr ? *Known : adoptRun(Leader, Server, Listed);
     Run.LastListing = Server.Listings;
-    if (Run.StartConfirmedAt == NoDeadline)
-      Run.StartConfirmedAt = Leader.Now();
-    const bool BeingStopped = Run.StopSent || Run.StopConfirmedAt != NoDeadline;
-    if (Run.State == run_state::Starting ||
-        (Run.State == run_state::Unconfirmed && !BeingStopped))
-      Run.State = run_state::Running;
+    confirmListedRun(Leader, Listed.Run, Run);
     if (Run.Percent != Listed.Percent || Run.ProgressAt == time_point{}) {
       Run.Percent = Listed.Percent;
       Run.ProgressAt = Leader.Now();
