Keep jobs that a leader with a clock ahead accepted

Cause: a job without times became due at its time of acceptance, which is the time of day of the leader that accepted it. A successor whose clock was behind opened no occurrence and never looked again; runs of the job were stopped and its ends acknowledged without effect.

Change: a job without times is due once it is accepted. Related path: an occurrence of a job with times that was opened by a clock ahead is opened again by the runs and ends that backend servers report of it; its other tasks wait until it is due.

--- a/src/galenalink/job/job.cpp
+++ b/src/galenalink/job/job.cpp
@@ -24,6 +24,11 @@
   return Spec.StartAtMs + static_cast<wall_ms>(Offset);
 }
 
+bool job::isNextDue(const wall_ms Wall) const noexcept {
+  const auto Due = nextDue();
+  return Due && (Spec.Times == 0 || *Due <= Wall);
+}
+
 occurrence &job::openNext() {
   auto &Added = OpenOccurrences.emplace_back();
   Added.DueMs = nextDue().value_or(AcceptedMs);
--- a/src/galenalink/job/job.hpp
+++ b/src/galenalink/job/job.hpp
@@ -116,6 +116,9 @@
   /** @return Due time of the next occurrence to open, ms since the Unix epoch;
    * `nullopt` if none is left. */
   [[nodiscard]] std::optional<wall_ms> nextDue() const noexcept;
+  /** @brief Whether an occurrence is left to open and due. A job without times
+   * is due once it is accepted, whatever the clock of a later leader shows. */
+  [[nodiscard]] bool isNextDue(wall_ms Wall) const noexcept;
   /** @brief Opens the next occurrence; the caller sets its deadlines. */
   occurrence &openNext();
 
--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -125,16 +125,39 @@
     setObjective(Leader, Entry, Each);
 }
 
+namespace {
+
+/** @brief Whether one more occurrence may be open; otherwise it is opened once
+ * earlier ones are done. */
+bool hasRoomForOccurrence(const job &Job) {
+  const std::size_t Open = Job.openOccurrences().size();
+  return Open == 0 || (Open + 1) * taskCount(Job.spec()) <= limits::MaxTasks;
+}
+
+occurrence &openNextOccurrence(leader &Leader, job_entry &Entry) {
+  occurrence &Opened = Entry.Job.openNext();
+  setObjective(Leader, Entry, Opened);
+  requestDispatch(Leader, Entry.Job.pool());
+  return Opened;
+}
+
+} // namespace
+
 void openDueOccurrences(leader &Leader, job_entry &Entry) {
-  while (true) {
-    const auto Due = Entry.Job.nextDue();
-    if (!Due || *Due > Leader.Wall())
-      return;
-    const std::size_t Open = Entry.Job.openOccurrences().size();
-    if (Open > 0 && (Open + 1) * taskCount(Entry.Job.spec()) > limits::MaxTasks)
-      return; // opened once earlier occurrences are done
-    setObjective(Leader, Entry, Entry.Job.openNext());
-    requestDispatch(Leader, Entry.Job.pool());
+  while (Entry.Job.isNextDue(Leader.Wall()) && hasRoomForOccurrence(Entry.Job))
+    openNextOccurrence(Leader, Entry);
+}
+
+void openReportedOccurrence(leader &Leader, job_entry &Entry,
+                            const std::uint32_t Number) {
+  while (Entry.Job.openedCount() <= Number && Entry.Job.nextDue() &&
+         hasRoomForOccurrence(Entry.Job)) {
+    occurrence &Opened = openNextOccurrence(Leader, Entry);
+    const std::chrono::milliseconds UntilDue{Opened.DueMs - Leader.Wall()};
+    for (auto &Step : Opened.Steps) {
+      for (auto &Task : Step.Tasks)
+        Task.NotBefore = Leader.Now() + UntilDue;
+    }
   }
 }
 
--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -371,6 +371,7 @@
   ++Leader.Counts->Ends[End.Outcome];
   job_entry *Entry = Leader.findJob(End.Run.Task.Job);
   if (Entry != nullptr && !Entry->Job.ended()) {
+    openReportedOccurrence(Leader, *Entry, End.Run.Task.Occurrence);
     task *Task = Entry->Job.find(End.Run.Task);
     if (Task != nullptr && !End.Checkpoint.empty() && !Task->Done &&
         End.Checkpoint != Task->Checkpoint) {
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -101,6 +101,8 @@
  * know, and stops it if it is not needed. */
 run &adoptRun(leader &Leader, server &Server, const listed_run &Listed) {
   job_entry *Entry = Leader.findJob(Listed.Run.Task.Job);
+  if (Entry != nullptr)
+    openReportedOccurrence(Leader, *Entry, Listed.Run.Task.Occurrence);
   const step_spec *Step =
       Entry == nullptr ? nullptr : Entry->Job.stepSpec(Listed.Run.Task);
   run Run;
--- a/test/galenalink/job/simulated_platform.cpp
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -214,7 +214,7 @@
   Settings.Starts = StartLimits;
   auto State = std::make_unique<leader>(
       Ports, Settings, Epoch, [this] { return Now; },
-      [this] { return WallStart + toMs(Now); }, [this] { Fenced = true; });
+      [this] { return wallNow() + ClockOffsetMs; }, [this] { Fenced = true; });
   State->LeadershipConfirmedUntil = [this] {
     return LeadershipConfirmed ? time_point::max() : NoDeadline;
   };
@@ -438,6 +438,8 @@
   return Serving.size();
 }
 
+wall_ms simulated_platform::wallNow() const { return WallStart + toMs(Now); }
+
 void simulated_platform::crash(const std::string &Id) { Servers.erase(Id); }
 
 } // namespace galenalink::test
--- a/test/galenalink/job/simulated_platform.hpp
+++ b/test/galenalink/job/simulated_platform.hpp
@@ -69,6 +69,8 @@
   bool StoreDown{false};
   /** Time of an append. */
   duration AppendTime{std::chrono::milliseconds{8}};
+  /** By how much the wall clock of the present leader is ahead, ms. */
+  wall_ms ClockOffsetMs{0};
   /** Actual duration of a task, ms, from its declared estimate. */
   std::function<double(const job::task_id &, std::uint32_t EstimateMs)>
       Duration;
@@ -111,6 +113,8 @@
    * finished starting up. */
   std::size_t countServing(const std::string &Job, std::uint32_t Count) const;
   void crash(const std::string &Id);
+  /** @return True wall-clock time, ms since the Unix epoch. */
+  [[nodiscard]] wall_ms wallNow() const;
 
   std::unique_ptr<job::controller> Leader;
   std::uint64_t Epoch{0};
