Wait for all ends before a run counts as missing

Cause: a backend server lists its oldest 500 ends and the others once these are acknowledged. No end is acknowledged while the store is down, and a run whose end was behind the 500 stood in neither list, so that the leader took it for ended without a result.

Change: a full list of ends is marked as truncated, and only a list with all ends releases missing runs. Related path: a successor waits for all ends of its predecessor before it starts recovered tasks of the pool.

--- a/src/galenalink/job/ports.hpp
+++ b/src/galenalink/job/ports.hpp
@@ -119,6 +119,9 @@
   std::int64_t StartedAtMs{0};
   /** Some rows could not be read, so the lists below lack runs or ends. */
   bool Incomplete{false};
+  /** There may be further ends; they are listed once these are
+   * acknowledged. */
+  bool EndsTruncated{false};
   std::vector<listed_run> Running;
   std::vector<listed_end> Ends;
 };
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -180,7 +180,8 @@
 }
 
 /** @brief Releases runs that are not listed although their start or stop was
- * confirmed before the heartbeat was sent. */
+ * confirmed before the heartbeat was sent. All ends must be listed: otherwise
+ * the end of a run may be among those that follow. */
 void releaseMissingRuns(leader &Leader, server &Server) {
   std::vector<run_id> MissingRuns;
   for (const auto &[Id, Run] : Server.Runs) {
@@ -195,6 +196,19 @@
     releaseRun(Leader, Server, Id);
 }
 
+/** @brief Keeps recovered tasks of the backend server's pool from starting
+ * until it has listed its runs and all its ends, or until their leases have
+ * expired. */
+void awaitUnknownRuns(leader &Leader, server &Server) {
+  const auto Longest =
+      static_cast<double>(Leader.Settings.Lease.count()) * MaxClockStretch;
+  Server.RunsUnknownUntil = Leader.Now() + FormerLeaderOverlap +
+                            duration{static_cast<std::int64_t>(Longest)} +
+                            RetryInterval;
+  Leader.AllRunsKnownAt =
+      std::max(Leader.AllRunsKnownAt, Server.RunsUnknownUntil);
+}
+
 void applyRunEnds(leader &Leader, server &Server,
                   const heartbeat_result &Result) {
   std::uint64_t Newest = Server.LastAppliedEnd;
@@ -232,8 +246,12 @@
   Server.Lease.recordClock(Result.ClockMs, Leader.Now());
   applyRunEnds(Leader, Server, Result);
   applyRunningRuns(Leader, Server, Result);
-  releaseMissingRuns(Leader, Server);
-  Server.RunsUnknownUntil = NoDeadline;
+  if (!Result.EndsTruncated) {
+    releaseMissingRuns(Leader, Server);
+    Server.RunsUnknownUntil = NoDeadline;
+  } else if (Server.RunsUnknownUntil != NoDeadline) {
+    awaitUnknownRuns(Leader, Server);
+  }
   if (!Server.Synced) {
     // Runs of an earlier leader have a lease of at most the same length.
     if (!Server.Runs.empty())
@@ -423,13 +441,7 @@
   Server.Recorded = true;
   Server.MissingSince = Leader.Now();
   Server.HeartbeatDue = Leader.Now();
-  const auto Longest =
-      static_cast<double>(Leader.Settings.Lease.count()) * MaxClockStretch;
-  Server.RunsUnknownUntil = Leader.Now() + FormerLeaderOverlap +
-                            duration{static_cast<std::int64_t>(Longest)} +
-                            RetryInterval;
-  Leader.AllRunsKnownAt =
-      std::max(Leader.AllRunsKnownAt, Server.RunsUnknownUntil);
+  awaitUnknownRuns(Leader, Server);
 }
 
 bool runsUnknown(const leader &Leader, const std::string_view Pool) {
--- a/test/galenalink/job/simulated_platform.cpp
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -365,6 +365,10 @@
                               Now >= State.StartedAt + StartupTime ? 100U : 0U,
                               gaugeOf(Server, Run)});
   Result.Ends = Server.Listed;
+  if (Result.Ends.size() >= EndsPerResponse) {
+    Result.Ends.resize(EndsPerResponse);
+    Result.EndsTruncated = true;
+  }
   return Result;
 }
 
--- a/test/galenalink/job/simulated_platform.hpp
+++ b/test/galenalink/job/simulated_platform.hpp
@@ -69,6 +69,9 @@
   bool StoreDown{false};
   /** Time of an append. */
   duration AppendTime{std::chrono::milliseconds{8}};
+  /** Ends that a heartbeat response lists; the others follow once these are
+   * acknowledged. */
+  std::size_t EndsPerResponse{500};
   /** By how much the wall clock of the present leader is ahead, ms. */
   wall_ms ClockOffsetMs{0};
   /** Actual duration of a task, ms, from its declared estimate. */
--- a/test/platform/codec.cpp
+++ b/test/platform/codec.cpp
@@ -96,6 +96,23 @@
   BOOST_TEST(!parseHeartbeatResponse("{}", Result));
 }
 
+// A response with as many ends as it can list must not pass for one with all of
+// them, or a run whose end follows would be started again.
+BOOST_AUTO_TEST_CASE(full_list_of_ends_may_be_truncated) {
+  const auto IsTruncated = [](const int Count) {
+    std::string Body = R"({"clockMs":9,"running":[],"finished":[)";
+    for (int I = 1; I <= Count; ++I)
+      Body += (I > 1 ? ",[" : "[") + std::to_string(I) + R"(,"a.0.0.)" +
+              std::to_string(I) + R"(",1,"done",""])";
+    heartbeat_result Result;
+    BOOST_REQUIRE(parseHeartbeatResponse(Body + "]}", Result));
+    return Result.EndsTruncated;
+  };
+  BOOST_TEST(!IsTruncated(0));
+  BOOST_TEST(!IsTruncated(499));
+  BOOST_TEST(IsTruncated(500));
+}
+
 // A lease end or a wait of 0 means none and must not be sent as a limit.
 BOOST_AUTO_TEST_CASE(zero_and_empty_fields_are_omitted) {
   heartbeat_order Order;
