--- a/src/galenalink/http/loop.cpp
+++ b/src/galenalink/http/loop.cpp
@@ -243,6 +243,8 @@
   Impl->Signals.push_back(std::move(Hook));
 }
 
+std::size_t loop::posted() const noexcept { return Impl->Posted.size(); }
+
 event_base *loop::native() noexcept { return Impl->Base; }
 
 } // namespace galenalink::http
--- a/src/galenalink/http/loop.hpp
+++ b/src/galenalink/http/loop.hpp
@@ -80,6 +80,8 @@
   /** @brief Calls the function whenever the process gets the signal. */
   void onSignal(int Signal, function Function);
 
+  /** @return Functions posted with `post` that have not been called yet. */
+  [[nodiscard]] std::size_t posted() const noexcept;
   [[nodiscard]] event_base *native() noexcept;
 
 private:
--- a/src/galenalink/job_node/keyed_log_reader.cpp
+++ b/src/galenalink/job_node/keyed_log_reader.cpp
@@ -9,6 +9,8 @@
 
 /** Delay before a failed read is retried. */
 constexpr duration RetryDelay = std::chrono::milliseconds{150};
+/** A read that takes longer than it asked to wait by this is logged. */
+constexpr duration SlowRead = std::chrono::milliseconds{500};
 
 } // namespace
 
@@ -34,7 +36,28 @@
          {"outcome", std::string{nameOf(job::CallOutcomeNames, Outcome)}}});
 }
 
+void keyed_log_reader::handleSuccess(const std::string_view Operation,
+                                     const duration Wait,
+                                     const std::size_t Records) {
+  const time_point Now = boot_clock::now();
+  const duration Elapsed = Now - ReadSince;
+  if (ConsecutiveFailures > 0 || Elapsed >= Wait + SlowRead)
+    Log.info("slow read from the store",
+             {{"topic", std::string{nameOf(job::TopicNames, Settings.Topic)}},
+              {"call", std::string{Operation}},
+              {"ms", static_cast<std::uint64_t>(
+                         std::chrono::duration_cast<std::chrono::milliseconds>(
+                             Elapsed)
+                             .count())},
+              {"failures", ConsecutiveFailures},
+              {"records", Records}});
+  ConsecutiveFailures = 0;
+  LastResponseAt = Now;
+}
+
 void keyed_log_reader::readSnapshot() {
+  if (ConsecutiveFailures == 0)
+    ReadSince = boot_clock::now();
   Ports.ReadLatest(Settings.Topic, [this, Weak = std::weak_ptr{LifetimeToken}](
                                        const job::latest_result &Result) {
     if (!Weak.lock())
@@ -44,8 +67,7 @@
       schedule(RetryDelay, &keyed_log_reader::readSnapshot);
       return;
     }
-    ConsecutiveFailures = 0;
-    LastResponseAt = boot_clock::now();
+    handleSuccess("newest", duration{0}, Result.Records.size());
     NextOffset = Result.End;
     Hooks.OnSnapshot(Result.Records);
     schedule(Settings.Pause, &keyed_log_reader::readNext);
@@ -53,6 +75,8 @@
 }
 
 void keyed_log_reader::readNext() {
+  if (ConsecutiveFailures == 0)
+    ReadSince = boot_clock::now();
   Ports.Read(
       Settings.Topic, NextOffset, Settings.WaitMs,
       [this,
@@ -72,8 +96,8 @@
           schedule(RetryDelay, &keyed_log_reader::readNext);
           return;
         }
-        ConsecutiveFailures = 0;
-        LastResponseAt = boot_clock::now();
+        handleSuccess("read", std::chrono::milliseconds{Settings.WaitMs},
+                      Result.Records.size());
         NextOffset = Result.Next;
         if (!Result.Records.empty())
           Hooks.OnRecords(Result.Records);
--- a/src/galenalink/job_node/keyed_log_reader.hpp
+++ b/src/galenalink/job_node/keyed_log_reader.hpp
@@ -40,6 +40,9 @@
   void readSnapshot();
   void readNext();
   void handleFailure(std::string_view Operation, job::call_outcome Outcome);
+  /** @param Wait How long the store was allowed to wait for a record. */
+  void handleSuccess(std::string_view Operation, duration Wait,
+                     std::size_t Records);
   void schedule(duration Delay, void (keyed_log_reader::*Step)());
 
   http::loop &Loop;
@@ -48,6 +51,8 @@
   hooks Hooks;
   std::uint64_t NextOffset{0};
   std::uint32_t ConsecutiveFailures{0};
+  /** When the read in flight was sent, or the first of its failed attempts. */
+  time_point ReadSince{NoDeadline};
   time_point LastResponseAt{NoDeadline};
   http::timer Timer;
   std::shared_ptr<bool> LifetimeToken{std::make_shared<bool>(true)};
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -225,7 +225,11 @@
 }
 
 void node::applyOperatorRecords(const std::vector<job::keyed_record> &Records) {
-  if (!View.applyOperatorRecords(Records) || !Controller)
+  const auto Version = View.rules().Version;
+  const bool Changed = View.applyOperatorRecords(Records);
+  if (View.rules().Version != Version)
+    RulesAppliedAt = boot_clock::now();
+  if (!Changed || !Controller)
     return;
   Controller->setRules(View.rules());
   Controller->setWaves(View.waves());
@@ -349,7 +353,8 @@
                                 {"journal_callbacks", Journal.Callbacks},
                                 {"starts_in_flight", State.StartWindow.size()},
                                 {"waiting_jobs", State.WaitingJobs},
-                                {"forwarded", Forwarder.size()}});
+                                {"forwarded", Forwarder.size()},
+                                {"posted", Loop.posted()}});
 }
 
 void node::listVms() {
--- a/src/galenalink/job_node/node.hpp
+++ b/src/galenalink/job_node/node.hpp
@@ -40,6 +40,16 @@
   [[nodiscard]] const job::fleet_rules &rules() const noexcept {
     return View.rules();
   }
+  /** @return When the log of the operator was last read; `NoDeadline` if it was
+   * not. */
+  [[nodiscard]] time_point rulesReadAt() const noexcept {
+    return OperatorReader.lastResponseAt();
+  }
+  /** @return When the rules were last replaced by a newer version; `NoDeadline`
+   * if none was read. */
+  [[nodiscard]] time_point rulesAppliedAt() const noexcept {
+    return RulesAppliedAt;
+  }
   /** @return Whether requests of callers can be served now. */
   [[nodiscard]] bool ready() const;
   [[nodiscard]] bool leads() const noexcept { return Controller != nullptr; }
@@ -89,6 +99,7 @@
   bool DispatchScheduled{false};
   bool ListingVms{false};
   time_point NextVmListAt;
+  time_point RulesAppliedAt{NoDeadline};
   /** When a request to a peer last failed; `NoDeadline` after a success. */
   time_point ForwardFailedAt{NoDeadline};
   /** Retries recovery, then calls `tick()` while this node leads. */
