Refuse jobs while responses wait in the leader's event loop

Callers saw jobs accepted by a leader that could not start them.

Change: the leader measures for how long callbacks wait in its loop, by a probe that it posts itself, and refuses jobs above 0.45 s. The delay is a metric and part of the leader's line on its backlog.

The test of the gate does not compile without the change.

--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -200,6 +200,7 @@
   Backlog.OldestReplyAt =
       Leader.Journal.currentLoad().OldestAt.value_or(NoDeadline);
   Backlog.LoopDelay = Leader.LoopDelay;
+  Backlog.CallbackDelay = Leader.CallbackDelay;
   Backlog.WaitingJobs = Leader.WaitingJobs;
   return Backlog;
 }
--- a/src/galenalink/job/controller.cpp
+++ b/src/galenalink/job/controller.cpp
@@ -83,8 +83,9 @@
   }
 }
 
-void controller::tick(const duration LoopDelay) {
+void controller::tick(const duration LoopDelay, const duration CallbackDelay) {
   Leader->LoopDelay = LoopDelay;
+  Leader->CallbackDelay = CallbackDelay;
   openScheduledOccurrences();
   watchServers(*Leader);
   const time_point Now = Leader->Now();
--- a/src/galenalink/job/controller.hpp
+++ b/src/galenalink/job/controller.hpp
@@ -39,8 +39,10 @@
   [[nodiscard]] caller_reply pending(const std::string &Queue) const;
 
   /** @brief Makes one pass of the control loop; call every few ms.
-   * @param LoopDelay By how much the event loop delayed this pass. */
-  void tick(duration LoopDelay = duration{0});
+   * @param LoopDelay By how much the event loop delayed this pass.
+   * @param CallbackDelay For how long responses wait in the event loop. */
+  void tick(duration LoopDelay = duration{0},
+            duration CallbackDelay = duration{0});
   /** @brief Starts tasks that can be placed and writes pending records; call
    * after each event. */
   void dispatchAndFlush();
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -230,6 +230,8 @@
   overload_gate OverloadGate;
   /** By how much the last pass of the control loop was late. */
   duration LoopDelay{0};
+  /** For how long responses to calls wait in the event loop. */
+  duration CallbackDelay{0};
   /** Open jobs of which no task has started; counted anew every 200 ms. */
   std::size_t WaitingJobs{0};
   /** Callbacks hold it weakly to detect that the leader no longer exists. */
--- a/src/galenalink/job/overload_gate.hpp
+++ b/src/galenalink/job/overload_gate.hpp
@@ -18,6 +18,8 @@
   /** By how much the event loop delayed the control loop last, in a recent
    * span of time. */
   duration LoopDelay{0};
+  /** For how long responses to the leader's calls wait in its event loop. */
+  duration CallbackDelay{0};
   /** Accepted jobs of which no task has started. */
   std::size_t WaitingJobs{0};
 };
@@ -41,7 +43,8 @@
     const bool Held = exceeds(Backlog.StartsHeldSince, MaxStartsHeld, Now);
     return !(Held && drainMs(Backlog, Now) > MaxDrainMs) &&
            !exceeds(Backlog.OldestReplyAt, MaxReplyAge, Now) &&
-           Backlog.LoopDelay <= MaxLoopDelay;
+           Backlog.LoopDelay <= MaxLoopDelay &&
+           Backlog.CallbackDelay <= MaxCallbackDelay;
   }
 
   /** @brief Records that a job has started its first task. */
@@ -65,6 +68,9 @@
    * these repeat them. A slow store alone delays replies by up to 0.6 s. */
   static constexpr duration MaxReplyAge = std::chrono::milliseconds{900};
   static constexpr duration MaxLoopDelay = std::chrono::milliseconds{200};
+  /** A task needs two responses in turn, that to its start and the heartbeat
+   * with its end. */
+  static constexpr duration MaxCallbackDelay = MaxReplyAge / 2;
   static constexpr duration Window = std::chrono::seconds{1};
   static constexpr double WindowSeconds = 1;
   static constexpr double MinRetryMs = 1000;
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -326,11 +326,22 @@
     return;
   if (LoopDelay.record(boot_clock::now()))
     logLoad();
-  Controller->tick(LoopDelay.latest());
+  measureCallbackDelay();
+  Controller->tick(LoopDelay.latest(),
+                   CallbackDelay.current(boot_clock::now()));
   if (boot_clock::now() >= NextVmListAt && !ListingVms)
     listVms();
 }
 
+void node::measureCallbackDelay() {
+  if (!CallbackDelay.begin(boot_clock::now()))
+    return;
+  Loop.post([this, Weak = std::weak_ptr{LifetimeToken}] {
+    if (Weak.lock())
+      CallbackDelay.end(boot_clock::now());
+  });
+}
+
 void node::logLoad() const {
   const job::leader &State = Controller->state();
   const auto Journal = State.Journal.currentLoad();
@@ -339,13 +350,15 @@
   const duration Held = State.StartsHeldSince == NoDeadline
                             ? duration{0}
                             : Now - State.StartsHeldSince;
-  if (std::max({Age, Held, LoopDelay.longest()}) < MinLoggedDelay)
+  const duration Callbacks = CallbackDelay.current(Now);
+  if (std::max({Age, Held, LoopDelay.longest(), Callbacks}) < MinLoggedDelay)
     return;
   const auto Ms = [](const duration Value) {
     return static_cast<std::uint64_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(Value).count());
   };
   Log.info("leader is behind", {{"loop_delay_ms", Ms(LoopDelay.longest())},
+                                {"callback_delay_ms", Ms(Callbacks)},
                                 {"journal_age_ms", Ms(Age)},
                                 {"starts_held_ms", Ms(Held)},
                                 {"journal_records", Journal.Records},
@@ -396,6 +409,7 @@
     const auto Journal = State.Journal.currentLoad();
     const time_point Now = boot_clock::now();
     Gauges.LoopDelayS = toSeconds(LoopDelay.longest());
+    Gauges.CallbackDelayS = toSeconds(CallbackDelay.current(Now));
     Gauges.JournalRecords = Journal.Records;
     Gauges.JournalAgeS = toSeconds(Now - Journal.OldestAt.value_or(Now));
     Gauges.StartsInFlight = State.StartWindow.size();
--- a/src/galenalink/job_node/node.hpp
+++ b/src/galenalink/job_node/node.hpp
@@ -4,6 +4,7 @@
 #include "galenalink/http/client.hpp"
 #include "galenalink/http/server.hpp"
 #include "galenalink/job/controller.hpp"
+#include "galenalink/job_node/callback_delay.hpp"
 #include "galenalink/job_node/fleet_view.hpp"
 #include "galenalink/job_node/keyed_log_reader.hpp"
 #include "galenalink/job_node/leader_elector.hpp"
@@ -64,6 +65,7 @@
   void stopLeading();
   void scheduleDispatch();
   void tick();
+  void measureCallbackDelay();
   void logLoad() const;
   void listVms();
   void serveLocally(const caller_request &Request, job::reply_function Reply);
@@ -105,6 +107,7 @@
   /** Retries recovery, then calls `tick()` while this node leads. */
   http::timer TickTimer;
   loop_delay LoopDelay;
+  callback_delay CallbackDelay;
   node_metrics Metrics;
   std::shared_ptr<job::counters> Counts{std::make_shared<job::counters>()};
   std::shared_ptr<bool> LifetimeToken{std::make_shared<bool>(true)};
--- a/src/galenalink/job_node/node_metrics.cpp
+++ b/src/galenalink/job_node/node_metrics.cpp
@@ -95,6 +95,9 @@
   Set("galenalink_loop_delay_seconds",
       "Longest delay of the leader's periodic work in the last second.",
       Gauges.LoopDelayS);
+  Set("galenalink_callback_delay_seconds",
+      "Time for which responses to the leader's calls wait in its loop.",
+      Gauges.CallbackDelayS);
   Set("galenalink_journal_records", "Records not stored yet; leader only.",
       Gauges.JournalRecords);
   Set("galenalink_journal_age_seconds",
--- a/src/galenalink/job_node/node_metrics.hpp
+++ b/src/galenalink/job_node/node_metrics.hpp
@@ -20,6 +20,8 @@
   std::size_t Servers{0};
   /** Longest delay of the leader's periodic work in the last second, s. */
   double LoopDelayS{0};
+  /** For how long responses to the leader's calls wait in its loop, s. */
+  double CallbackDelayS{0};
   std::size_t JournalRecords{0};
   /** Age of the oldest reply that waits for the journal, s. */
   double JournalAgeS{0};
--- a/test/galenalink/job/overload.cpp
+++ b/test/galenalink/job/overload.cpp
@@ -279,4 +279,16 @@
   BOOST_TEST(!Gate.accepts(Backlog, Now));
 }
 
+// A leader whose control loop and appends were on time accepted more jobs than
+// it could start, while thousands of responses waited in its event loop.
+BOOST_AUTO_TEST_CASE(responses_that_wait_in_the_loop_refuse_jobs) {
+  const time_point Now{Second};
+  overload_gate Gate;
+  leader_backlog Backlog;
+  Backlog.CallbackDelay = 400 * Millisecond;
+  BOOST_TEST(Gate.accepts(Backlog, Now));
+  Backlog.CallbackDelay = 500 * Millisecond;
+  BOOST_TEST(!Gate.accepts(Backlog, Now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
