Run the claim delay from the report that a leader is dead

Cause: nodes with less processor time claim later, but after a probe that found the leader unhealthy the delay ran from the last record of the log. Probes start 0.75 s after it, when the delay has passed at all nodes, so the first node to hear of it claimed.

Change: the claim delay runs from the report. The delay by uptime still runs from the last record.

claim_delay_runs_from_the_report_that_a_leader_is_dead failed before.

--- a/src/galenalink/job/election.cpp
+++ b/src/galenalink/job/election.cpp
@@ -94,9 +94,12 @@
   LastAppendAt = Now;
 }
 
-void election::presumeDead(const std::uint64_t Epoch) noexcept {
-  if (Current.Epoch == Epoch && !leads())
-    Current.Released = true;
+void election::presumeDead(const std::uint64_t Epoch,
+                           const time_point Now) noexcept {
+  if (Current.Epoch != Epoch || Current.Released || leads())
+    return;
+  Current.Released = true;
+  PresumedDeadAt = Now;
 }
 
 time_point election::claimAt(const time_point Now) const {
@@ -104,7 +107,7 @@
       (Now - Settings.StartedAt) / UptimeDivisor, MaxUptimeDelay);
   const time_point Since = std::max(ReadingSince, LastRecordAt);
   if (Current.Released)
-    return Since + Settings.ClaimDelay + UptimeDelay;
+    return std::max(Since + UptimeDelay, PresumedDeadAt) + Settings.ClaimDelay;
   const bool Unreachable =
       UnreachableEpoch != 0 && UnreachableEpoch == Current.Epoch;
   return Since + Settings.ClaimDelay + UptimeDelay +
--- a/src/galenalink/job/election.hpp
+++ b/src/galenalink/job/election.hpp
@@ -100,8 +100,10 @@
   void claimed(std::uint64_t Offset, time_point Now);
   /** @brief Makes the leadership of the epoch vacant without waiting for the
    * election timeout: its node reports that the leading process has ended or
-   * cannot write. No effect on a later epoch. */
-  void presumeDead(std::uint64_t Epoch) noexcept;
+   * cannot write. No effect on a later epoch. The claim delay runs from now on:
+   * when the nodes learn of it, it has passed since the last record at all of
+   * them, and any node would claim, however little CPU time it has. */
+  void presumeDead(std::uint64_t Epoch, time_point Now) noexcept;
   /** @brief Notes that the node of the epoch's leader did not respond; the
    * shorter timeout applies until its next record. */
   void markUnreachable(const std::uint64_t Epoch) noexcept {
@@ -133,6 +135,8 @@
   time_point ReadingSince;
   time_point LastRecordAt;
   time_point LastAppendAt;
+  /** When the leader was last presumed dead. */
+  time_point PresumedDeadAt;
 };
 
 } // namespace galenalink::job
--- a/src/galenalink/job_node/leader_elector.cpp
+++ b/src/galenalink/job_node/leader_elector.cpp
@@ -71,7 +71,7 @@
            {{"epoch", Epoch},
             {"answer", std::string{nameOf(ProbeResultNames, Result)}}});
   if (Result == probe_result::Unhealthy)
-    Election.presumeDead(Epoch);
+    Election.presumeDead(Epoch, boot_clock::now());
   else
     Election.markUnreachable(Epoch);
   notifyLeaderChange();
--- a/test/galenalink/job/election.cpp
+++ b/test/galenalink/job/election.cpp
@@ -89,10 +89,36 @@
   B.applyRecord(0, makeClaim("a"), Start);
   B.readSucceeded(1, Start);
   BOOST_CHECK(B.next(Start + Second) == election_action::None);
-  B.presumeDead(1);
+  B.presumeDead(1, Start + Second);
   BOOST_CHECK(B.next(Start + Second) == election_action::Claim);
 }
 
+// A silent leader whose node reports that it has ended was replaced by
+// whichever node asked first: the claim delays had passed since its last
+// heartbeat, so that a node with little CPU time led a large fleet.
+BOOST_AUTO_TEST_CASE(claim_delay_runs_from_the_report_that_a_leader_is_dead) {
+  const auto MakeFollower = [](const double Cores) {
+    election_settings Settings;
+    Settings.Node = "b";
+    Settings.StartedAt = Start;
+    Settings.ClaimDelay = claimDelay(Cores, 0);
+    election Follower{Settings};
+    Follower.applyRecord(0, makeClaim("a"), Start);
+    Follower.readSucceeded(1, Start);
+    return Follower;
+  };
+  election Weak = MakeFollower(0.12);
+  election Strong = MakeFollower(0.5);
+  Weak.presumeDead(1, Start + Second);
+  const time_point Later = Start + Second + Second / 5;
+  Strong.presumeDead(1, Later);
+  BOOST_CHECK(Weak.next(Later) == election_action::None);
+  BOOST_CHECK(Strong.next(Later) == election_action::Claim);
+  // A repeated report does not put off the claim.
+  Weak.presumeDead(1, Later);
+  BOOST_CHECK(Weak.next(Later + Second / 5) == election_action::Claim);
+}
+
 // A leader whose node does not respond, for example after a power loss of its
 // VM, must be replaced sooner than one that responds but appends late.
 BOOST_AUTO_TEST_CASE(unreachable_leader_is_replaced_sooner) {
@@ -122,7 +148,7 @@
   for (election *Each : {&Old, &New}) {
     Each->applyRecord(0, makeClaim("a"), Start);
     Each->readSucceeded(1, Start);
-    Each->presumeDead(1);
+    Each->presumeDead(1, Start);
   }
   BOOST_CHECK(New.claimAt(Start) < Old.claimAt(Start));
 }
@@ -133,7 +159,7 @@
   B.applyRecord(0, makeClaim("a"), Start);
   B.applyRecord(1, makeClaim("c"), Start);
   B.readSucceeded(2, Start);
-  B.presumeDead(1);
+  B.presumeDead(1, Start + Second);
   BOOST_CHECK(B.next(Start + Second) == election_action::None);
 }
 
