Stop waiting for backend servers that have left with their VMs

Cause: a new leader starts no recovered task of a pool while a backend server of its predecessor has not listed its runs, up to 5.8 s. One that had left with its VM kept each new leader waiting for all of that time.

Change: a backend server that is not registered, and that no VM of a complete list has, is not waited for. The list of VMs tells whether rows of it could not be read; such a list shows nothing.

--- a/src/galenalink/job/controller.cpp
+++ b/src/galenalink/job/controller.cpp
@@ -43,10 +43,9 @@
   updateWaves(*Leader, Waves);
 }
 
-void controller::setVms(const std::vector<vm> &Vms,
-                        const time_point RequestedAt) {
-  updateVms(*Leader, Vms);
-  updateVmOrders(*Leader, Vms, RequestedAt);
+void controller::setVms(const vms_result &List, const time_point RequestedAt) {
+  updateVms(*Leader, List);
+  updateVmOrders(*Leader, List.Vms, RequestedAt);
 }
 
 bool controller::hasPendingVmOrders() const noexcept {
--- a/src/galenalink/job/controller.hpp
+++ b/src/galenalink/job/controller.hpp
@@ -18,7 +18,7 @@
   void setRegistrations(const std::vector<registration> &Registrations);
   void setWaves(const std::map<std::uint64_t, wave> &Waves);
   /** @param RequestedAt When the list was requested. */
-  void setVms(const std::vector<vm> &Vms, time_point RequestedAt);
+  void setVms(const vms_result &List, time_point RequestedAt);
   /** @return Whether VM orders are in progress, so that the list is about to
    * change. */
   [[nodiscard]] bool hasPendingVmOrders() const noexcept;
--- a/src/galenalink/job/ports.hpp
+++ b/src/galenalink/job/ports.hpp
@@ -293,6 +293,8 @@
 
 struct vms_result {
   call_outcome Outcome{call_outcome::Unknown};
+  /** Some rows could not be read, so the list lacks VMs. */
+  bool Incomplete{false};
   std::vector<vm> Vms;
 };
 
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -384,9 +384,37 @@
   }
 }
 
-void updateVms(leader &Leader, const std::vector<vm> &Vms) {
-  std::unordered_map<std::string_view, const vm *> ByName;
+namespace {
+
+/** @brief Ends the wait for runs of backend servers that have left with their
+ * VMs: a complete list of VMs names each one that is running. */
+void forgetDepartedServers(leader &Leader, const std::vector<vm> &Vms) {
+  const time_point Now = Leader.Now();
+  if (Now >= Leader.AllRunsKnownAt)
+    return;
+  std::unordered_set<std::string_view> Listed;
   for (const auto &Vm : Vms) {
+    if (Vm.State == vm_state::Unknown)
+      return; // its backend server is not known
+    Listed.insert(Vm.Server);
+  }
+  for (auto &[Id, Server] : Leader.Servers) {
+    const bool Departed = Now < Server->RunsUnknownUntil &&
+                          !Server->Registered && !Listed.contains(Id);
+    if (!Departed)
+      continue;
+    Log.info("no VM has the backend server, not waiting for its runs",
+             {{"server", Id}, {"pool", Server->Entry.Pool}});
+    Server->RunsUnknownUntil = NoDeadline;
+    requestDispatchOfAllPools(Leader);
+  }
+}
+
+} // namespace
+
+void updateVms(leader &Leader, const vms_result &List) {
+  std::unordered_map<std::string_view, const vm *> ByName;
+  for (const auto &Vm : List.Vms) {
     ByName.emplace(Vm.Name, &Vm);
     if (server *Server = Leader.findServer(Vm.Server))
       Server->Vm = Vm.Name;
@@ -405,6 +433,8 @@
                        std::string{nameOf(VmStateNames, Vm.State)});
     Server->RunsUnknownUntil = NoDeadline;
   }
+  if (!List.Incomplete && !List.Vms.empty())
+    forgetDepartedServers(Leader, List.Vms);
 }
 
 void watchServers(leader &Leader) {
--- a/src/galenalink/job/server_watch.hpp
+++ b/src/galenalink/job/server_watch.hpp
@@ -10,7 +10,7 @@
                          const std::vector<registration> &Registrations);
 /** @brief Applies the complete list of VMs: a backend server whose VM is not
  * up, or runs another incarnation, has terminated. */
-void updateVms(leader &Leader, const std::vector<vm> &Vms);
+void updateVms(leader &Leader, const vms_result &List);
 /** @brief Sends the heartbeats that are due, and marks backend servers lost
  * whose lease has expired without a response. */
 void watchServers(leader &Leader);
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -385,7 +385,7 @@
     if (!Controller)
       return;
     if (Result.Outcome == job::call_outcome::Done)
-      Controller->setVms(Result.Vms, RequestedAt);
+      Controller->setVms(Result, RequestedAt);
     else
       Log.warning("cannot read the list of VMs",
                   {{"outcome", std::string{nameOf(job::CallOutcomeNames,
--- a/test/galenalink/job/simulated_platform.cpp
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -145,7 +145,7 @@
 void simulated_platform::connectVms() {
   Ports.ListVms = [this](const auto &Callback) {
     schedule(Latency, [this, Callback] {
-      Callback(vms_result{call_outcome::Done, Vms});
+      Callback(vms_result{call_outcome::Done, VmListIncomplete, Vms});
     });
   };
   Ports.OrderVm = [this](const vm_order &Order, const auto &Callback) {
@@ -383,7 +383,7 @@
       Registered.push_back(Server.Entry);
   }
   Leader->setRegistrations(Registered);
-  Leader->setVms(Vms, Now);
+  Leader->setVms({call_outcome::Done, VmListIncomplete, Vms}, Now);
   Leader->tick(LoopDelay);
 }
 
--- a/test/galenalink/job/simulated_platform.hpp
+++ b/test/galenalink/job/simulated_platform.hpp
@@ -65,6 +65,8 @@
   std::map<std::string, simulated_server> Servers;
   std::vector<job::vm> Vms;
   std::map<std::string, std::string> Stored;
+  /** The list of VMs has rows that could not be read. */
+  bool VmListIncomplete{false};
   /** Appends are not carried out and get no response. */
   bool StoreDown{false};
   /** Time of an append. */
--- a/test/galenalink/job/unknown_runs.cpp
+++ b/test/galenalink/job/unknown_runs.cpp
@@ -81,6 +81,61 @@
   BOOST_TEST(Platform.VmOrders.size() == 2U);
 }
 
+/** @brief A backend server with long-running tasks of a job has left for good,
+ * with its VM, when a successor is elected. */
+struct departed_server {
+  simulated_platform Platform;
+
+  departed_server() {
+    for (const char *Id : {"s0", "s1"})
+      Platform.addServer(Id, "press");
+    Platform.elect();
+    Platform.advance(Second);
+    job_spec Spec;
+    Spec.Spec = "text";
+    Spec.Steps = {makeStep(2, 2000, 0)};
+    Spec.Steps.front().LongRunning = true;
+    Spec.Steps.front().MaxPerServer = 1;
+    BOOST_REQUIRE(Platform.submit("press", "a", Spec));
+    Platform.advance(Second);
+    BOOST_REQUIRE(Platform.Servers.at("s0").Running.size() == 1U);
+    Platform.addServer("s2", "press");
+    Platform.crash("s0");
+    Platform.elect();
+  }
+
+  std::size_t countRunning() const {
+    return Platform.countRunning({"a", 0, 0, 0}) +
+           Platform.countRunning({"a", 0, 0, 1});
+  }
+};
+
+// Each new leader waited as long as a lease for backend servers that had left,
+// although the list of VMs no longer named them: with frequent changes of
+// leader, their tasks never ran again.
+BOOST_AUTO_TEST_CASE(successor_does_not_wait_for_a_server_that_has_left) {
+  departed_server Departed;
+  std::erase_if(Departed.Platform.Vms,
+                [](const vm &Each) { return Each.Server == "s0"; });
+  Departed.Platform.advance(Second);
+  BOOST_TEST(Departed.countRunning() == 2U);
+  for (const auto &Each : Departed.Platform.Violations)
+    BOOST_ERROR(Each);
+}
+
+// A list of VMs with unreadable rows does not show that a backend server has
+// left: its row may be one of those.
+BOOST_AUTO_TEST_CASE(successor_waits_if_the_list_of_vms_is_incomplete) {
+  departed_server Departed;
+  Departed.Platform.VmListIncomplete = true;
+  std::erase_if(Departed.Platform.Vms,
+                [](const vm &Each) { return Each.Server == "s0"; });
+  Departed.Platform.advance(3 * Second);
+  BOOST_TEST(Departed.countRunning() == 1U);
+  Departed.Platform.advance(5 * Second);
+  BOOST_TEST(Departed.countRunning() == 2U);
+}
+
 // A list of runs with an unreadable row was taken for complete: the run in that
 // row was released and its task started a second time.
 BOOST_AUTO_TEST_CASE(incomplete_list_of_runs_releases_none) {
