Keep records of jobs within the limit of the store

Cause: the progress of a job is one record; with all checkpoints it had 289,203 bytes.

Change: a progress record keeps all done tasks and failed runs, and checkpoints as far as there is room. Related path: a job whose own record can't be stored is rejected when it is submitted.

--- a/src/galenalink/job/job_limits.cpp
+++ b/src/galenalink/job/job_limits.cpp
@@ -1,4 +1,5 @@
 #include "galenalink/job/job_limits.hpp"
+#include "galenalink/job/job.hpp"
 #include <algorithm>
 #include <numeric>
 
@@ -27,6 +28,21 @@
   return {};
 }
 
+/** @brief Whether the record of a job with this specification fits into the
+ * store. The exact size is computed only for large specifications. */
+bool isStorable(const job_spec &Spec) {
+  constexpr std::size_t Limit =
+      limits::MaxRecordBytes - limits::RecordReserveBytes;
+  constexpr std::size_t MaxNumbersBytes = 80;
+  constexpr std::size_t MaxDependencyBytes = 5;
+  std::size_t UpperBound = Spec.Spec.size();
+  for (const step_spec &Step : Spec.Steps)
+    UpperBound += MaxNumbersBytes + MaxDependencyBytes * Step.DependsOn.size() +
+                  Step.Label.size() + Step.Rack.size() + Step.Image.size();
+  return UpperBound <= Limit ||
+         toRecord(job{"", "", "", Spec, 0}).size() <= Limit;
+}
+
 } // namespace
 
 bool isValidJobId(const std::string_view Id) noexcept {
@@ -62,7 +78,9 @@
       return Reason;
     Dependencies += Spec.Steps[I].DependsOn.size();
   }
-  return Dependencies > limits::MaxDependencies ? "too many dependencies" : "";
+  if (Dependencies > limits::MaxDependencies)
+    return "too many dependencies";
+  return isStorable(Spec) ? "" : "the steps are too large to be stored";
 }
 
 } // namespace galenalink::job
--- a/src/galenalink/job/job_limits.hpp
+++ b/src/galenalink/job/job_limits.hpp
@@ -28,6 +28,13 @@
 inline constexpr std::int64_t MaxCallerTimeoutMs = 86'400'000;
 /** Largest factor of a queue's latency objective. */
 inline constexpr double MaxStretch = 1e6;
+/** Bytes of one record with its key. The store accepts 262,144 bytes; an append
+ * with a larger record is refused however often it is repeated, and everything
+ * that is stored later waits behind it. */
+inline constexpr std::size_t MaxRecordBytes = 260'000;
+/** Part of a job's record that does not come from its specification: names of
+ * queue and pools, the rule. */
+inline constexpr std::size_t RecordReserveBytes = 4096;
 /** Characters of a job's id. */
 inline constexpr std::size_t MaxJobIdBytes = 64;
 
--- a/src/galenalink/job/job_record.cpp
+++ b/src/galenalink/job/job_record.cpp
@@ -88,8 +88,13 @@
 }
 
 /** @brief Progress of a step: bitmap of done tasks, failed runs by task,
- * checkpoints by task. */
-json stepProgress(const step &Step) {
+ * checkpoints by task.
+ * @param Budget Bytes left for checkpoints. A checkpoint beyond it is left out:
+ * the task starts from its beginning under a new leader if its run has ended.
+ */
+json stepProgress(const step &Step, std::size_t &Budget) {
+  // Index, length and array around a checkpoint.
+  constexpr std::size_t RowBytes = 10;
   std::vector<std::uint8_t> Done((Step.Tasks.size() + 7) / 8);
   json Failures = json::array();
   json Checkpoint = json::array();
@@ -99,12 +104,41 @@
       Done[I / 8] |= static_cast<std::uint8_t>(1U << (I % 8));
     if (!Task.FailedRuns.empty())
       Failures.push_back({I, Task.FailedRuns});
-    if (!Task.Checkpoint.empty())
-      Checkpoint.push_back({I, Task.Checkpoint});
+    const std::size_t Bytes = Task.Checkpoint.size() + RowBytes;
+    if (Task.Checkpoint.empty() || Bytes > Budget)
+      continue;
+    Budget -= Bytes;
+    Checkpoint.push_back({I, Task.Checkpoint});
   }
   return json::array({json::binary(std::move(Done)), Failures, Checkpoint});
 }
 
+/** @return Upper bound of the encoded size of a step's progress without its
+ * checkpoints. */
+std::size_t maxProgressBytes(const step &Step) {
+  constexpr std::size_t StepBytes = 16;
+  constexpr std::size_t RowBytes = 8;
+  constexpr std::size_t RunBytes = 9;
+  std::size_t Bytes = StepBytes + Step.Tasks.size() / 8 + 1;
+  for (const task &Task : Step.Tasks) {
+    if (!Task.FailedRuns.empty())
+      Bytes += RowBytes + RunBytes * Task.FailedRuns.size();
+  }
+  return Bytes;
+}
+
+/** @return Bytes that checkpoints may take in a progress record. */
+std::size_t checkpointBudget(const std::vector<occurrence> &Occurrences) {
+  constexpr std::size_t HeaderBytes = 64;
+  std::size_t Bytes = HeaderBytes;
+  for (const auto &Occurrence : Occurrences) {
+    Bytes += HeaderBytes;
+    for (const auto &Step : Occurrence.Steps)
+      Bytes += maxProgressBytes(Step);
+  }
+  return limits::MaxRecordBytes - std::min(Bytes, limits::MaxRecordBytes);
+}
+
 void restoreStep(step &Step, const json &From) {
   const auto &Done = From.at(0).get_binary();
   for (std::size_t I = 0; I < Step.Tasks.size(); ++I) {
@@ -256,10 +290,11 @@
   if (ended())
     return toText(json::array(
         {static_cast<std::uint32_t>(State), OpenedCount, Occurrences, Queue}));
+  std::size_t Budget = checkpointBudget(OpenOccurrences);
   for (const auto &Each : OpenOccurrences) {
     json Steps = json::array();
     for (const auto &Step : Each.Steps)
-      Steps.push_back(stepProgress(Step));
+      Steps.push_back(stepProgress(Step, Budget));
     Occurrences.push_back({Each.Number, Steps});
   }
   return toText(json::array(
