Split heartbeats off the watch over backend servers

server_watch.cpp had 490 lines and two concepts: which backend servers there are, and what their heartbeat responses say of runs and ends. The second part moves to heartbeats.cpp unchanged; test_job passes.

--- /dev/null
+++ b/src/galenalink/job/heartbeats.cpp
@@ -0,0 +1,280 @@
+#include "galenalink/job/heartbeats.hpp"
+#include "galenalink/job/runs.hpp"
+#include "galenalink/telemetry/log.hpp"
+#include <algorithm>
+
+namespace galenalink::job {
+
+namespace {
+
+constexpr telemetry::logger Log{"servers"};
+
+/** Long-poll time of a heartbeat, with runs and without: the backend server may
+ * delay its response this long until a run ends. A failure of the backend
+ * server shows as a missing response. */
+constexpr std::uint32_t HeartbeatWaitBusyMs = 600;
+constexpr std::uint32_t HeartbeatWaitIdleMs = 2000;
+/** Time between a heartbeat response and the next heartbeat; run ends that are
+ * close together share a response. */
+constexpr duration HeartbeatInterval = std::chrono::milliseconds{15};
+/** Time to the next heartbeat while run ends are not stored yet. */
+constexpr duration UnrecordedInterval = std::chrono::milliseconds{400};
+/** Time to the next heartbeat after one without a response. */
+constexpr duration RetryInterval = std::chrono::milliseconds{200};
+/** Reserved for a run of unknown size: more than any backend server has, since
+ * its capacity may not be known yet either. */
+constexpr resources UnknownSize{std::int64_t{1} << 30, std::int64_t{1} << 30,
+                                0};
+
+/** How long a replaced leader that the store does not serve may go on renewing
+ * leases: until a backend server that its successor has contacted rejects it.
+ */
+constexpr duration FormerLeaderOverlap = std::chrono::milliseconds{1000};
+/** Local time per unit of time on the slowest permitted clock. */
+constexpr double MaxClockStretch = 1.0 / 0.98;
+
+/** @brief Adds a run that the backend server lists but the leader does not
+ * know, and stops it if it is not needed. */
+run &adoptRun(leader &Leader, server &Server, const listed_run &Listed) {
+  job_entry *Entry = Leader.findJob(Listed.Run.Task.Job);
+  if (Entry != nullptr)
+    openReportedOccurrence(Leader, *Entry, Listed.Run.Task.Occurrence);
+  const step_spec *Step =
+      Entry == nullptr ? nullptr : Entry->Job.stepSpec(Listed.Run.Task);
+  run Run;
+  Run.State = run_state::Running;
+  Run.SentAt = Leader.Now();
+  Run.ExpectedEnd = Leader.Now();
+  Run.ProgressAt = Leader.Now();
+  if (Step != nullptr) {
+    Run.Size = Step->Size;
+    Run.LongRunning = Step->LongRunning;
+    Run.BestEffort = Step->BestEffort;
+    Run.TargetMs = Step->TargetMs;
+  } else {
+    // The job has ended and the sizes of its tasks are not kept, so nothing
+    // else is placed on the backend server while the run is being stopped.
+    Run.Size = UnknownSize;
+  }
+  // An earlier leader may have set any pace.
+  Run.PaceConfirmed = !Run.BestEffort;
+  run &Adopted = Server.addRun(Listed.Run, Run);
+  const bool Needed = Entry != nullptr && Entry->Job.needsRun(Listed.Run.Task);
+  task *Task = Needed ? Entry->Job.find(Listed.Run.Task) : nullptr;
+  Log.info("run adopted", {{"job", Listed.Run.Task.Job},
+                           {"run", Listed.Run.Number},
+                           {"server", Server.Entry.Id},
+                           {"wanted", Needed ? "yes" : "no"}});
+  if (Task == nullptr || (Task->Runs > 0 && !Step->Speculative)) {
+    if (Task != nullptr)
+      ++Task->Runs;
+    stopRun(Leader, Server, Listed.Run);
+    return Adopted;
+  }
+  ++Task->Runs;
+  Task->LastRun = std::max(Task->LastRun, Listed.Run.Number);
+  Entry->Job.markStarted();
+  return Adopted;
+}
+
+/** @brief Applies that the backend server lists a run as running. A run that
+ * was being stopped only because its start was not confirmed is kept, unless
+ * the stop may take effect yet. */
+void confirmListedRun(const leader &Leader, const run_id &Id, run &Run) {
+  if (Run.StartConfirmedAt == NoDeadline)
+    Run.StartConfirmedAt = Leader.Now();
+  if (Run.State == run_state::Unconfirmed) {
+    const bool BeingStopped = Run.StopSent || Run.StopConfirmedAt != NoDeadline;
+    if (BeingStopped)
+      return;
+    job_entry *Entry = Leader.findJob(Id.Task.Job);
+    if (Entry != nullptr && Entry->Job.needsRun(Id.Task))
+      Run.StopRequested = false;
+  }
+  Run.confirmStart();
+}
+
+void applyRunningRuns(leader &Leader, server &Server,
+                      const heartbeat_result &Result) {
+  for (const auto &Listed : Result.Running) {
+    run *Known = Server.findRun(Listed.Run);
+    run &Run = Known != nullptr ? *Known : adoptRun(Leader, Server, Listed);
+    Run.LastListing = Server.Listings;
+    confirmListedRun(Leader, Listed.Run, Run);
+    if (Run.Percent != Listed.Percent || Run.ProgressAt == time_point{}) {
+      Run.Percent = Listed.Percent;
+      Run.ProgressAt = Leader.Now();
+    }
+    Run.Gauge = Listed.Gauge;
+    if (Listed.Checkpoint.empty())
+      continue;
+    job_entry *Entry = Leader.findJob(Listed.Run.Task.Job);
+    task *Task = Entry == nullptr ? nullptr : Entry->Job.find(Listed.Run.Task);
+    if (Task != nullptr && !Task->Done)
+      Task->Checkpoint = Listed.Checkpoint;
+  }
+}
+
+/** @brief Releases runs that are not listed although their start or stop was
+ * confirmed before the heartbeat was sent. All ends must be listed: otherwise
+ * the end of a run may be among those that follow. */
+void releaseMissingRuns(leader &Leader, server &Server) {
+  std::vector<run_id> MissingRuns;
+  for (const auto &[Id, Run] : Server.Runs) {
+    const bool Started = Run.StartConfirmedAt != NoDeadline &&
+                         Run.StartConfirmedAt < Server.HeartbeatSentAt;
+    const bool Stopped = Run.StopConfirmedAt != NoDeadline &&
+                         Run.StopConfirmedAt < Server.HeartbeatSentAt;
+    if ((Started || Stopped) && Run.LastListing != Server.Listings)
+      MissingRuns.push_back(Id);
+  }
+  for (const auto &Id : MissingRuns)
+    releaseRun(Leader, Server, Id);
+}
+
+void applyRunEnds(leader &Leader, server &Server,
+                  const heartbeat_result &Result) {
+  std::uint64_t Newest = Server.LastAppliedEnd;
+  for (const auto &End : Result.Ends) {
+    if (End.Number <= Server.LastAppliedEnd)
+      continue;
+    Newest = std::max(Newest, End.Number);
+    applyRunEnd(Leader, Server, End);
+  }
+  Server.LastAppliedEnd = Newest;
+  if (Newest == Server.LastStoredEnd)
+    return;
+  // The backend server discards a run end once it is acknowledged, so the
+  // effects of the end must be stored first.
+  Leader.Journal.whenStored([&Leader, Id = Server.Entry.Id, Newest,
+                             StartedMs = Server.Entry.StartedAtMs] {
+    server *Found = Leader.findServer(Id);
+    if (Found == nullptr || Found->Entry.StartedAtMs != StartedMs)
+      return;
+    server &Stored = *Found;
+    Stored.LastStoredEnd = std::max(Stored.LastStoredEnd, Newest);
+    Stored.HeartbeatDue = Leader.Now();
+  });
+}
+
+void applyHeartbeatResult(leader &Leader, server &Server,
+                          const heartbeat_result &Result) {
+  if (Server.HeartbeatFailures > 0)
+    Log.info(
+        "heartbeat responses resumed",
+        {{"server", Server.Entry.Id}, {"failures", Server.HeartbeatFailures}});
+  Server.HeartbeatFailures = 0;
+  Server.ListedAt = Leader.Now();
+  ++Server.Listings;
+  Server.Lease.recordClock(Result.ClockMs, Leader.Now());
+  applyRunEnds(Leader, Server, Result);
+  applyRunningRuns(Leader, Server, Result);
+  if (!Result.EndsTruncated) {
+    releaseMissingRuns(Leader, Server);
+    Server.RunsUnknownUntil = NoDeadline;
+  } else if (Server.RunsUnknownUntil != NoDeadline) {
+    awaitUnknownRuns(Leader, Server);
+  }
+  if (!Server.Synced) {
+    // Runs of an earlier leader have a lease of at most the same length.
+    if (!Server.Runs.empty())
+      static_cast<void>(
+          Server.Lease.extend(Leader.Now(), Leader.Settings.Lease));
+    Server.Synced = true;
+    requestDispatch(Leader, Server.Entry.Pool);
+  }
+  const bool Unrecorded = Server.LastAppliedEnd != Server.LastStoredEnd;
+  Server.HeartbeatDue =
+      Leader.Now() + (Unrecorded ? UnrecordedInterval : HeartbeatInterval);
+  resendStops(Leader, Server);
+}
+
+void onHeartbeatResponse(leader &Leader, const std::string &Id,
+                         const std::int64_t StartedMs,
+                         const heartbeat_result &Result) {
+  server *Found = Leader.findServer(Id);
+  if (Found == nullptr || Found->Entry.StartedAtMs != StartedMs)
+    return;
+  server &Server = *Found;
+  Server.HeartbeatPending = false;
+  const bool Restarted = Result.StartedAtMs != 0 && StartedMs != 0 &&
+                         Result.StartedAtMs != StartedMs;
+  if (Result.Outcome == call_outcome::Fenced) {
+    Leader.OnFenced();
+    return;
+  }
+  if (Result.Outcome == call_outcome::Replaced || Restarted) {
+    markServerLost(Leader, Server,
+                   Restarted ? "restarted under its id"
+                             : "another incarnation serves its address");
+    Server.RunsUnknownUntil = NoDeadline;
+    Server.HeartbeatDue = Leader.Now() + UnrecordedInterval;
+    return;
+  }
+  // A run that is missing from an incomplete list may still exist, and an end
+  // behind one that is missing must not be acknowledged. Without a complete
+  // list the leases of the runs expire.
+  if (Result.Outcome == call_outcome::Done && !Result.Incomplete) {
+    applyHeartbeatResult(Leader, Server, Result);
+    return;
+  }
+  ++Server.HeartbeatFailures;
+  Server.HeartbeatDue = Leader.Now() + RetryInterval;
+  if (Server.HeartbeatFailures == 1)
+    Log.warning(
+        "heartbeat without a response",
+        {{"server", Id},
+         {"outcome", std::string{nameOf(CallOutcomeNames, Result.Outcome)}},
+         {"runs", Server.Runs.size()}});
+}
+
+void sendHeartbeat(leader &Leader, server &Server) {
+  const time_point Now = Leader.Now();
+  heartbeat_order Order;
+  Order.Server = Server.target();
+  Order.Epoch = Leader.Epoch;
+  Order.LastStoredEnd = Server.LastStoredEnd;
+  // The lease is not extended while heartbeats fail; otherwise it would never
+  // expire on a backend server that does not respond.
+  const bool Extend = Server.Synced && Server.HeartbeatFailures == 0 &&
+                      Server.Lease.hasClock() && !Server.Runs.empty();
+  if (Extend)
+    Order.LeaseEndMs = Server.Lease.extend(Now, Leader.Settings.Lease);
+  const bool Immediate = !Server.Synced || Server.HeartbeatFailures > 0 ||
+                         Server.LastAppliedEnd != Server.LastStoredEnd;
+  Order.WaitMs = Immediate             ? 0
+                 : Server.Runs.empty() ? HeartbeatWaitIdleMs
+                                       : HeartbeatWaitBusyMs;
+  Server.HeartbeatPending = true;
+  Server.HeartbeatSentAt = Now;
+  Leader.Ports.Heartbeat(Order,
+                         Leader.guarded([&Leader, Id = Server.Entry.Id,
+                                         StartedMs = Server.Entry.StartedAtMs](
+                                            const heartbeat_result &Result) {
+                           onHeartbeatResponse(Leader, Id, StartedMs, Result);
+                         }));
+}
+
+} // namespace
+
+void awaitUnknownRuns(leader &Leader, server &Server) {
+  const auto Longest =
+      static_cast<double>(Leader.Settings.Lease.count()) * MaxClockStretch;
+  Server.RunsUnknownUntil = Leader.Now() + FormerLeaderOverlap +
+                            duration{static_cast<std::int64_t>(Longest)} +
+                            RetryInterval;
+  Leader.AllRunsKnownAt =
+      std::max(Leader.AllRunsKnownAt, Server.RunsUnknownUntil);
+}
+
+void sendHeartbeats(leader &Leader, std::vector<server *> &Due) {
+  const std::size_t Count =
+      std::min(Due.size(), Leader.Settings.MaxHeartbeatsPerPass);
+  const auto DueAt = [](const server *Each) { return Each->HeartbeatDue; };
+  std::ranges::partial_sort(
+      Due, Due.begin() + static_cast<std::ptrdiff_t>(Count), {}, DueAt);
+  for (std::size_t I = 0; I < Count; ++I)
+    sendHeartbeat(Leader, *Due[I]);
+}
+
+} // namespace galenalink::job
