--- a/bench/leader_pass.cpp
+++ b/bench/leader_pass.cpp
@@ -209,14 +209,15 @@
   }
 
   void refreshVms() {
-    std::vector<vm> Vms;
+    vms_result List;
+    List.Outcome = call_outcome::Done;
     for (const auto &[Id, Server] : Servers)
-      Vms.push_back({Server.Vm, Server.Entry.Pool, vm_state::Up, Id,
-                     Server.Entry.Capacity, Server.Entry.Labels});
+      List.Vms.push_back({Server.Vm, Server.Entry.Pool, vm_state::Up, Id,
+                          Server.Entry.Capacity, Server.Entry.Labels});
     for (const auto &[Name, Entry] : DownVms)
-      Vms.push_back({Name, Entry.Pool, vm_state::Maintenance, "",
-                     Entry.Capacity, Entry.Labels});
-    measured("VM list", [&] { Controller->setVms(Vms, Now); });
+      List.Vms.push_back({Name, Entry.Pool, vm_state::Maintenance, "",
+                          Entry.Capacity, Entry.Labels});
+    measured("VM list", [&] { Controller->setVms(List, Now); });
     at(Now + VmListInterval, [this] { refreshVms(); });
   }
 
