Log by whom a leader was deposed, when it is unconfirmed, and on what evidence runs end

A leader that was deposed by a fence named itself and its own epoch; no line said that the store no longer confirmed a leader, on which evidence, and how old, a run was taken for ended, or that a successor gave up waiting for a backend server.

Now deposed has the leader's own epoch, the outside system that fenced it or the successor that the log shows, and the age of the last confirmation. Every node logs each change of leader that it learns of, a leader logs when its leadership is unconfirmed and confirmed again, backend server lost has the age of the last list and what is left of the lease, and a run that is released without a response to its start order is named. New gauge galenalink_leadership_confirmation_age_seconds. No change of logic.

--- a/src/galenalink/core/time.hpp
+++ b/src/galenalink/core/time.hpp
@@ -26,6 +26,11 @@
 /** @brief A deadline that has always passed. */
 inline constexpr time_point NoDeadline{duration::zero()};
 
+/** @brief Whole milliseconds of a duration. */
+[[nodiscard]] constexpr std::int64_t wholeMs(const duration Value) noexcept {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
+}
+
 /** @brief Current wall-clock time in milliseconds since the Unix epoch. */
 [[nodiscard]] wall_ms wallNow() noexcept;
 
--- a/src/galenalink/job/heartbeats.cpp
+++ b/src/galenalink/job/heartbeats.cpp
@@ -200,7 +200,7 @@
   const bool Restarted = Result.StartedAtMs != 0 && StartedMs != 0 &&
                          Result.StartedAtMs != StartedMs;
   if (Result.Outcome == call_outcome::Fenced) {
-    Leader.OnFenced();
+    reportFenced(Leader, Id);
     return;
   }
   if (Result.Outcome == call_outcome::Replaced || Restarted) {
@@ -263,6 +263,7 @@
   Server.RunsUnknownUntil = Leader.Now() + FormerLeaderOverlap +
                             duration{static_cast<std::int64_t>(Longest)} +
                             RetryInterval;
+  Server.EndOfWaitLogged = false;
   Leader.AllRunsKnownAt =
       std::max(Leader.AllRunsKnownAt, Server.RunsUnknownUntil);
 }
--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -36,11 +36,12 @@
 
 leader::leader(const ports &Ports, leader_settings Settings,
                const std::uint64_t Epoch, std::function<time_point()> Now,
-               std::function<wall_ms()> Wall,
-               const std::function<void()> &OnFenced)
+               std::function<wall_ms()> Wall, fenced_function OnFenced)
     : Ports{Ports}, Settings{std::move(Settings)}, Epoch{Epoch},
-      Now{std::move(Now)}, Wall{std::move(Wall)}, OnFenced{OnFenced},
-      Journal{{Ports.Append, this->Now, OnFenced}, Epoch},
+      Now{std::move(Now)}, Wall{std::move(Wall)}, OnFenced{std::move(OnFenced)},
+      Journal{{Ports.Append, this->Now,
+               [OnFenced = this->OnFenced] { OnFenced("store"); }},
+              Epoch},
       LeadingSince{this->Now()}, StartWindow{this->Settings.Starts} {}
 
 void requestDispatch(leader &Leader, const std::string &Pool,
@@ -55,6 +56,10 @@
     requestDispatch(Leader, Entry->Job.pool());
 }
 
+void reportFenced(const leader &Leader, const std::string_view ServerId) {
+  Leader.OnFenced("backend server " + std::string{ServerId});
+}
+
 server &addServer(leader &Leader, const registration &Entry) {
   auto &Slot = Leader.Servers[Entry.Id];
   if (Slot)
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -57,6 +57,10 @@
 
 using reply_function = std::function<void(const caller_reply &)>;
 
+/** @brief Called when an outside system has rejected a request of the leader,
+ * since it has seen a higher epoch. */
+using fenced_function = std::function<void(std::string_view RejectedBy)>;
+
 /** @brief Time limits of the platform and of the leader. */
 struct leader_settings {
   /** Name of the node, which identifies the holder of VM orders. */
@@ -162,14 +166,14 @@
 struct leader {
   leader(const ports &Ports, leader_settings Settings, std::uint64_t Epoch,
          std::function<time_point()> Now, std::function<wall_ms()> Wall,
-         const std::function<void()> &OnFenced);
+         fenced_function OnFenced);
 
   const ports &Ports;
   leader_settings Settings;
   std::uint64_t Epoch;
   std::function<time_point()> Now;
   std::function<wall_ms()> Wall;
-  std::function<void()> OnFenced;
+  fenced_function OnFenced;
   journal Journal;
 
   fleet_rules Rules;
@@ -272,6 +276,8 @@
 void requestDispatch(leader &Leader, const std::string &Pool,
                      time_point Due = NoDeadline);
 void requestDispatchOfAllPools(leader &Leader);
+/** @brief Reports that a backend server has rejected the leader's epoch. */
+void reportFenced(const leader &Leader, std::string_view ServerId);
 /** @brief Adds a backend server, in place of an earlier one with its id, which
  * must have no runs. */
 server &addServer(leader &Leader, const registration &Entry);
--- a/src/galenalink/job/lease.hpp
+++ b/src/galenalink/job/lease.hpp
@@ -31,7 +31,8 @@
    * @return End of the lease on the backend server's clock, ms. */
   [[nodiscard]] std::int64_t extend(const time_point Now,
                                     const duration Length) noexcept {
-    const auto End = ClockAtSampleMs + toMs(Now - SampledAt) + toMs(Length);
+    const auto End =
+        ClockAtSampleMs + wholeMs(Now - SampledAt) + wholeMs(Length);
     GrantedMs = std::max(GrantedMs, End);
     return GrantedMs;
   }
@@ -51,10 +52,6 @@
   /** Allows for killing the runs and for rounding to whole milliseconds. */
   static constexpr duration ExpiryMargin = std::chrono::milliseconds{100};
 
-  [[nodiscard]] static std::int64_t toMs(const duration Length) noexcept {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(Length)
-        .count();
-  }
   [[nodiscard]] static duration toDuration(const double Ms) noexcept {
     return duration{static_cast<std::int64_t>(Ms * 1000)};
   }
--- a/src/galenalink/job/pacing.cpp
+++ b/src/galenalink/job/pacing.cpp
@@ -33,7 +33,7 @@
                     Leader.guarded([&Leader, ServerId = Server.Entry.Id, Id,
                                     Percent](const order_result &Result) {
                       if (Result.Outcome == call_outcome::Fenced) {
-                        Leader.OnFenced();
+                        reportFenced(Leader, ServerId);
                         return;
                       }
                       server *Found = Leader.findServer(ServerId);
--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -145,7 +145,7 @@
          {"outcome", std::string{nameOf(CallOutcomeNames, Result.Outcome)}},
          {"why", std::string{nameOf(StartRefusalNames, Result.Reason)}}});
   if (Result.Outcome == call_outcome::Fenced) {
-    Leader.OnFenced();
+    reportFenced(Leader, ServerId);
     return;
   }
   server *Found = Leader.findServer(ServerId);
@@ -177,7 +177,7 @@
 void onStopResponse(leader &Leader, const std::string &ServerId,
                     const run_id &Run, const order_result &Result) {
   if (Result.Outcome == call_outcome::Fenced) {
-    Leader.OnFenced();
+    reportFenced(Leader, ServerId);
     return;
   }
   server *Found = Leader.findServer(ServerId);
@@ -351,10 +351,25 @@
 
 void markServerLost(leader &Leader, server &Server,
                     const std::string_view Reason) {
-  Log.warning("backend server lost", {{"server", Server.Entry.Id},
-                                      {"address", Server.Entry.Address},
-                                      {"why", std::string{Reason}},
-                                      {"runs", Server.Runs.size()}});
+  const time_point Now = Leader.Now();
+  Log.warning(
+      "backend server lost",
+      {{"server", Server.Entry.Id},
+       {"address", Server.Entry.Address},
+       {"why", std::string{Reason}},
+       {"runs", Server.Runs.size()},
+       {"epoch", Leader.Epoch},
+       {"confirmed", isLeadershipConfirmed(Leader) ? "yes" : "no"},
+       {"listed_ms_ago", std::to_string(wholeMs(Now - Server.ListedAt))},
+       {"lease_left_ms", std::to_string(wholeMs(Server.Lease.expiry() - Now))},
+       {"failures", Server.HeartbeatFailures}});
+  for (const auto &[Id, Run] : Server.Runs) {
+    if (Run.StartConfirmedAt == NoDeadline)
+      Log.warning("run released without a response to its start order",
+                  {{"run", runName(Id)},
+                   {"server", Server.Entry.Id},
+                   {"orders", Run.StartsSent}});
+  }
   ++Leader.Counts->ServersLost;
   Server.Synced = false;
   Server.Registered = false;
--- a/src/galenalink/job/server.hpp
+++ b/src/galenalink/job/server.hpp
@@ -101,6 +101,8 @@
   /** An earlier leader used it: until it responds, or until this time, any task
    * of its pool may be running there. */
   time_point RunsUnknownUntil{NoDeadline};
+  /** It was logged that it did not respond until then. */
+  bool EndOfWaitLogged{false};
   /** It has accepted the leader's epoch and reported its runs. */
   bool Synced{false};
   /** It gets no new work because its VM is to be moved or maintained. */
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -75,11 +75,29 @@
   requestDispatch(Leader, Entry.Pool);
 }
 
+/** @brief Logs that the wait for runs of an earlier leader has ended without a
+ * response: they are taken for ended from now on. */
+void logEndOfWaitForRuns(const leader &Leader, server &Server) {
+  Server.EndOfWaitLogged = true;
+  Log.warning("no response from a backend server of an earlier leader, its "
+              "runs are taken for ended",
+              {{"server", Server.Entry.Id},
+               {"pool", Server.Entry.Pool},
+               {"epoch", Leader.Epoch},
+               {"leading_ms",
+                std::to_string(wholeMs(Leader.Now() - Leader.LeadingSince))},
+               {"failures", Server.HeartbeatFailures}});
+}
+
 /** @brief Checks the lease and whether a heartbeat is due.
  * @param Due Receives the backend server if a heartbeat is due.
  * @return Whether the backend server can be removed. */
 bool watchServer(leader &Leader, server &Server, const time_point Now,
                  std::vector<server *> &Due) {
+  const bool WaitEnded =
+      Server.RunsUnknownUntil != NoDeadline && Now >= Server.RunsUnknownUntil;
+  if (WaitEnded && !Server.EndOfWaitLogged)
+    logEndOfWaitForRuns(Leader, Server);
   if (Server.HeartbeatFailures > 0 && !Server.Runs.empty() &&
       Now >= Server.Lease.expiry())
     markServerLost(Leader, Server, "lease expired");
--- a/src/galenalink/job/vm_orders.cpp
+++ b/src/galenalink/job/vm_orders.cpp
@@ -89,7 +89,7 @@
             {"outcome", std::string{nameOf(CallOutcomeNames, Result.Outcome)}},
             {"busy", Result.Busy ? "yes" : "no"}});
   if (Result.Outcome == call_outcome::Fenced) {
-    Leader.OnFenced();
+    Leader.OnFenced("list of VMs");
     return;
   }
   if (Result.Outcome == call_outcome::Refused) {
--- a/src/galenalink/job_node/leader_elector.cpp
+++ b/src/galenalink/job_node/leader_elector.cpp
@@ -165,6 +165,7 @@
   notifyLeaderChange();
   if (Election.leads() && !WasLeading) {
     WasLeading = true;
+    LedEpoch = Election.current().Epoch;
     Hooks.OnElected(Election.current().Epoch);
   }
   step();
@@ -211,6 +212,7 @@
   if (Kind == leader_record::kind::Claim) {
     Election.claimed(Offset, Now);
     WasLeading = true;
+    LedEpoch = Offset + 1;
     Log.info("elected", {{"epoch", Offset + 1}});
     notifyLeaderChange();
     Hooks.OnElected(Offset + 1);
@@ -227,22 +229,32 @@
     return;
   NotifiedEpoch = Current.Epoch;
   NotifiedReleased = Current.Released;
+  Log.info("leader changed", {{"epoch", Current.Epoch},
+                              {"leader", Current.Node},
+                              {"vacant", Current.Released ? "yes" : "no"}});
   Hooks.OnLeaderChange(Current);
 }
 
-void leader_elector::notifyIfDeposed() {
+void leader_elector::notifyIfDeposed(const std::string_view RejectedBy) {
   if (!WasLeading || Election.leads())
     return;
   WasLeading = false;
-  Log.warning("deposed", {{"epoch", Election.current().Epoch},
-                          {"by", Election.current().Node}});
+  // After a fence, the log names the successor once it is read again.
+  const bool Fenced = !RejectedBy.empty();
+  Log.warning("deposed",
+              {{"epoch", LedEpoch},
+               {"by", Fenced ? "" : Election.current().Node},
+               {"successor_epoch", Fenced ? 0 : Election.current().Epoch},
+               {"fenced_by", std::string{RejectedBy}},
+               {"confirmed_ms_ago", static_cast<std::uint64_t>(wholeMs(
+                                        boot_clock::now() - ConfirmedAt))}});
   Hooks.OnDeposed();
 }
 
-void leader_elector::markFenced() {
+void leader_elector::markFenced(const std::string_view RejectedBy) {
   Election.resign();
   MustReadLog = true;
-  notifyIfDeposed();
+  notifyIfDeposed(RejectedBy);
 }
 
 void leader_elector::release(std::function<void()> OnReleased) {
--- a/src/galenalink/job_node/leader_elector.hpp
+++ b/src/galenalink/job_node/leader_elector.hpp
@@ -48,8 +48,9 @@
 
   void start();
   /** @brief Gives up the epoch after a request to an outside system was fenced
-   * by a higher one. */
-  void markFenced();
+   * by a higher one.
+   * @param RejectedBy The outside system, for the log. */
+  void markFenced(std::string_view RejectedBy);
   /** @brief Releases leadership and leaves the election. */
   void release(std::function<void()> OnReleased);
 
@@ -77,7 +78,9 @@
   void handleAppendResult(job::leader_record::kind Kind, std::uint64_t Offset,
                           const job::claim_result &Result);
   void handleReadResult(const job::read_result &Result);
-  void notifyIfDeposed();
+  /** @param RejectedBy The outside system that fenced a request; empty if the
+   * log shows the successor. */
+  void notifyIfDeposed(std::string_view RejectedBy = {});
   void notifyLeaderChange();
   void probeLeader();
   void handleProbeResult(std::uint64_t Epoch, probe_result Result);
@@ -88,6 +91,8 @@
   hooks Hooks;
   bool Stopped{false};
   bool WasLeading{false};
+  /** Latest epoch in which this node led; 0 for none. */
+  std::uint64_t LedEpoch{0};
   /** Leadership last passed to `OnLeaderChange`. */
   std::uint64_t NotifiedEpoch{0};
   bool NotifiedReleased{true};
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -258,7 +258,7 @@
       return;
     if (Fenced.Outcome == job::call_outcome::Fenced) {
       RecoveringEpoch = 0;
-      Elector.markFenced();
+      Elector.markFenced("store");
       return;
     }
     if (Fenced.Outcome != job::call_outcome::Done) {
@@ -285,7 +285,10 @@
   auto State = std::make_unique<job::leader>(
       Ports, leaderSettings(Settings), Epoch, [] { return boot_clock::now(); },
       [] { return wallNow(); },
-      [this] { Loop.post([this] { Elector.markFenced(); }); });
+      [this](const std::string_view RejectedBy) {
+        Loop.post(
+            [this, By = std::string{RejectedBy}] { Elector.markFenced(By); });
+      });
   State->LeadershipConfirmedUntil = [this] {
     return Elector.confirmedAt() + ConfirmationValidity;
   };
@@ -296,6 +299,7 @@
   logStartOfLeading(Controller->state());
   Controller->setRegistrations(View.registrations());
   Controller->setWaves(View.waves());
+  WasConfirmed = true;
   NextVmListAt = boot_clock::now();
   LoopDelay = loop_delay{TickInterval, LoadLogInterval};
   TickTimer = Loop.every(TickInterval, [this] { tick(); });
@@ -327,6 +331,7 @@
   if (LoopDelay.record(boot_clock::now()))
     logLoad();
   measureCallbackDelay();
+  logConfirmation();
   Controller->tick(LoopDelay.latest(),
                    CallbackDelay.current(boot_clock::now()));
   if (boot_clock::now() >= NextVmListAt && !ListingVms)
@@ -342,6 +347,21 @@
   });
 }
 
+void node::logConfirmation() {
+  const bool Confirmed = job::isLeadershipConfirmed(Controller->state());
+  if (Confirmed == WasConfirmed)
+    return;
+  WasConfirmed = Confirmed;
+  const auto ConfirmedMsAgo = static_cast<std::uint64_t>(
+      wholeMs(boot_clock::now() - Elector.confirmedAt()));
+  Log.write(Confirmed ? telemetry::severity::Info
+                      : telemetry::severity::Warning,
+            Confirmed ? "leadership is confirmed again"
+                      : "leadership is not confirmed, a successor may exist",
+            {{"epoch", Controller->state().Epoch},
+             {"confirmed_ms_ago", ConfirmedMsAgo}});
+}
+
 void node::logLoad() const {
   const job::leader &State = Controller->state();
   const auto Journal = State.Journal.currentLoad();
@@ -354,8 +374,7 @@
   if (std::max({Age, Held, LoopDelay.longest(), Callbacks}) < MinLoggedDelay)
     return;
   const auto Ms = [](const duration Value) {
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(Value).count());
+    return static_cast<std::uint64_t>(wholeMs(Value));
   };
   Log.info("leader is behind", {{"loop_delay_ms", Ms(LoopDelay.longest())},
                                 {"callback_delay_ms", Ms(Callbacks)},
@@ -404,6 +423,8 @@
     const job::leader &State = Controller->state();
     Gauges.LeaderRulesVersion = State.Rules.Version;
     Gauges.OpenJobsWithoutRule = job::countOpenJobsWithoutRule(State);
+    Gauges.ConfirmationAgeS =
+        toSeconds(boot_clock::now() - Elector.confirmedAt());
     Gauges.OpenJobs = State.OpenJobs.size();
     Gauges.Servers = State.Servers.size();
     const auto Journal = State.Journal.currentLoad();
--- a/src/galenalink/job_node/node.hpp
+++ b/src/galenalink/job_node/node.hpp
@@ -66,6 +66,9 @@
   void scheduleDispatch();
   void tick();
   void measureCallbackDelay();
+  /** @brief Logs when leadership ceases to be confirmed, and when it is
+   * again. */
+  void logConfirmation();
   void logLoad() const;
   void listVms();
   void serveLocally(const caller_request &Request, job::reply_function Reply);
@@ -100,6 +103,8 @@
   bool Stopping{false};
   bool DispatchScheduled{false};
   bool ListingVms{false};
+  /** Leadership was confirmed at the last pass of the control loop. */
+  bool WasConfirmed{true};
   time_point NextVmListAt;
   time_point RulesAppliedAt{NoDeadline};
   /** When a request to a peer last failed; `NoDeadline` after a success. */
--- a/src/galenalink/job_node/node_metrics.cpp
+++ b/src/galenalink/job_node/node_metrics.cpp
@@ -88,6 +88,9 @@
   Set("galenalink_open_jobs_without_rule",
       "Open jobs of whose queue no rule is known; leader only.",
       Gauges.OpenJobsWithoutRule);
+  Set("galenalink_leadership_confirmation_age_seconds",
+      "Time since the store last confirmed the leadership; leader only.",
+      Gauges.ConfirmationAgeS);
   Set("galenalink_open_jobs", "Jobs that have not ended; leader only.",
       Gauges.OpenJobs);
   Set("galenalink_servers", "Backend servers known; leader only.",
--- a/src/galenalink/job_node/node_metrics.hpp
+++ b/src/galenalink/job_node/node_metrics.hpp
@@ -16,6 +16,9 @@
   std::uint64_t LeaderRulesVersion{0};
   /** Open jobs of whose queue no rule is known. */
   std::size_t OpenJobsWithoutRule{0};
+  /** Time since the send of the latest successful append to the leader log,
+   * s; 0 on other nodes. */
+  double ConfirmationAgeS{0};
   std::size_t OpenJobs{0};
   std::size_t Servers{0};
   /** Longest delay of the leader's periodic work in the last second, s. */
--- a/test/galenalink/job/simulated_platform.cpp
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -214,7 +214,8 @@
   Settings.Starts = StartLimits;
   auto State = std::make_unique<leader>(
       Ports, Settings, Epoch, [this] { return Now; },
-      [this] { return wallNow() + ClockOffsetMs; }, [this] { Fenced = true; });
+      [this] { return wallNow() + ClockOffsetMs; },
+      [this](std::string_view) { Fenced = true; });
   State->LeadershipConfirmedUntil = [this] {
     return LeadershipConfirmed ? time_point::max() : NoDeadline;
   };
