--- a/test/soak/fleet_standin.cpp
+++ b/test/soak/fleet_standin.cpp
@@ -18,6 +18,10 @@
   Exchange.reply(Status, {{"Content-Type", "application/json"}}, Body.dump());
 }
 
+std::uint64_t fencingTokenOf(const json &Body) {
+  return Body.is_object() ? Body.value("fencingToken", std::uint64_t{0}) : 0;
+}
+
 void refuse(const soak_vm &Vm, http::exchange &Exchange,
             const std::string &Reason) {
   replyJson(Exchange, 409, {{"clockMs", Vm.clockMs()}, {"reason", Reason}});
@@ -32,6 +36,11 @@
          ClockPercent / 100;
 }
 
+bool soak_vm::unreachableFor(const std::uint64_t Token) const {
+  return boot_clock::now() < PartitionedUntil ||
+         (IsCutFrom && IsCutFrom(Token));
+}
+
 fleet_standin::fleet_standin(http::loop &Loop, store_standin &Store,
                              const std::uint64_t Seed)
     : Loop{Loop}, Store{Store}, VmServer{Loop,
@@ -125,8 +134,16 @@
   Vms.at(Vm)->PartitionedUntil = boot_clock::now() + Duration;
 }
 
+void fleet_standin::cutFrom(
+    const std::size_t Vm,
+    std::function<bool(std::uint64_t FencingToken)> IsCut) {
+  Vms.at(Vm)->IsCutFrom = std::move(IsCut);
+}
+
 void fleet_standin::handleRequest(soak_vm &Vm, http::exchange Exchange) {
-  if (boot_clock::now() < Vm.PartitionedUntil || Vm.Id.empty()) {
+  const json Body = json::parse(Exchange.body(), nullptr, false);
+  const std::uint64_t FencingToken = fencingTokenOf(Body);
+  if (Vm.unreachableFor(FencingToken) || Vm.Id.empty()) {
     UnansweredExchanges.push_back(std::move(Exchange));
     return;
   }
@@ -134,13 +151,10 @@
     Exchange.reply(421, {}, {});
     return;
   }
-  const json Body = json::parse(Exchange.body(), nullptr, false);
   if (!Body.is_object()) {
     Exchange.reply(400, {}, {});
     return;
   }
-  const std::uint64_t FencingToken =
-      Body.value("fencingToken", std::uint64_t{0});
   if (FencingToken < Vm.FencingToken) {
     refuse(Vm, Exchange, "fence");
     return;
@@ -221,7 +235,7 @@
     return;
   }
   Vm.PendingHeartbeats.push_back(
-      {std::move(Exchange),
+      {std::move(Exchange), fencingTokenOf(Body),
        boot_clock::now() + std::chrono::milliseconds{WaitMs}});
 }
 
@@ -322,10 +336,9 @@
   }
   for (auto &Each : Vm.UnrecordedEnds)
     Each.LeaseExpired = Each.LeaseExpired || LeaseExpired;
-  if (Now < Vm.PartitionedUntil)
-    return;
   std::erase_if(Vm.PendingHeartbeats, [&](soak_vm::pending_heartbeat &Each) {
-    const bool IsReady = !Vm.UnrecordedEnds.empty() || Now >= Each.RespondBy;
+    const bool IsReady = !Vm.unreachableFor(Each.FencingToken) &&
+                         (!Vm.UnrecordedEnds.empty() || Now >= Each.RespondBy);
     if (IsReady)
       replyHeartbeat(Vm, Each.Exchange);
     return IsReady;
--- a/test/soak/fleet_standin.hpp
+++ b/test/soak/fleet_standin.hpp
@@ -4,6 +4,7 @@
 #include "soak/store_standin.hpp"
 #include "soak/task_history.hpp"
 #include "soak/tcp_proxy.hpp"
+#include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -42,6 +43,9 @@
   std::string NextPool;
   /** Requests get no response until this time. */
   time_point PartitionedUntil{NoDeadline};
+  /** Requests whose fencing token satisfies it get no response; may be empty.
+   */
+  std::function<bool(std::uint64_t FencingToken)> IsCutFrom;
   /** Highest token received; requests with a lower one are refused. */
   std::uint64_t FencingToken{0};
   std::int64_t LeaseEndMs{0};
@@ -64,11 +68,14 @@
   std::vector<ended_run> UnrecordedEnds;
   struct pending_heartbeat {
     http::exchange Exchange;
+    std::uint64_t FencingToken{0};
     time_point RespondBy;
   };
   std::vector<pending_heartbeat> PendingHeartbeats;
 
   [[nodiscard]] std::int64_t clockMs() const;
+  /** @return Whether the leader with the fencing token gets no response. */
+  [[nodiscard]] bool unreachableFor(std::uint64_t Token) const;
 };
 
 /**
@@ -88,7 +95,17 @@
   /** @brief Writes the VM's registration once more, as a backend server does at
    * intervals. */
   void renewRegistration(std::size_t Vm);
+  /**
+   * @brief Cuts the VM off from some leaders only. Requests of the others are
+   * handled as usual.
+   * @param IsCut Decides by the fencing token of a request, which is the epoch
+   * of the leader, whether it is lost together with its response. An empty
+   * function ends the cut.
+   */
+  void cutFrom(std::size_t Vm,
+               std::function<bool(std::uint64_t FencingToken)> IsCut);
   [[nodiscard]] std::size_t size() const noexcept { return Vms.size(); }
+  [[nodiscard]] const soak_vm &vm(std::size_t Vm) const { return *Vms.at(Vm); }
   [[nodiscard]] tcp_proxy &link(std::size_t Vm) { return *Vms.at(Vm)->Link; }
 
   /** @brief Sets the share of runs that end as failed, in percent. */
--- a/test/soak/odd_records_test.cpp
+++ b/test/soak/odd_records_test.cpp
@@ -1,4 +1,4 @@
-#include "galenalink/http/client.hpp"
+#include "soak/blocking_request.hpp"
 #include "soak/fleet_standin.hpp"
 #include "system/process.hpp"
 #include <boost/test/unit_test.hpp>
@@ -134,18 +134,11 @@
     Request.Path = Path;
     Request.Body = Body;
     Request.Headers = {{"X-Deadline-Ms", "9223372036854775807"}};
-    std::optional<std::pair<int, std::string>> Received;
-    Client.send({"127.0.0.1", Node.CallersPort}, std::move(Request),
-                boot_clock::now() + 3 * Second,
-                [&Received](const http::answer &Answer) {
-                  const auto *Response = std::get_if<http::response>(&Answer);
-                  Received = Response == nullptr
-                                 ? std::pair{0, std::string{}}
-                                 : std::pair{Response->Status, Response->Body};
-                });
-    static_cast<void>(Loop.runUntil([&] { return Received.has_value(); },
-                                    boot_clock::now() + 4 * Second));
-    return Received.value_or(std::pair{0, std::string{}});
+    const auto Response =
+        sendAndWait(Loop, Client, {"127.0.0.1", Node.CallersPort},
+                    std::move(Request), 3 * Second);
+    return Response ? std::pair{Response->Status, Response->Body}
+                    : std::pair{0, std::string{}};
   }
 
   std::uint16_t freePort() {
