Bound how long an unconfirmed leader renews leases and starts tasks

A partition left the store on one side and the leader on the other, with backend servers on both sides.

Cause: a leader that the store no longer served renewed leases and started tasks for as long as backend servers responded. Its successor took the runs on backend servers that it could not reach for ended after 5.8 s, on the assumption that a backend server which both reach deposes the old leader within 1 s; with none, it started tasks that still ran. In the other direction the old leader took a lease that it could not renew for expired, although its successor had renewed it, and started the task on its own side.

Change: a leader renews leases and starts tasks only within 2.5 s of the send of its latest successful append to the leader log. Its successor has read that record no earlier than it was sent, so it takes runs that it can't see for ended 2.5 s, the longest lease on the slowest clock and a margin after the last record that it read: 7.3 s after it, where it was 5.8 s after the start of leading. An expired lease frees tasks only after an append that was sent since the expiry has succeeded. No append succeeds once a successor has claimed leadership, so none had renewed the lease; such an append is sent at once instead of at the next interval.

--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -342,8 +342,9 @@
   job_entry *Entry = Leader.findJob(Id.Job);
   task *Task = Entry == nullptr ? nullptr : Entry->Job.find(Id);
   const step_spec *Step = Entry == nullptr ? nullptr : Entry->Job.stepSpec(Id);
-  if (Task == nullptr || Task->Done || Task->Runs != 1 || !Step->Speculative ||
-      !Entry->PoolStored || !Entry->Job.permitsRun(*Step, *Task))
+  if (!mayGrantLeases(Leader) || Task == nullptr || Task->Done ||
+      Task->Runs != 1 || !Step->Speculative || !Entry->PoolStored ||
+      !Entry->Job.permitsRun(*Step, *Task))
     return;
   placement_request Request;
   Request.Step = Step;
@@ -401,6 +402,10 @@
 void dispatch(leader &Leader) {
   const time_point Now = Leader.Now();
   Leader.StartWindow.expire(Now);
+  if (!mayGrantLeases(Leader)) {
+    Leader.StartsHeldSince = NoDeadline;
+    return;
+  }
   const auto Pools = duePools(Leader);
   const bool WasHeld = Leader.StartsHeldSince != NoDeadline;
   const bool Proceeds =
--- a/src/galenalink/job/election.cpp
+++ b/src/galenalink/job/election.cpp
@@ -59,13 +59,17 @@
   // The claim of an epoch precedes its other records.
   if (Record.Kind != leader_record::kind::Claim && Record.Epoch > Offset)
     return;
+  const bool OwnClaim =
+      Record.Kind == leader_record::kind::Claim && Record.Node == Settings.Node;
+  if (OwnClaim)
+    PredecessorSeenAt = std::max({LastRecordAt, LastAppendAt, RecordsLostAt});
   LastRecordAt = Now;
   UnreachableEpoch = 0;
   switch (Record.Kind) {
   case leader_record::kind::Claim:
     Current = {Offset + 1, Record.Node, Record.Address, false};
     // Covers an own claim whose response was lost.
-    if (Record.Node == Settings.Node)
+    if (OwnClaim)
       OwnEpoch = Offset + 1;
     break;
   case leader_record::kind::Heartbeat:
--- a/src/galenalink/job/election.hpp
+++ b/src/galenalink/job/election.hpp
@@ -113,6 +113,14 @@
   [[nodiscard]] bool reading() const noexcept { return Reading; }
   /** @return When this node claims leadership unless a record arrives first. */
   [[nodiscard]] time_point claimAt(time_point Now) const;
+  /** @brief Notes that the store has deleted records before they were read. */
+  void recordsLost(const time_point Now) noexcept { RecordsLostAt = Now; }
+  /** @return The latest time at which a leader before this node's own epoch may
+   * have appended a record; meaningful while this node leads. */
+  [[nodiscard]] time_point predecessorSeenAt() const noexcept {
+    return PredecessorSeenAt;
+  }
+
   /** @return When the last record was applied. */
   [[nodiscard]] time_point lastRecordAt() const noexcept {
     return LastRecordAt;
@@ -135,6 +143,8 @@
   time_point ReadingSince;
   time_point LastRecordAt;
   time_point LastAppendAt;
+  time_point RecordsLostAt;
+  time_point PredecessorSeenAt;
   /** When the leader was last presumed dead. */
   time_point PresumedDeadAt;
 };
--- a/src/galenalink/job/heartbeats.cpp
+++ b/src/galenalink/job/heartbeats.cpp
@@ -26,10 +26,8 @@
 constexpr resources UnknownSize{std::int64_t{1} << 30, std::int64_t{1} << 30,
                                 0};
 
-/** How long a replaced leader that the store does not serve may go on renewing
- * leases: until a backend server that its successor has contacted rejects it.
- */
-constexpr duration FormerLeaderOverlap = std::chrono::milliseconds{1000};
+/** Allows for killing the runs of a lease that has expired. */
+constexpr duration LeaseEndMargin = std::chrono::milliseconds{200};
 /** Local time per unit of time on the slowest permitted clock. */
 constexpr double MaxClockStretch = 1.0 / 0.98;
 
@@ -173,7 +171,7 @@
     releaseMissingRuns(Leader, Server);
     Server.RunsUnknownUntil = NoDeadline;
   } else if (Server.RunsUnknownUntil != NoDeadline) {
-    awaitUnknownRuns(Leader, Server);
+    awaitUnknownRuns(Leader, Server, Leader.Now());
   }
   if (!Server.Synced) {
     // Runs of an earlier leader have a lease of at most the same length.
@@ -237,7 +235,8 @@
   // The lease is not extended while heartbeats fail; otherwise it would never
   // expire on a backend server that does not respond.
   const bool Extend = Server.Synced && Server.HeartbeatFailures == 0 &&
-                      Server.Lease.hasClock() && !Server.Runs.empty();
+                      Server.Lease.hasClock() && !Server.Runs.empty() &&
+                      mayGrantLeases(Leader);
   if (Extend)
     Order.LeaseEndMs = Server.Lease.extend(Now, Leader.Settings.Lease);
   const bool Immediate = !Server.Synced || Server.HeartbeatFailures > 0 ||
@@ -257,12 +256,12 @@
 
 } // namespace
 
-void awaitUnknownRuns(leader &Leader, server &Server) {
+void awaitUnknownRuns(leader &Leader, server &Server,
+                      const time_point LastGrant) {
   const auto Longest =
       static_cast<double>(Leader.Settings.Lease.count()) * MaxClockStretch;
-  Server.RunsUnknownUntil = Leader.Now() + FormerLeaderOverlap +
-                            duration{static_cast<std::int64_t>(Longest)} +
-                            RetryInterval;
+  Server.RunsUnknownUntil =
+      LastGrant + duration{static_cast<std::int64_t>(Longest)} + LeaseEndMargin;
   Server.EndOfWaitLogged = false;
   Leader.AllRunsKnownAt =
       std::max(Leader.AllRunsKnownAt, Server.RunsUnknownUntil);
--- a/src/galenalink/job/heartbeats.hpp
+++ b/src/galenalink/job/heartbeats.hpp
@@ -11,8 +11,9 @@
 void sendHeartbeats(leader &Leader, std::vector<server *> &Due);
 /** @brief Keeps recovered tasks of the backend server's pool from starting
  * until it has listed its runs and all its ends, or until their leases have
- * expired. */
-void awaitUnknownRuns(leader &Leader, server &Server);
+ * expired.
+ * @param LastGrant When the last of these leases was granted at the latest. */
+void awaitUnknownRuns(leader &Leader, server &Server, time_point LastGrant);
 
 } // namespace galenalink::job
 
--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -42,7 +42,8 @@
       Journal{{Ports.Append, this->Now,
                [OnFenced = this->OnFenced] { OnFenced("store"); }},
               Epoch},
-      LeadingSince{this->Now()}, StartWindow{this->Settings.Starts} {}
+      LeadingSince{this->Now()}, PredecessorSeenAt{LeadingSince},
+      StartWindow{this->Settings.Starts} {}
 
 void requestDispatch(leader &Leader, const std::string &Pool,
                      const time_point Due) {
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -5,6 +5,7 @@
 #include "galenalink/job/duration_estimator.hpp"
 #include "galenalink/job/job.hpp"
 #include "galenalink/job/journal.hpp"
+#include "galenalink/job/leadership_limits.hpp"
 #include "galenalink/job/overload_gate.hpp"
 #include "galenalink/job/peak_forecast.hpp"
 #include "galenalink/job/server.hpp"
@@ -220,9 +221,14 @@
   /** Start of the current capacity surplus of each pool that has one. */
   std::map<std::string, time_point> SurplusSince;
   time_point LeadingSince;
-  /** Returns until when no successor can accept jobs or send VM orders; if not
-   * set, that is forever. */
-  std::function<time_point()> LeadershipConfirmedUntil;
+  /** When the latest record of an earlier leader was read; that leader's latest
+   * confirmation is no later. */
+  time_point PredecessorSeenAt;
+  /** Returns when the latest successful append to the leader log was sent; if
+   * not set, leadership is always confirmed. */
+  std::function<time_point()> LeadershipConfirmedAt;
+  /** Requests an append to the leader log soon; may be unset. */
+  std::function<void()> ConfirmLeadership;
   /** Pools in which a task may be able to start, and from when on. */
   std::map<std::string, time_point> DispatchDue;
   /** Pool that was served last; the others come first the next time. */
@@ -267,9 +273,28 @@
   }
 };
 
+/** @return Until when no successor can accept jobs or send VM orders. */
+[[nodiscard]] inline time_point leadershipConfirmedUntil(const leader &Leader) {
+  return Leader.LeadershipConfirmedAt
+             ? Leader.LeadershipConfirmedAt() + ConfirmationValidity
+             : time_point::max();
+}
 [[nodiscard]] inline bool isLeadershipConfirmed(const leader &Leader) {
-  return !Leader.LeadershipConfirmedUntil ||
-         Leader.Now() < Leader.LeadershipConfirmedUntil();
+  return Leader.Now() < leadershipConfirmedUntil(Leader);
+}
+/** @brief Whether the leader may renew leases and start tasks. A successor that
+ * can't reach the backend server takes this into account; it can't if the
+ * leader goes on for longer. */
+[[nodiscard]] inline bool mayGrantLeases(const leader &Leader) {
+  return !Leader.LeadershipConfirmedAt ||
+         Leader.Now() < Leader.LeadershipConfirmedAt() + LeaseGrantValidity;
+}
+/** @brief Whether there was no successor at the given time, so that nobody else
+ * renewed a lease before: an append sent since then has succeeded, and none can
+ * once a successor has claimed leadership. */
+[[nodiscard]] inline bool wasSoleLeaderAt(const leader &Leader,
+                                          const time_point At) {
+  return !Leader.LeadershipConfirmedAt || Leader.LeadershipConfirmedAt() >= At;
 }
 /** @brief Requests that tasks of the pool are started if they can be placed,
  * after a change that may allow it. */
--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -97,7 +97,7 @@
     return;
   }
   const bool Retry = !Server.Cordoned && !Server.Entry.Draining &&
-                     Found.StartsSent < MaxStartsSent;
+                     Found.StartsSent < MaxStartsSent && mayGrantLeases(Leader);
   if (Retry)
     sendStart(Leader, Server, Run);
   else
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -89,6 +89,15 @@
                {"failures", Server.HeartbeatFailures}});
 }
 
+/** @brief Takes the runs for ended, unless a successor may have renewed the
+ * lease. */
+void handleExpiredLease(leader &Leader, server &Server) {
+  if (wasSoleLeaderAt(Leader, Server.Lease.expiry()))
+    markServerLost(Leader, Server, "lease expired");
+  else if (Leader.ConfirmLeadership)
+    Leader.ConfirmLeadership();
+}
+
 /** @brief Checks the lease and whether a heartbeat is due.
  * @param Due Receives the backend server if a heartbeat is due.
  * @return Whether the backend server can be removed. */
@@ -100,7 +109,7 @@
     logEndOfWaitForRuns(Leader, Server);
   if (Server.HeartbeatFailures > 0 && !Server.Runs.empty() &&
       Now >= Server.Lease.expiry())
-    markServerLost(Leader, Server, "lease expired");
+    handleExpiredLease(Leader, Server);
   if (!Server.HeartbeatPending && Now >= Server.HeartbeatDue)
     Due.push_back(&Server);
   const bool Missing =
@@ -219,7 +228,8 @@
   Server.Recorded = true;
   Server.MissingSince = Leader.Now();
   Server.HeartbeatDue = Leader.Now();
-  awaitUnknownRuns(Leader, Server);
+  awaitUnknownRuns(Leader, Server,
+                   Leader.PredecessorSeenAt + LeaseGrantValidity);
 }
 
 bool runsUnknown(const leader &Leader, const std::string_view Pool) {
--- a/src/galenalink/job/vm_orders.cpp
+++ b/src/galenalink/job/vm_orders.cpp
@@ -108,8 +108,7 @@
   PendingOrder.OrderedAt = Leader.Now();
   vm_order Order{Vm, Leader.Epoch, PendingOrder.Pool, PendingOrder.Wave};
   // The process may be suspended until a successor orders VMs.
-  if (Leader.LeadershipConfirmedUntil)
-    Order.SendBy = Leader.LeadershipConfirmedUntil();
+  Order.SendBy = leadershipConfirmedUntil(Leader);
   Leader.Ports.OrderVm(Order,
                        Leader.guarded([&Leader, Vm](const vm_result &Result) {
                          handleResponse(Leader, Vm, Result);
--- a/src/galenalink/job_node/leader_elector.cpp
+++ b/src/galenalink/job_node/leader_elector.cpp
@@ -21,6 +21,8 @@
  * interval. */
 constexpr duration ProbeAfterSilence = std::chrono::milliseconds{750};
 constexpr duration ProbeInterval = std::chrono::milliseconds{250};
+/** Minimum time between heartbeats that are sent ahead of their interval. */
+constexpr duration MinHeartbeatGap = std::chrono::milliseconds{100};
 /** Delay before a failed request to the store is retried. */
 constexpr duration RetryDelay = std::chrono::milliseconds{150};
 /** A leader counts as unhealthy if no append has succeeded for this long after
@@ -150,6 +152,8 @@
     return;
   }
   LastResponseAt = Now;
+  if (Result.Expired)
+    Election.recordsLost(Now);
   MustReadLog = Result.Expired || Result.Next < Result.End;
   std::uint64_t Offset = Result.Next - Result.Records.size();
   for (const auto &Record : Result.Records) {
@@ -257,6 +261,13 @@
   notifyIfDeposed(RejectedBy);
 }
 
+void leader_elector::confirmSoon() {
+  const bool Busy = Stopped || AppendInFlight || ReadInFlight || MustReadLog;
+  const time_point Now = boot_clock::now();
+  if (!Busy && Election.leads() && Now >= AppendSentAt + MinHeartbeatGap)
+    append(leader_record::kind::Heartbeat);
+}
+
 void leader_elector::release(std::function<void()> OnReleased) {
   const bool Leads = Election.leads();
   Stopped = true;
--- a/src/galenalink/job_node/leader_elector.hpp
+++ b/src/galenalink/job_node/leader_elector.hpp
@@ -51,6 +51,9 @@
    * by a higher one.
    * @param RejectedBy The outside system, for the log. */
   void markFenced(std::string_view RejectedBy);
+  /** @brief Appends a heartbeat without waiting for the interval, unless one is
+   * in flight or was sent a moment ago. */
+  void confirmSoon();
   /** @brief Releases leadership and leaves the election. */
   void release(std::function<void()> OnReleased);
 
@@ -69,6 +72,11 @@
   /** @return When the latest successful append was sent. The election timeout
    * of other nodes starts no earlier. */
   [[nodiscard]] time_point confirmedAt() const noexcept { return ConfirmedAt; }
+  /** @return When the latest record before this node's claim was read or
+   * written. */
+  [[nodiscard]] time_point predecessorSeenAt() const noexcept {
+    return Election.predecessorSeenAt();
+  }
 
 private:
   void step();
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -15,9 +15,6 @@
 constexpr duration VmListInterval = std::chrono::milliseconds{1000};
 constexpr duration VmListIntervalWithPendingOrders =
     std::chrono::milliseconds{300};
-/** For this long after a confirmed append no successor can accept jobs or order
- * VMs: the election timeout is longer, and a new leader must recover first. */
-constexpr duration ConfirmationValidity = std::chrono::milliseconds{1000};
 /** Delay before a failed recovery is retried. */
 constexpr duration RecoveryRetryDelay = std::chrono::milliseconds{100};
 /** Length of the leases of runs. Must exceed the time to elect a new leader. A
@@ -289,9 +286,9 @@
         Loop.post(
             [this, By = std::string{RejectedBy}] { Elector.markFenced(By); });
       });
-  State->LeadershipConfirmedUntil = [this] {
-    return Elector.confirmedAt() + ConfirmationValidity;
-  };
+  State->LeadershipConfirmedAt = [this] { return Elector.confirmedAt(); };
+  State->ConfirmLeadership = [this] { Elector.confirmSoon(); };
+  State->PredecessorSeenAt = Elector.predecessorSeenAt();
   State->Counts = Counts;
   State->AfterEvent = [this] { scheduleDispatch(); };
   Controller = std::make_unique<job::controller>(std::move(State), Records,
--- a/test/galenalink/job/election.cpp
+++ b/test/galenalink/job/election.cpp
@@ -174,4 +174,26 @@
   BOOST_CHECK(A.next(Start + Second) == election_action::None);
 }
 
+// A successor computed from the wrong record when the leases of its predecessor
+// end: they run from the predecessor's latest record, which may be a heartbeat
+// of this node's own earlier epoch or one that the store has deleted.
+BOOST_AUTO_TEST_CASE(
+    predecessor_is_seen_at_the_latest_record_before_the_claim) {
+  election B = makeElection("b");
+  B.applyRecord(0, makeClaim("a"), Start);
+  B.applyRecord(1, {leader_record::kind::Heartbeat, "a", "a:1", 1},
+                Start + Second);
+  B.claimed(2, Start + 3 * Second);
+  BOOST_CHECK(B.predecessorSeenAt() == Start + Second);
+  B.heartbeatSent(Start + 4 * Second);
+  B.resign();
+  B.claimed(4, Start + 6 * Second);
+  BOOST_CHECK(B.predecessorSeenAt() == Start + 4 * Second);
+
+  election C = makeElection("c");
+  C.recordsLost(Start + Second);
+  C.claimed(7, Start + 2 * Second);
+  BOOST_CHECK(C.predecessorSeenAt() == Start + Second);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/galenalink/job/simulated_platform.cpp
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -216,9 +216,10 @@
       Ports, Settings, Epoch, [this] { return Now; },
       [this] { return wallNow() + ClockOffsetMs; },
       [this](std::string_view) { Fenced = true; });
-  State->LeadershipConfirmedUntil = [this] {
-    return LeadershipConfirmed ? time_point::max() : NoDeadline;
+  State->LeadershipConfirmedAt = [this] {
+    return LeadershipConfirmed ? Now : LeadershipConfirmedAt;
   };
+  State->PredecessorSeenAt = PredecessorSeenAt.value_or(Now);
   Leader = std::make_unique<controller>(std::move(State), Records, Rules);
 }
 
--- a/test/galenalink/job/simulated_platform.hpp
+++ b/test/galenalink/job/simulated_platform.hpp
@@ -96,8 +96,13 @@
   /** Each maintained VM with its wave; a repeated order has no effect. */
   std::set<std::pair<std::string, std::uint64_t>> Maintained;
   bool Fenced{false};
-  /** Whether the leader's latest claim or heartbeat is recent. */
+  /** Whether the store confirms the leader at all times. */
   bool LeadershipConfirmed{true};
+  /** If it does not: when it last did. */
+  time_point LeadershipConfirmedAt{NoDeadline};
+  /** When the next leader has read its predecessor's latest record; unset for
+   * the time of its election. */
+  std::optional<time_point> PredecessorSeenAt;
 
   simulated_server &addServer(const std::string &Id, const std::string &Pool,
                               std::int64_t Cpu = 32000);
