Revoke start orders whose runs were released by an expired lease

Cause: a start order without a response was released when the lease of its backend server had expired, without a stop. A kernel still holds the bytes of a closed connection and delivers them seconds after the link is back. By then newer orders had extended the lease, which applies to everything on the backend server and never shortens, and the run of the lower number began beside the newer one.

Change: the leader keeps such orders by the id of the backend server, also if the server is removed and added again. When it responds, the leader first stops each of these runs, after which the backend server rejects their start, and gives it neither a lease nor a start before all stops are confirmed. Until then its lease in force has expired, so that it rejects late starts by itself. A successor needs no such list: its epoch fences the orders.

--- a/src/galenalink/job/controller.cpp
+++ b/src/galenalink/job/controller.cpp
@@ -99,6 +99,7 @@
     updatePaces(*Leader);
     resizePools(*Leader);
     removeExpiredJobs(*Leader);
+    Leader->StartRevocations.expire(Now);
   }
   if (Now >= NextCompaction) {
     NextCompaction = Now + CompactionInterval;
--- a/src/galenalink/job/heartbeats.cpp
+++ b/src/galenalink/job/heartbeats.cpp
@@ -167,13 +167,15 @@
   Server.Lease.recordClock(Result.ClockMs, Leader.Now());
   applyRunEnds(Leader, Server, Result);
   applyRunningRuns(Leader, Server, Result);
+  settleListedRuns(Leader, Server, Result);
   if (!Result.EndsTruncated) {
     releaseMissingRuns(Leader, Server);
     Server.RunsUnknownUntil = NoDeadline;
   } else if (Server.RunsUnknownUntil != NoDeadline) {
     awaitUnknownRuns(Leader, Server, Leader.Now());
   }
-  if (!Server.Synced) {
+  const bool StartsRevoked = Server.Synced || revokeStarts(Leader, Server);
+  if (!Server.Synced && StartsRevoked) {
     // Runs of an earlier leader have a lease of at most the same length.
     if (!Server.Runs.empty())
       static_cast<void>(
@@ -182,8 +184,10 @@
     requestDispatch(Leader, Server.Entry.Pool);
   }
   const bool Unrecorded = Server.LastAppliedEnd != Server.LastStoredEnd;
-  Server.HeartbeatDue =
-      Leader.Now() + (Unrecorded ? UnrecordedInterval : HeartbeatInterval);
+  const duration Interval = !StartsRevoked ? RetryInterval
+                            : Unrecorded   ? UnrecordedInterval
+                                           : HeartbeatInterval;
+  Server.HeartbeatDue = Leader.Now() + Interval;
   resendStops(Leader, Server);
 }
 
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -10,6 +10,7 @@
 #include "galenalink/job/peak_forecast.hpp"
 #include "galenalink/job/server.hpp"
 #include "galenalink/job/server_index.hpp"
+#include "galenalink/job/start_revocations.hpp"
 #include "galenalink/job/start_window.hpp"
 #include "galenalink/job/tickets.hpp"
 #include <memory>
@@ -186,6 +187,7 @@
   /** Jobs that have not ended. */
   std::map<std::string, job_entry *> OpenJobs;
   run_locations RunLocations;
+  start_revocations StartRevocations;
   /** By id of the backend server's incarnation. Change it by `addServer` and
    * `removeServer` only. */
   std::map<std::string, std::unique_ptr<server>> Servers;
--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -15,9 +15,6 @@
 /** Delay before a failed task is retried; it doubles with each failure. */
 constexpr duration FirstBackoff = std::chrono::milliseconds{20};
 constexpr duration MaxBackoff = std::chrono::milliseconds{1000};
-/** Time limit for the response to an order. Responses take a few ms; a lost
- * order delays its task by this limit. */
-constexpr duration OrderTimeout = std::chrono::milliseconds{350};
 /** Attempts to send one start order before a list of runs must settle it. */
 constexpr std::uint32_t MaxStartsSent = 4;
 /** Delay before a task is started again after a refused start. */
@@ -26,12 +23,6 @@
  * headers of the request. */
 constexpr std::size_t StartOrderOverheadBytes = 600;
 
-std::string runName(const run_id &Run) {
-  return Run.Task.Job + "." + std::to_string(Run.Task.Occurrence) + "." +
-         std::to_string(Run.Task.Step) + "." + std::to_string(Run.Task.Index) +
-         "#" + std::to_string(Run.Number);
-}
-
 void backOff(leader &Leader, const task_id &Id, const duration Delay) {
   job_entry *Entry = Leader.findJob(Id.Job);
   task *Task = Entry == nullptr ? nullptr : Entry->Job.find(Id);
@@ -140,7 +131,7 @@
   if (Result.Outcome != call_outcome::Done)
     Log.info(
         "response to start order",
-        {{"run", runName(Run)},
+        {{"run", toText(Run)},
          {"server", ServerId},
          {"outcome", std::string{nameOf(CallOutcomeNames, Result.Outcome)}},
          {"why", std::string{nameOf(StartRefusalNames, Result.Reason)}}});
@@ -221,7 +212,7 @@
     ++Leader.Counts->FailuresWithoutRule;
     Log.warning("run failed, attempt limit unknown; its task waits for the "
                 "rule of the queue",
-                {{"run", runName(Run)},
+                {{"run", toText(Run)},
                  {"queue", Entry.Job.queue()},
                  {"rules", Leader.Rules.Version}});
   }
@@ -234,7 +225,7 @@
   if (Effect == end_effect::JobFailed) {
     ++Leader.Counts->JobsFailed;
     Log.info("job failed", {{"job", Run.Task.Job},
-                            {"run", runName(Run)},
+                            {"run", toText(Run)},
                             {"server", Server.Entry.Id},
                             {"attempts", Rule->MaxAttempts},
                             {"rules", Entry.Job.ruleVersion()}});
@@ -254,7 +245,7 @@
     return;
   recordProgress(Leader, Entry);
   if (Effect == end_effect::JobCompleted) {
-    Log.info("job completed", {{"job", Run.Task.Job}, {"run", runName(Run)}});
+    Log.info("job completed", {{"job", Run.Task.Job}, {"run", toText(Run)}});
     endJob(Leader, Entry);
     return;
   }
@@ -273,6 +264,12 @@
 
 } // namespace
 
+std::string toText(const run_id &Run) {
+  return Run.Task.Job + "." + std::to_string(Run.Task.Occurrence) + "." +
+         std::to_string(Run.Task.Step) + "." + std::to_string(Run.Task.Index) +
+         "#" + std::to_string(Run.Number);
+}
+
 std::uint64_t nextRunNumber(const leader &Leader, const task &Task) {
   return std::max(Task.LastRun, (Leader.Epoch - 1) * RunsPerEpoch) + 1;
 }
@@ -364,11 +361,13 @@
        {"lease_left_ms", std::to_string(wholeMs(Server.Lease.expiry() - Now))},
        {"failures", Server.HeartbeatFailures}});
   for (const auto &[Id, Run] : Server.Runs) {
-    if (Run.StartConfirmedAt == NoDeadline)
-      Log.warning("run released without a response to its start order",
-                  {{"run", runName(Id)},
-                   {"server", Server.Entry.Id},
-                   {"orders", Run.StartsSent}});
+    if (Run.StartConfirmedAt != NoDeadline)
+      continue;
+    Log.warning("run released without a response to its start order",
+                {{"run", toText(Id)},
+                 {"server", Server.Entry.Id},
+                 {"orders", Run.StartsSent}});
+    Leader.StartRevocations.add(Server.Entry.Id, Id, Now);
   }
   ++Leader.Counts->ServersLost;
   Server.Synced = false;
@@ -379,7 +378,7 @@
 
 void applyRunEnd(leader &Leader, server &Server, const listed_end &End) {
   Log.info("run ended",
-           {{"run", runName(End.Run)},
+           {{"run", toText(End.Run)},
             {"server", Server.Entry.Id},
             {"number", End.Number},
             {"how", std::string{nameOf(RunOutcomeNames, End.Outcome)}}});
--- a/src/galenalink/job/runs.hpp
+++ b/src/galenalink/job/runs.hpp
@@ -5,6 +5,12 @@
 
 namespace galenalink::job {
 
+/** Time limit for the response to an order. Responses take a few ms; a lost
+ * order delays its task by this limit. */
+inline constexpr duration OrderTimeout = std::chrono::milliseconds{350};
+
+/** @return The run's name in the log. */
+[[nodiscard]] std::string toText(const run_id &Run);
 /** @brief Requests the start of a task on a backend server; its resources are
  * reserved at once.
  * @param Number Run number, from `nextRunNumber`. */
