Allow for the time of a stop after a lease has expired

A backend server takes up to stopMs (400 ms) to end a run. The leader took runs for ended 100 ms after their lease had expired, and a successor 200 ms after the last lease of its predecessor, so that their tasks could start up to 0.3 s too early if an expired lease is no faster than a stop.

Change: new setting stop_ms, from the platform's bounds; both waits include it.

Evidence: with a simulated backend server that takes 400 ms to end runs whose lease has expired, "task runs twice" in both new cases of unconfirmed_leader/* before, no error now.

--- a/src/galenalink/job/heartbeats.cpp
+++ b/src/galenalink/job/heartbeats.cpp
@@ -26,7 +26,8 @@
 constexpr resources UnknownSize{std::int64_t{1} << 30, std::int64_t{1} << 30,
                                 0};
 
-/** Allows for killing the runs of a lease that has expired. */
+/** Allows for late timers, and for leases that were granted by an old reading
+ * of the backend server's clock. */
 constexpr duration LeaseEndMargin = std::chrono::milliseconds{200};
 /** Local time per unit of time on the slowest permitted clock. */
 constexpr double MaxClockStretch = 1.0 / 0.98;
@@ -264,8 +265,9 @@
                       const time_point LastGrant) {
   const auto Longest =
       static_cast<double>(Leader.Settings.Lease.count()) * MaxClockStretch;
-  Server.RunsUnknownUntil =
-      LastGrant + duration{static_cast<std::int64_t>(Longest)} + LeaseEndMargin;
+  Server.RunsUnknownUntil = LastGrant +
+                            duration{static_cast<std::int64_t>(Longest)} +
+                            LeaseEndMargin + Leader.Settings.StopTime;
   Server.EndOfWaitLogged = false;
   Leader.AllRunsKnownAt =
       std::max(Leader.AllRunsKnownAt, Server.RunsUnknownUntil);
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -69,6 +69,9 @@
   std::string Node;
   /** Length of the leases of backend servers, which bound their runs. */
   duration Lease{std::chrono::milliseconds{4500}};
+  /** Longest time that a backend server takes to end runs, at a stop or when
+   * their lease has expired. */
+  duration StopTime{std::chrono::milliseconds{400}};
   /** Time within which a missing registration may reappear. */
   duration RegistrationGrace{std::chrono::milliseconds{3000}};
   /** Ended jobs can be queried for at least this long. */
--- a/src/galenalink/job/lease.hpp
+++ b/src/galenalink/job/lease.hpp
@@ -37,8 +37,9 @@
     return GrantedMs;
   }
 
-  /** @return Local time by which all runs under the lease have ended;
-   * `NoDeadline`, which is in the past, if no lease was granted. */
+  /** @return Local time by which the backend server has begun to kill all runs
+   * under the lease; `NoDeadline`, which is in the past, if no lease was
+   * granted. */
   [[nodiscard]] time_point expiry() const noexcept {
     if (!HasClock || GrantedMs == 0)
       return NoDeadline;
@@ -49,7 +50,7 @@
 private:
   /** Local time per unit of time on the slowest permitted clock. */
   static constexpr double MaxClockStretch = 1.0 / 0.98;
-  /** Allows for killing the runs and for rounding to whole milliseconds. */
+  /** Allows for late timers and for rounding to whole milliseconds. */
   static constexpr duration ExpiryMargin = std::chrono::milliseconds{100};
 
   [[nodiscard]] static duration toDuration(const double Ms) noexcept {
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -91,8 +91,9 @@
 
 /** @brief Takes the runs for ended, unless a successor may have renewed the
  * lease. */
-void handleExpiredLease(leader &Leader, server &Server) {
-  if (wasSoleLeaderAt(Leader, Server.Lease.expiry()))
+void handleExpiredLease(leader &Leader, server &Server,
+                        const time_point ExpiredAt) {
+  if (wasSoleLeaderAt(Leader, ExpiredAt))
     markServerLost(Leader, Server, "lease expired");
   else if (Leader.ConfirmLeadership)
     Leader.ConfirmLeadership();
@@ -107,9 +108,10 @@
       Server.RunsUnknownUntil != NoDeadline && Now >= Server.RunsUnknownUntil;
   if (WaitEnded && !Server.EndOfWaitLogged)
     logEndOfWaitForRuns(Leader, Server);
+  const time_point ExpiredAt = Server.Lease.expiry();
   if (Server.HeartbeatFailures > 0 && !Server.Runs.empty() &&
-      Now >= Server.Lease.expiry())
-    handleExpiredLease(Leader, Server);
+      Now >= ExpiredAt + Leader.Settings.StopTime)
+    handleExpiredLease(Leader, Server, ExpiredAt);
   if (!Server.HeartbeatPending && Now >= Server.HeartbeatDue)
     Due.push_back(&Server);
   const bool Missing =
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -102,6 +102,7 @@
   Leader.Node = Settings.Name;
   Leader.Lease =
       std::chrono::milliseconds{std::min(LeaseMs, Settings.MaxLeaseMs)};
+  Leader.StopTime = std::chrono::milliseconds{Settings.StopMs};
   Leader.MinVmOrderGap = std::chrono::milliseconds{Settings.MinVmOrderGapMs};
   Leader.MoveTime = fromSeconds(Settings.MoveS);
   Leader.MaintenanceTime = fromSeconds(Settings.MaintenanceS);
--- a/src/galenalink/job_node/settings.cpp
+++ b/src/galenalink/job_node/settings.cpp
@@ -56,6 +56,7 @@
                     .number("port", Out.Peers.Port, PortRange);
               })
       .number("max_lease_ms", Out.MaxLeaseMs, TimeRange)
+      .number("stop_ms", Out.StopMs, TimeRange)
       .decimal("stop_deadline_s", Out.StopDeadlineS, SecondsRange)
       .decimal("processor_share", Out.ProcessorShare, ProcessorShareRange)
       .decimal("processor_speed", Out.ProcessorSpeed, ProcessorSpeedRange)
--- a/src/galenalink/job_node/settings.hpp
+++ b/src/galenalink/job_node/settings.hpp
@@ -28,6 +28,8 @@
   std::string TicketService;
   /** Longest lease that a backend server grants, ms. */
   std::uint32_t MaxLeaseMs{6000};
+  /** Longest time that a backend server takes to end a run, ms. */
+  std::uint32_t StopMs{400};
   /** Time from SIGTERM to SIGKILL, s. */
   double StopDeadlineS{6};
   /** Share of CPU time that the node may use, 0 to 1, and its speed during that
--- a/test/galenalink/job/simulated_platform.cpp
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -238,7 +238,7 @@
 void simulated_platform::endDueRuns(simulated_server &Server) {
   std::vector<std::pair<run_id, run_outcome>> Ended;
   const bool LeaseExpired =
-      Server.LeaseEndMs != 0 && toMs(Now) > Server.LeaseEndMs;
+      Server.LeaseEndMs != 0 && toMs(Now) > Server.LeaseEndMs + Server.KillMs;
   for (const auto &[Run, State] : Server.Running) {
     if (LeaseExpired)
       Ended.emplace_back(Run, run_outcome::LeaseExpired);
--- a/test/galenalink/job/simulated_platform.hpp
+++ b/test/galenalink/job/simulated_platform.hpp
@@ -41,6 +41,8 @@
   bool RefusesStarts{false};
   /** Stops are not carried out and get no response. */
   bool IgnoresStops{false};
+  /** Time that it takes to end runs whose lease has expired, ms. */
+  std::int64_t KillMs{0};
   std::uint64_t Epoch{0};
   std::int64_t LeaseEndMs{0};
   std::uint64_t Ends{0};
--- a/test/galenalink/job/unconfirmed_leader.cpp
+++ b/test/galenalink/job/unconfirmed_leader.cpp
@@ -166,4 +166,28 @@
   BOOST_TEST(Servers.server("s1").Running.size() == 2U);
 }
 
+// A backend server takes up to the time of a stop to end runs whose lease has
+// expired. Their tasks started elsewhere meanwhile.
+BOOST_AUTO_TEST_CASE(tasks_wait_until_runs_without_a_lease_are_killed) {
+  two_servers Servers;
+  simulated_server &Slow = Servers.server("s0");
+  Slow.KillMs = 400;
+  Slow.Unresponsive = true;
+  Servers.Platform.advance(8 * Second);
+  BOOST_TEST(Servers.Platform.Starts == 3U);
+  BOOST_TEST(Slow.Running.empty());
+  for (const auto &Each : Servers.Platform.Violations)
+    BOOST_ERROR(Each);
+}
+
+// The same under a successor, with a lease that its predecessor granted last.
+BOOST_AUTO_TEST_CASE(successor_waits_until_runs_without_a_lease_are_killed) {
+  partitioned_leaders Leaders;
+  Leaders.server("s0").KillMs = 400;
+  Leaders.advance(15 * Second);
+  BOOST_TEST(Leaders.server("s1").Running.size() == 2U);
+  for (const auto &Each : Leaders.Platform.Violations)
+    BOOST_ERROR(Each);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
