Count the length of a lease from when it may be granted at the latest

Change: every lease in an order runs from the end of the leader's grants at the latest (grantLease), whatever was checked before.

Runs that are adopted while start orders are still being revoked have a lease, too, so that the first failed heartbeat does not release them.

--- a/src/galenalink/job/heartbeats.cpp
+++ b/src/galenalink/job/heartbeats.cpp
@@ -173,14 +173,15 @@
     releaseMissingRuns(Leader, Server);
     Server.RunsUnknownUntil = NoDeadline;
   } else if (Server.RunsUnknownUntil != NoDeadline) {
-    awaitUnknownRuns(Leader, Server, Leader.Now());
+    // Start orders of this leader extend the lease until a heartbeat fails and
+    // their repeats end, which takes less than this.
+    awaitUnknownRuns(Leader, Server, Leader.Now() + LeaseGrantValidity);
   }
+  // Runs of an earlier leader have a lease of at most the same length.
+  if (!Server.Synced && !Server.Runs.empty())
+    static_cast<void>(Server.Lease.extend(Leader.Now(), Leader.Settings.Lease));
   const bool StartsRevoked = Server.Synced || revokeStarts(Leader, Server);
   if (!Server.Synced && StartsRevoked) {
-    // Runs of an earlier leader have a lease of at most the same length.
-    if (!Server.Runs.empty())
-      static_cast<void>(
-          Server.Lease.extend(Leader.Now(), Leader.Settings.Lease));
     Server.Synced = true;
     requestDispatch(Leader, Server.Entry.Pool);
   }
@@ -243,7 +244,7 @@
                       Server.Lease.hasClock() && !Server.Runs.empty() &&
                       mayGrantLeases(Leader);
   if (Extend)
-    Order.LeaseEndMs = Server.Lease.extend(Now, Leader.Settings.Lease);
+    Order.LeaseEndMs = grantLease(Leader, Server);
   const bool Immediate = !Server.Synced || Server.HeartbeatFailures > 0 ||
                          Server.LastAppliedEnd != Server.LastStoredEnd;
   Order.WaitMs = Immediate             ? 0
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -287,12 +287,25 @@
 [[nodiscard]] inline bool isLeadershipConfirmed(const leader &Leader) {
   return Leader.Now() < leadershipConfirmedUntil(Leader);
 }
-/** @brief Whether the leader may renew leases and start tasks. A successor that
- * can't reach the backend server takes this into account; it can't if the
- * leader goes on for longer. */
+/** @return Until when the leader may renew leases and start tasks. Its
+ * successor starts the tasks of backend servers that it can't reach once leases
+ * granted at that time have expired. */
+[[nodiscard]] inline time_point leaseGrantsEndAt(const leader &Leader) {
+  return Leader.LeadershipConfirmedAt
+             ? Leader.LeadershipConfirmedAt() + LeaseGrantValidity
+             : time_point::max();
+}
 [[nodiscard]] inline bool mayGrantLeases(const leader &Leader) {
-  return !Leader.LeadershipConfirmedAt ||
-         Leader.Now() < Leader.LeadershipConfirmedAt() + LeaseGrantValidity;
+  return Leader.Now() < leaseGrantsEndAt(Leader);
+}
+/** @brief Extends the lease of a backend server for an order that is about to
+ * be sent. The process may have been paused since `mayGrantLeases`, so the
+ * lease runs from the end of that time at the latest.
+ * @return End of the lease on the backend server's clock, ms. */
+[[nodiscard]] inline std::int64_t grantLease(const leader &Leader,
+                                             server &Server) {
+  const time_point GrantedAt = std::min(Leader.Now(), leaseGrantsEndAt(Leader));
+  return Server.Lease.extend(GrantedAt, Leader.Settings.Lease);
 }
 /** @brief Whether there was no successor at the given time, so that nobody else
  * renewed a lease before: an append sent since then has succeeded, and none can
--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -105,7 +105,7 @@
   start_order Order;
   Order.Server = Server.target();
   Order.Epoch = Leader.Epoch;
-  Order.LeaseEndMs = Server.Lease.extend(Now, Leader.Settings.Lease);
+  Order.LeaseEndMs = grantLease(Leader, Server);
   Order.ResponseDeadline = Now + OrderTimeout;
   Order.Run = RunId;
   Order.Spec = Entry.Job.spec().Spec;
--- a/test/galenalink/job/unconfirmed_leader.cpp
+++ b/test/galenalink/job/unconfirmed_leader.cpp
@@ -77,6 +77,14 @@
       else
         Platform.schedule(Second, [Callback] { Callback(heartbeat_result{}); });
     };
+    const auto Stop = Platform.Ports.Stop;
+    Platform.Ports.Stop = [this, Stop](const stop_order &Order,
+                                       const auto &Callback) {
+      if (reaches(Order.Epoch, Order.Server.Id))
+        Stop(Order, Callback);
+      else
+        Platform.schedule(Second, [Callback] { Callback(order_result{}); });
+    };
     const auto Start = Platform.Ports.Start;
     Platform.Ports.Start = [this, Start](const start_order &Order,
                                          const auto &Callback) {
@@ -118,6 +126,7 @@
   Servers.Platform.advance(4 * Second);
   BOOST_TEST(Servers.server("s0").Running.size() == 1U);
   BOOST_TEST(Servers.server("s0").LeaseEndMs <= LatestEndMs);
+  BOOST_TEST(Servers.server("s0").LeaseEndMs > LatestEndMs - 1000);
   Servers.Platform.advance(5 * Second);
   BOOST_TEST(Servers.server("s0").Running.empty());
   // No task starts before the store confirms the leader again.
@@ -128,6 +137,29 @@
   BOOST_TEST(Servers.Platform.countRunning({"a", 0, 0, 1}) == 1U);
 }
 
+// A process that was paused between two start orders sent the second with a
+// lease that its successor did not wait for.
+BOOST_AUTO_TEST_CASE(leases_granted_after_a_pause_are_limited) {
+  two_servers Servers;
+  simulated_platform &Platform = Servers.Platform;
+  std::vector<std::int64_t> LeaseEnds;
+  const auto Start = Platform.Ports.Start;
+  Platform.Ports.Start = [&](const start_order &Order, const auto &Callback) {
+    LeaseEnds.push_back(Order.LeaseEndMs);
+    Start(Order, Callback);
+    Platform.Now += 5 * Second;
+  };
+  Servers.loseStore();
+  const time_point LastGrant = Platform.Now + LeaseGrantValidity;
+  job_spec Spec;
+  Spec.Steps = {makeStep(2, 2000, 1000)};
+  BOOST_REQUIRE(Platform.submit("press", "b", Spec));
+  BOOST_REQUIRE(LeaseEnds.size() == 2U);
+  const std::int64_t LatestEndMs =
+      wholeMs((LastGrant + leader_settings{}.Lease).time_since_epoch());
+  BOOST_TEST(LeaseEnds.back() <= LatestEndMs);
+}
+
 // Guards against runs that end in a short outage of the store.
 BOOST_AUTO_TEST_CASE(runs_survive_a_short_outage_of_the_store) {
   two_servers Servers;
