--- a/src/galenalink/job/election.cpp
+++ b/src/galenalink/job/election.cpp
@@ -61,7 +61,8 @@
     return;
   const bool OwnClaim =
       Record.Kind == leader_record::kind::Claim && Record.Node == Settings.Node;
-  if (OwnClaim)
+  // The same claim may be applied by its response and by a read.
+  if (OwnClaim && OwnEpoch != Offset + 1)
     PredecessorSeenAt = std::max({LastRecordAt, LastAppendAt, RecordsLostAt});
   LastRecordAt = Now;
   UnreachableEpoch = 0;
--- a/test/galenalink/job/election.cpp
+++ b/test/galenalink/job/election.cpp
@@ -190,6 +190,10 @@
   B.claimed(4, Start + 6 * Second);
   BOOST_CHECK(B.predecessorSeenAt() == Start + 4 * Second);
 
+  // A read may return the claim after its response.
+  B.applyRecord(4, makeClaim("b"), Start + 8 * Second);
+  BOOST_CHECK(B.predecessorSeenAt() == Start + 4 * Second);
+
   election C = makeElection("c");
   C.recordsLost(Start + Second);
   C.claimed(7, Start + 2 * Second);
