Confirm a leader by its own record, and report none as gone while confirmed

The record counts now when the log is read, which follows each failed append.

An append that is sent ahead of its interval could make the node report an unhealthy leader 0.6 s after the latest confirmation, while VM orders rely on 1 s. The node does not report it before that second is over.

The line about an unconfirmed leader is written when it stops granting leases; with a slow store it would have flickered about once a second.

--- a/bench/leader_pass.cpp
+++ b/bench/leader_pass.cpp
@@ -83,7 +83,7 @@
     connect();
     auto State = std::make_unique<leader>(
         Ports, leader_settings{}, 1, [this] { return Now; },
-        [this] { return wallTime(); }, [] {});
+        [this] { return wallTime(); }, [](std::string_view) {});
     State->AfterEvent = [this] { DispatchDue = true; };
     Controller =
         std::make_unique<controller>(std::move(State), latest_result{}, Rules);
--- a/src/galenalink/job/start_revocations.cpp
+++ b/src/galenalink/job/start_revocations.cpp
@@ -36,6 +36,8 @@
       Found->second.StopSent = false;
     return;
   }
+  Log.info("start orders without a response are revoked",
+           {{"server", ServerId}});
   if (server *Server = Leader.findServer(ServerId))
     Server->HeartbeatDue = std::min(Server->HeartbeatDue, Leader.Now());
 }
@@ -84,8 +86,6 @@
     if (Entry.StopSent)
       continue;
     Entry.StopSent = true;
-    Log.info("revoking a start order without a response",
-             {{"run", toText(Run)}, {"server", Id}});
     Leader.Ports.Stop(
         {Server.target(), Leader.Epoch, Leader.Now() + OrderTimeout, Run},
         Leader.guarded([&Leader, Id, Run = Run](const order_result &Result) {
--- a/src/galenalink/job/start_revocations.hpp
+++ b/src/galenalink/job/start_revocations.hpp
@@ -13,11 +13,13 @@
 struct server;
 
 /**
- * @brief Start orders without a response whose runs were released because the
- * lease of their backend server had expired. Such an order may still be under
- * way, and the backend server would carry it out once its lease is extended. It
- * gets neither an extension nor a start until each of these runs has been
- * stopped there, after which it rejects their start.
+ * @brief Start orders without a response whose runs were released with their
+ * backend server. An order may still be under way: a backend server without a
+ * lease rejects it as late, but would carry it out once its lease is extended.
+ * The leader therefore grants it no lease and starts nothing there until it has
+ * stopped each of these runs, after which the backend server rejects their
+ * start. Bounded by the start window for each loss of a backend server and by
+ * the retention.
  */
 class start_revocations {
 public:
--- a/src/galenalink/job_node/leader_elector.cpp
+++ b/src/galenalink/job_node/leader_elector.cpp
@@ -1,4 +1,5 @@
 #include "galenalink/job_node/leader_elector.hpp"
+#include "galenalink/job/leadership_limits.hpp"
 #include "galenalink/telemetry/log.hpp"
 
 namespace galenalink::job_node {
@@ -83,9 +84,10 @@
 }
 
 bool leader_elector::isHealthyLeader() const noexcept {
-  return Election.leads() &&
-         (UnconfirmedSince == NoDeadline ||
-          boot_clock::now() < UnconfirmedSince + MaxAppendResponseTime);
+  const time_point Now = boot_clock::now();
+  return Election.leads() && (UnconfirmedSince == NoDeadline ||
+                              Now < UnconfirmedSince + MaxAppendResponseTime ||
+                              Now < ConfirmedAt + job::ConfirmationValidity);
 }
 
 void leader_elector::schedule(const duration Delay) {
@@ -158,9 +160,10 @@
   std::uint64_t Offset = Result.Next - Result.Records.size();
   for (const auto &Record : Result.Records) {
     const auto Parsed = job::parseLeader(Record.Value.value_or(""));
-    if (Parsed)
+    if (Parsed) {
       Election.applyRecord(Offset, *Parsed, Now);
-    else
+      confirmByRecord(*Parsed);
+    } else
       Log.error("cannot parse record of the leader log", {{"offset", Offset}});
     ++Offset;
   }
@@ -175,6 +178,15 @@
   step();
 }
 
+void leader_elector::confirmByRecord(const leader_record &Record) {
+  const bool Own = Record.Kind == leader_record::kind::Heartbeat &&
+                   Record.Node == Election.settings().Node;
+  if (!Own || UnconfirmedSince == NoDeadline)
+    return;
+  ConfirmedAt = std::max(ConfirmedAt, UnconfirmedSince);
+  UnconfirmedSince = NoDeadline;
+}
+
 void leader_elector::append(const leader_record::kind Kind) {
   leader_record Record;
   Record.Kind = Kind;
--- a/src/galenalink/job_node/leader_elector.hpp
+++ b/src/galenalink/job_node/leader_elector.hpp
@@ -90,6 +90,10 @@
    * log shows the successor. */
   void notifyIfDeposed(std::string_view RejectedBy = {});
   void notifyLeaderChange();
+  /** @brief Counts an own heartbeat in the log whose response was lost as a
+   * confirmation. It was appended no earlier than the first append without a
+   * response was sent. */
+  void confirmByRecord(const job::leader_record &Record);
   void probeLeader();
   void handleProbeResult(std::uint64_t Epoch, probe_result Result);
 
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -346,7 +346,7 @@
 }
 
 void node::logConfirmation() {
-  const bool Confirmed = job::isLeadershipConfirmed(Controller->state());
+  const bool Confirmed = job::mayGrantLeases(Controller->state());
   if (Confirmed == WasConfirmed)
     return;
   WasConfirmed = Confirmed;
@@ -355,7 +355,7 @@
   Log.write(Confirmed ? telemetry::severity::Info
                       : telemetry::severity::Warning,
             Confirmed ? "leadership is confirmed again"
-                      : "leadership is not confirmed, a successor may exist",
+                      : "leadership is not confirmed, granting no leases",
             {{"epoch", Controller->state().Epoch},
              {"confirmed_ms_ago", ConfirmedMsAgo}});
 }
--- a/src/galenalink/job_node/node.hpp
+++ b/src/galenalink/job_node/node.hpp
@@ -66,8 +66,8 @@
   void scheduleDispatch();
   void tick();
   void measureCallbackDelay();
-  /** @brief Logs when leadership ceases to be confirmed, and when it is
-   * again. */
+  /** @brief Logs when the leader ceases to grant leases, as its leadership is
+   * not confirmed, and when it is again. */
   void logConfirmation();
   void logLoad() const;
   void listVms();
