--- a/test/galenalink/job_node/leader_elector.cpp
+++ b/test/galenalink/job_node/leader_elector.cpp
@@ -107,3 +107,83 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/** A node that leads on a log of its own, with one append whose response is
+ * lost. */
+struct leader_fixture {
+  http::loop Loop;
+  ports Ports;
+  std::vector<keyed_record> Log;
+  std::uint32_t Claims{0};
+  /** Number of the append that is carried out without a response. */
+  std::uint32_t LostResponse{0};
+  time_point LostSentAt{NoDeadline};
+  std::vector<http::timer> Timers;
+
+  leader_fixture() {
+    Ports.Read = [this](topic, const std::uint64_t From, std::uint32_t,
+                        const auto &Callback) {
+      read_result Result;
+      Result.Outcome = call_outcome::Done;
+      Result.Records.assign(Log.begin() + static_cast<std::ptrdiff_t>(From),
+                            Log.end());
+      Result.Next = Log.size();
+      Result.End = Log.size();
+      runSoon([Callback, Result] { Callback(Result); });
+    };
+    Ports.Claim = [this](std::uint64_t, const std::string &Record,
+                         const auto &Callback) {
+      Log.push_back({"", Record});
+      const bool Lost = ++Claims == LostResponse;
+      if (Lost)
+        LostSentAt = boot_clock::now();
+      // Further appends fail, so that only the log can confirm the leader.
+      const auto Outcome = LostResponse == 0 || Claims < LostResponse
+                               ? call_outcome::Done
+                               : call_outcome::Unknown;
+      if (Claims > LostResponse && LostResponse != 0)
+        Log.pop_back();
+      runSoon([Callback, Outcome] { Callback({Outcome, 0}); });
+    };
+  }
+
+  void runSoon(std::function<void()> Call) {
+    Timers.push_back(Loop.at(boot_clock::now() + Millisecond, std::move(Call)));
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(leader_elector_as_leader)
+
+// A leader whose heartbeat was stored, but whose response was lost, counted as
+// unconfirmed until the next one and started nothing meanwhile.
+BOOST_AUTO_TEST_CASE(own_heartbeat_in_the_log_confirms_the_leader) {
+  leader_fixture Leader;
+  Leader.LostResponse = 3;
+  election_settings Settings;
+  Settings.Node = "self";
+  Settings.Address = "self:1";
+  Settings.StartedAt = boot_clock::now();
+  leader_elector Elector{Leader.Loop,
+                         Leader.Ports,
+                         Settings,
+                         {[](std::uint64_t) {}, [] {},
+                          [](const leadership &) {},
+                          [](const leadership &, const auto &Done) {
+                            Done(probe_result::Healthy);
+                          }}};
+  Elector.start();
+  static_cast<void>(
+      Leader.Loop.runUntil([&] { return Leader.Claims >= 4U; },
+                           boot_clock::now() + 5000 * Millisecond));
+  BOOST_REQUIRE(Elector.leads());
+  BOOST_REQUIRE((Leader.LostSentAt != NoDeadline));
+  const auto Difference = Leader.LostSentAt - Elector.confirmedAt();
+  BOOST_TEST((Difference >= duration::zero()));
+  BOOST_TEST((Difference < 100 * Millisecond));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/soak/fleet_standin.cpp
+++ b/test/soak/fleet_standin.cpp
@@ -160,6 +160,7 @@
     return;
   }
   Vm.FencingToken = FencingToken;
+  Vm.LastRequestAt = boot_clock::now();
   if (Body.contains("deadlineMs"))
     Vm.LeaseEndMs = std::max(Vm.LeaseEndMs,
                              std::min(Body.at("deadlineMs").get<std::int64_t>(),
--- a/test/soak/fleet_standin.hpp
+++ b/test/soak/fleet_standin.hpp
@@ -48,6 +48,8 @@
   std::function<bool(std::uint64_t FencingToken)> IsCutFrom;
   /** Highest token received; requests with a lower one are refused. */
   std::uint64_t FencingToken{0};
+  /** When a request with that token or a higher one last arrived. */
+  time_point LastRequestAt{NoDeadline};
   std::int64_t LeaseEndMs{0};
   std::vector<server_run> Running;
   /** Per task, the highest run number that has ended or been stopped; runs up
--- a/test/soak/split_leadership_test.cpp
+++ b/test/soak/split_leadership_test.cpp
@@ -20,6 +20,8 @@
 constexpr duration SteadyTime = 2 * Second;
 /** Longer than an election, the wait of a new leader and a lease together. */
 constexpr duration CutTime = 14 * Second;
+/** A lease that was granted 2.5 s after the cut, on the slowest clock. */
+constexpr duration LongestLease = 7200 * Millisecond;
 constexpr duration SettleTime = 4 * Second;
 /** Shorter than a lease. */
 constexpr duration StoreOutage = 4 * Second;
@@ -79,6 +81,8 @@
                   [this](const std::uint64_t Token) { return Token <= Epoch; });
     pause(CutTime);
     BOOST_TEST(Fleet.vm(LeadersVm).FencingToken == Epoch);
+    BOOST_TEST((Fleet.vm(LeadersVm).LastRequestAt > DisruptedAt + LongestLease),
+               "the former leader stopped before its leases expired");
     BOOST_TEST(Fleet.vm(SuccessorsVm).FencingToken > Epoch,
                "no successor was elected");
   }
