--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -346,20 +346,31 @@
     --Task->Runs;
 }
 
-void markServerLost(leader &Leader, server &Server,
-                    const std::string_view Reason) {
+namespace {
+
+/** @return Milliseconds between two times; "none" if one of them is unset. */
+std::string elapsedMs(const time_point From, const time_point To) {
+  const bool Known = From != time_point{} && To != time_point{};
+  return Known ? std::to_string(wholeMs(To - From)) : "none";
+}
+
+void logLostServer(const leader &Leader, const server &Server,
+                   const std::string_view Reason) {
   const time_point Now = Leader.Now();
-  Log.warning(
-      "backend server lost",
-      {{"server", Server.Entry.Id},
-       {"address", Server.Entry.Address},
-       {"why", std::string{Reason}},
-       {"runs", Server.Runs.size()},
-       {"epoch", Leader.Epoch},
-       {"confirmed", isLeadershipConfirmed(Leader) ? "yes" : "no"},
-       {"listed_ms_ago", std::to_string(wholeMs(Now - Server.ListedAt))},
-       {"lease_left_ms", std::to_string(wholeMs(Server.Lease.expiry() - Now))},
-       {"failures", Server.HeartbeatFailures}});
+  Log.warning("backend server lost",
+              {{"server", Server.Entry.Id},
+               {"address", Server.Entry.Address},
+               {"why", std::string{Reason}},
+               {"runs", Server.Runs.size()},
+               {"epoch", Leader.Epoch},
+               {"confirmed", isLeadershipConfirmed(Leader) ? "yes" : "no"},
+               {"listed_ms_ago", elapsedMs(Server.ListedAt, Now)},
+               {"lease_left_ms", elapsedMs(Now, Server.Lease.expiry())},
+               {"failures", Server.HeartbeatFailures}});
+}
+
+/** @brief Keeps the start orders without a response: they may still arrive. */
+void keepUnansweredStarts(leader &Leader, const server &Server) {
   for (const auto &[Id, Run] : Server.Runs) {
     if (Run.StartConfirmedAt != NoDeadline)
       continue;
@@ -367,8 +378,16 @@
                 {{"run", toText(Id)},
                  {"server", Server.Entry.Id},
                  {"orders", Run.StartsSent}});
-    Leader.StartRevocations.add(Server.Entry.Id, Id, Now);
+    Leader.StartRevocations.add(Server.Entry.Id, Id, Leader.Now());
   }
+}
+
+} // namespace
+
+void markServerLost(leader &Leader, server &Server,
+                    const std::string_view Reason) {
+  logLostServer(Leader, Server, Reason);
+  keepUnansweredStarts(Leader, Server);
   ++Leader.Counts->ServersLost;
   Server.Synced = false;
   Server.Registered = false;
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -76,11 +76,11 @@
 }
 
 /** @brief Logs that the wait for runs of an earlier leader has ended without a
- * response: they are taken for ended from now on. */
+ * response: they are treated as ended from now on. */
 void logEndOfWaitForRuns(const leader &Leader, server &Server) {
   Server.EndOfWaitLogged = true;
   Log.warning("no response from a backend server of an earlier leader, its "
-              "runs are taken for ended",
+              "runs are treated as ended",
               {{"server", Server.Entry.Id},
                {"pool", Server.Entry.Pool},
                {"epoch", Leader.Epoch},
@@ -89,7 +89,7 @@
                {"failures", Server.HeartbeatFailures}});
 }
 
-/** @brief Takes the runs for ended, unless a successor may have renewed the
+/** @brief Treats the runs as ended, unless a successor may have renewed the
  * lease. */
 void handleExpiredLease(leader &Leader, server &Server,
                         const time_point ExpiredAt) {
