Add partitions by epoch and late requests to the random soak

Its links to backend servers are shared by all nodes, its proxies deliver held bytes at once when a link recovers, and its tasks of 0.1 to 0.7 s have ended before a lease has expired, so that a second run could not overlap with the first.

Change: partition_injector cuts a random node off from the store while each VM is cut off from all leaders so far, from all later ones or, in half of the partitions, from none (a VM that both leaders reach deposes the former one); and it holds requests to VMs until 1 to 6 s after an outage. It has a generator and phases of its own, so that the draws of fault_injector stay the same, and renews the registrations of the VMs. long_running_jobs submits one job a pool whose tasks last; all of them have to run at the end. The kept seeds run as before, without these.

A leader that has been unconfirmed for several seconds answers queries from its own state, although its successor has completed or cancelled the job.

--- a/test/soak/soak_test.cpp
+++ b/test/soak/soak_test.cpp
@@ -2,7 +2,9 @@
 #include "soak/fault_injector.hpp"
 #include "soak/fleet_standin.hpp"
 #include "soak/job_clients.hpp"
+#include "soak/long_running_jobs.hpp"
 #include "soak/node_group.hpp"
+#include "soak/partition_injector.hpp"
 #include "soak/steady_clients.hpp"
 #include "soak/store_standin.hpp"
 #include <boost/test/unit_test.hpp>
@@ -38,6 +40,9 @@
   duration FaultTime{20 * Second};
   std::size_t Nodes{4};
   std::size_t VmsPerPool{4};
+  /** Whether partitions are injected, registrations renewed and long-running
+   * jobs submitted. */
+  bool Partitions{true};
 };
 
 /** Runs nodes, stand-ins, callers and fault injection in one event loop. */
@@ -47,11 +52,13 @@
       : Options{Options}, Store{Loop}, Fleet{Loop, Store, Options.Seed + 1},
         Nodes{Loop, Disruptions}, Faults{Loop,  Disruptions, Nodes,
                                          Store, Fleet,       Options.Seed},
-        Operator{Loop,
-                 Store,
-                 Nodes,
-                 Disruptions,
-                 {Pools, MaxAttempts, Options.Seed + 3}} {
+        Partitions{Loop, Disruptions, Nodes, Fleet, Options.Seed + 5},
+        LongRunning{Loop, Nodes, Fleet, Pools}, Operator{Loop,
+                                                         Store,
+                                                         Nodes,
+                                                         Disruptions,
+                                                         {Pools, MaxAttempts,
+                                                          Options.Seed + 3}} {
     Operator.publish();
     for (std::size_t I = 0; I < Options.VmsPerPool; ++I) {
       for (const auto &Pool : Pools)
@@ -72,19 +79,26 @@
     const auto WatchTimer =
         Loop.every(20 * Millisecond, [this] { Nodes.update(); });
     runLoopFor(3 * Second);
+    if (Options.Partitions)
+      BOOST_TEST(LongRunning.submit(bounds::Finish));
     auto SubmitTimer =
         Loop.every(JobInterval, [this] { Clients->submitNew(); });
     publishWave();
     Operator.start();
     Steady->start();
     Faults.start();
+    if (Options.Partitions)
+      Partitions.start(boot_clock::now() + Options.FaultTime + bounds::Grace);
     runLoopFor(Options.FaultTime);
     Faults.stop();
+    Partitions.stop();
     // Faults that are active when injection stops last this long at most.
     runLoopFor(bounds::Grace);
     SubmitTimer.cancel();
     static_cast<void>(Loop.runUntil([this] { return Clients->allSettled(); },
                                     boot_clock::now() + bounds::Finish));
+    if (Options.Partitions)
+      awaitLongRunning();
     // Long enough to see a cancelled task that runs on.
     runLoopFor(bounds::Cancel + bounds::Stop);
     Clients->checkAtEnd();
@@ -106,10 +120,11 @@
                        << Clients->countFinal("cancelled") << " cancelled, "
                        << Fleet.History.starts() << " starts, "
                        << Operator.versions() << " versions, seen in force "
-                       << Operator.confirmations()
-                       << " times; faults: " << Faults.summary());
+                       << Operator.confirmations() << " times; faults: "
+                       << Faults.summary() << "; " << Partitions.summary());
     BOOST_TEST(Accepted * 2 > Clients->size());
     BOOST_TEST(Faults.count() > 0U);
+    BOOST_TEST((Partitions.count() > 0U) == Options.Partitions);
     BOOST_TEST(Operator.confirmations() > 0U);
     BOOST_TEST(Fleet.MaxInMaintenance <= WaveMaxUnavailable);
     const auto Wave =
@@ -124,6 +139,13 @@
       BOOST_ERROR(Each);
   }
 
+  void awaitLongRunning() {
+    BOOST_TEST(
+        Loop.runUntil([this] { return LongRunning.allRun(); },
+                      boot_clock::now() + bounds::Finish),
+        "long-running tasks don't run once each:" << LongRunning.describe());
+  }
+
   void runLoopFor(const duration Duration) {
     static_cast<void>(
         Loop.runUntil([] { return false; }, boot_clock::now() + Duration));
@@ -158,6 +180,8 @@
   fleet_standin Fleet;
   node_group Nodes;
   fault_injector Faults;
+  partition_injector Partitions;
+  long_running_jobs LongRunning;
   config_operator Operator;
   std::unique_ptr<job_clients> Clients;
   std::unique_ptr<steady_clients> Steady;
@@ -169,13 +193,16 @@
   std::size_t Nodes;
   /** Duration of the phases with faults, s. */
   std::uint64_t FaultSeconds;
+  /** Whether it ran with partitions; without them, the faults stay the same. */
+  bool Partitions;
   const char *Cause;
 };
 
 const std::vector<kept_seed> KeptSeeds{
-    {4, 4, 20,
+    {4, 4, 20, false,
      "leader without the operator's rules took 1 as the attempt limit"},
-    {1013, 4, 13, "replaced leader denied a job of its successor to a cancel"},
+    {1013, 4, 13, false,
+     "replaced leader denied a job of its successor to a cancel"},
 };
 
 void runSoak(const soak_options &Options) {
@@ -211,6 +238,7 @@
       Options.Seed = Each.Seed;
       Options.Nodes = Each.Nodes;
       Options.FaultTime = Each.FaultSeconds * Second;
+      Options.Partitions = Each.Partitions;
       runSoak(Options);
     }
   }
