Restart tasks of lost backend servers only after a confirmation

Cause, from the nodes' logs: node-0 (epoch 9) was cut off from the store at 445.7 s; node-1 was elected at 447.09 s, noted the end of run 8001 of a task on i-9 and ordered the maintenance of its VM. node-0 saw the VM in maintenance at 447.70 s, within the 2.5 s of its grants, took its runs for ended and started the task again on a backend server that only node-0 reached. The evidence was right, the runs had ended; but how they ended only the successor knew. The class is that of: an inference that needs the sole leadership.

Change: a task whose run is released with its backend server, for whatever reason, starts again only after an append sent since then has succeeded, which is requested at once. No successor can have noted an end before that. tasks_of_a_lost_server_wait_for_a_confirmation plays it in virtual time.

--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -25,6 +25,10 @@
  * capacity. */
 constexpr double MaxLoadForExpired = 0.5;
 
+/** Interval at which tasks are looked at that wait for a confirmation of the
+ * leadership. */
+constexpr duration ConfirmationRetryInterval = std::chrono::milliseconds{20};
+
 /** Placement order, most urgent first. */
 enum class urgency : std::uint8_t {
   LongRunning,
@@ -77,10 +81,18 @@
   return Leader.Now() < Occurrence.Expiry ? urgency::Late : urgency::Expired;
 }
 
-bool isWaiting(const job &Job, const step_spec &Step, const task &Task,
-               const time_point Now) {
-  return !Task.Done && Task.Runs == 0 && Task.NotBefore <= Now &&
-         Job.permitsRun(Step, Task);
+bool isWaiting(const leader &Leader, const job &Job, const step_spec &Step,
+               const task &Task) {
+  return !Task.Done && Task.Runs == 0 && Task.NotBefore <= Leader.Now() &&
+         wasSoleLeaderAt(Leader, Task.ReleasedAt) && Job.permitsRun(Step, Task);
+}
+
+/** @brief Requests an append that shows whether there is a successor, and
+ * dispatch of the pool once it may have succeeded. */
+void awaitConfirmation(leader &Leader, const std::string &Pool) {
+  if (Leader.ConfirmLeadership)
+    Leader.ConfirmLeadership();
+  requestDispatch(Leader, Pool, Leader.Now() + ConfirmationRetryInterval);
 }
 
 /** @param MaxFree The largest amount of each resource that is free on any one
@@ -94,7 +106,9 @@
     const bool BacksOff = !Each.Done && Each.Runs == 0 && Each.NotBefore > Now;
     if (BacksOff)
       requestDispatch(Leader, Entry.Job.pool(), Each.NotBefore);
-    return isWaiting(Entry.Job, Spec, Each, Now);
+    if (!Each.Done && !wasSoleLeaderAt(Leader, Each.ReleasedAt))
+      awaitConfirmation(Leader, Entry.Job.pool());
+    return isWaiting(Leader, Entry.Job, Spec, Each);
   };
   for (auto &Occurrence : Entry.Job.openOccurrences()) {
     for (std::uint32_t I = 0; I < Occurrence.Steps.size(); ++I) {
@@ -173,9 +187,8 @@
   job_entry &Entry = *Candidate.Entry;
   const step_spec &Spec = Entry.Job.spec().Steps[Candidate.Step];
   auto &Tasks = Candidate.Occurrence->Steps[Candidate.Step].Tasks;
-  const time_point Now = Leader.Now();
   for (std::uint32_t I = 0; I < Tasks.size(); ++I) {
-    if (!isWaiting(Entry.Job, Spec, Tasks[I], Now))
+    if (!isWaiting(Leader, Entry.Job, Spec, Tasks[I]))
       continue;
     if (!Leader.StartWindow.open())
       return;
@@ -228,7 +241,7 @@
   const step_spec &Spec = Entry.Job.spec().Steps[Candidate.Step];
   auto &Tasks = Candidate.Occurrence->Steps[Candidate.Step].Tasks;
   const bool AllWait = std::ranges::all_of(Tasks, [&](const task &Each) {
-    return isWaiting(Entry.Job, Spec, Each, Leader.Now());
+    return isWaiting(Leader, Entry.Job, Spec, Each);
   });
   if (!AllWait)
     return;
@@ -267,9 +280,8 @@
   const job &Job = Candidate.Entry->Job;
   const step_spec &Spec = Job.spec().Steps[Candidate.Step];
   return static_cast<std::size_t>(std::ranges::count_if(
-      Candidate.Occurrence->Steps[Candidate.Step].Tasks, [&](const task &Each) {
-        return isWaiting(Job, Spec, Each, Leader.Now());
-      }));
+      Candidate.Occurrence->Steps[Candidate.Step].Tasks,
+      [&](const task &Each) { return isWaiting(Leader, Job, Spec, Each); }));
 }
 
 /** @brief Starts the tasks of a step that can be placed on permitted backend
--- a/src/galenalink/job/job.hpp
+++ b/src/galenalink/job/job.hpp
@@ -25,6 +25,9 @@
   std::string Checkpoint;
   /** Retry back-off: the task is not started before this time. */
   time_point NotBefore;
+  /** When a run was released that its backend server did not list as ended;
+   * the task is not started before an append since then has succeeded. */
+  time_point ReleasedAt;
 };
 
 /** @brief Progress of one step of an occurrence. */
--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -369,6 +369,19 @@
                {"failures", Server.HeartbeatFailures}});
 }
 
+/** @brief Keeps the tasks of the backend server from starting until an append
+ * since then has succeeded: a successor may have noted the ends of their runs.
+ */
+void requireConfirmation(leader &Leader, const server &Server,
+                         const time_point EndedAt) {
+  for (const auto &[Id, Run] : Server.Runs) {
+    job_entry *Entry = Leader.findJob(Id.Task.Job);
+    task *Task = Entry == nullptr ? nullptr : Entry->Job.find(Id.Task);
+    if (Task != nullptr)
+      Task->ReleasedAt = std::max(Task->ReleasedAt, EndedAt);
+  }
+}
+
 /** @brief Keeps the start orders without a response: they may still arrive. */
 void keepUnansweredStarts(leader &Leader, const server &Server) {
   for (const auto &[Id, Run] : Server.Runs) {
@@ -385,9 +398,11 @@
 } // namespace
 
 void markServerLost(leader &Leader, server &Server,
-                    const std::string_view Reason) {
+                    const std::string_view Reason,
+                    const std::optional<time_point> EndedAt) {
   logLostServer(Leader, Server, Reason);
   keepUnansweredStarts(Leader, Server);
+  requireConfirmation(Leader, Server, EndedAt.value_or(Leader.Now()));
   ++Leader.Counts->ServersLost;
   Server.Synced = false;
   Server.Registered = false;
--- a/src/galenalink/job/runs.hpp
+++ b/src/galenalink/job/runs.hpp
@@ -29,8 +29,10 @@
 void releaseRun(leader &Leader, server &Server, const run_id &Run);
 /** @brief Releases all runs of a backend server that has terminated or whose
  * lease has expired.
- * @param Reason Reason for the log. */
-void markServerLost(leader &Leader, server &Server, std::string_view Reason);
+ * @param Reason Reason for the log.
+ * @param EndedAt When the runs had ended at the latest; now if not set. */
+void markServerLost(leader &Leader, server &Server, std::string_view Reason,
+                    std::optional<time_point> EndedAt = std::nullopt);
 /** @brief Applies a run end that a backend server reports. */
 void applyRunEnd(leader &Leader, server &Server, const listed_end &End);
 /** @brief Sends stop requests again that had no response. */
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -94,7 +94,7 @@
 void handleExpiredLease(leader &Leader, server &Server,
                         const time_point ExpiredAt) {
   if (wasSoleLeaderAt(Leader, ExpiredAt))
-    markServerLost(Leader, Server, "lease expired");
+    markServerLost(Leader, Server, "lease expired", ExpiredAt);
   else if (Leader.ConfirmLeadership)
     Leader.ConfirmLeadership();
 }
--- a/test/galenalink/job/unconfirmed_leader.cpp
+++ b/test/galenalink/job/unconfirmed_leader.cpp
@@ -222,4 +222,24 @@
     BOOST_ERROR(Each);
 }
 
+// A leader that was unconfirmed for 1.5 s saw that its successor had ordered
+// the maintenance of a VM. It started the task of a run there again, whose end
+// the successor had noted.
+BOOST_AUTO_TEST_CASE(tasks_of_a_lost_server_wait_for_a_confirmation) {
+  two_servers Servers;
+  Servers.loseStore();
+  Servers.Platform.advance(Second);
+  Servers.Platform.crash("s0");
+  for (auto &Vm : Servers.Platform.Vms) {
+    if (Vm.Server == "s0")
+      Vm.State = vm_state::Maintenance;
+  }
+  Servers.Platform.advance(Second);
+  BOOST_TEST(mayGrantLeases(Servers.Platform.Leader->state()));
+  BOOST_TEST(Servers.Platform.Starts == 2U);
+  Servers.Platform.LeadershipConfirmedAt = Servers.Platform.Now;
+  Servers.Platform.advance(Second / 2);
+  BOOST_TEST(Servers.Platform.Starts == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
