--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
-# A wave of upkeep in a pool of three machines with a job that lasts. Needs the
-# build of the deploy file and review/build-2.sh. TROUBLE=0 sends no wave.
+# The leading process is killed again and again while the store answers slowly
+# in part. Needs the build of the deploy file and review/build-2.sh. TROUBLE=0
+# leaves the slow answers out; the processes are killed and restarted all the
+# same.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/apps/galenalinkd ] && [ -x target/review-2/world ] || exit 2
-exec timeout 118 target/review-2/world wave-in-small-pool review/6/record.txt
+exec timeout 118 target/review-2/world slow-claim review/6/record.txt
--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# A wave of upkeep in a pool of three machines with a job that lasts. Needs the
+# build of the deploy file and review/build-2.sh. TROUBLE=0 sends no wave.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/apps/galenalinkd ] && [ -x target/review-2/world ] || exit 2
+exec timeout 118 target/review-2/world wave-in-small-pool review/7/record.txt
--- a/review/standins-2/fleet.cc
+++ b/review/standins-2/fleet.cc
@@ -220,6 +220,10 @@
                       Machine.Id + " life " + std::to_string(Machine.Lives));
     }
   }
+  if (const auto Ended = DoneTasks.find(Task); Ended != DoneTasks.end())
+    Record.broken("TWICE " + Task + ": run " + std::to_string(Number) +
+                  " starts on " + Machine.Id + " after " + Ended->second +
+                  " had ended as done");
   Machine.Running.push_back(std::move(Run));
   reply(Exchange, 200, Ok);
 }
@@ -242,7 +246,14 @@
 void fleet::hold(machine &Machine, http::exchange Exchange, const json &Body) {
   const auto LastSeen = Body.value("lastSeen", std::uint64_t{0});
   std::erase_if(Machine.Listed, [&](const ended_run &Each) {
-    return Each.Number <= LastSeen;
+    if (Each.Number > LastSeen)
+      return false;
+    if (Each.How == "done" && !Each.Lapsed) {
+      DoneTasks[Each.Task] = "run " + std::to_string(Each.Run) + " on " +
+                             Machine.Id + ", taken note of at " +
+                             std::to_string(Record.now());
+    }
+    return true;
   });
   const auto WaitMs = Body.value("waitMs", 0U);
   if (WaitMs == 0 || !Machine.Listed.empty()) {
@@ -419,6 +430,8 @@
     if (Now >= Machine.NextEntryAt)
       writeEntry(Machine);
     const bool Lapsed = Machine.clockMs() > Machine.LeaseEndMs;
+    for (ended_run &Ended : Machine.Listed)
+      Ended.Lapsed = Ended.Lapsed || Lapsed;
     for (std::size_t I = Machine.Running.size(); I-- > 0;) {
       if (Lapsed)
         end(Machine, I, "lapsed");
--- a/review/standins-2/fleet.hh
+++ b/review/standins-2/fleet.hh
@@ -60,6 +60,8 @@
   std::string Task;
   std::uint64_t Run{0};
   std::string How;
+  // The lease lapsed before the end was taken note of.
+  bool Lapsed{false};
 };
 
 struct held_call {
@@ -169,6 +171,8 @@
   std::uint64_t LastId{0};
   std::size_t Starts{0};
   std::size_t Done{0};
+  // Tasks with a run that has ended `done`, once that is taken note of.
+  std::map<std::string, std::string> DoneTasks;
 };
 
 } // namespace review
--- a/review/standins-2/main.cc
+++ b/review/standins-2/main.cc
@@ -1,6 +1,7 @@
 // review-2 SCENARIO RECORD: exit status 1 if the rule was broken, 0 if it held,
 // 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 #include "world.hh"
+#include <csignal>
 #include <cstdlib>
 #include <cstring>
 #include <iostream>
@@ -14,6 +15,10 @@
   return Value == nullptr || std::strcmp(Value, "0") != 0;
 }
 
+// Of the store's answers, that share takes 50 times as long while it is slow.
+constexpr double SlowShare = 0.25;
+constexpr duration SlowAnswer = 200 * Ms;
+
 json step(const int Count, const int Cpu, const int EstimateMs) {
   return {{"count", Count},
           {"cpu", Cpu},
@@ -134,6 +139,53 @@
   return verdict(World, World.accepted() == 1);
 }
 
+// The leading process is killed again and again while the store is slow.
+int slowClaim(const std::string &File) {
+  world World{File, 3};
+  World.publishConfig({{{"name", "mailing"}, {"service", "postroom"}}},
+                      {{{"name", "postroom"}, {"admissionCheck", false}}});
+  for (int I = 0; I < 8; ++I)
+    World.Fleet.add("m-" + std::to_string(I), "postroom",
+                    "r-" + std::to_string(I / 4));
+  World.pause(4000 * Ms);
+  json Second = step(2, 1000, 2500);
+  Second["dependsOn"] = {0};
+  const json Body{{"spec", "2500"},
+                  {"steps", json::array({step(2, 1000, 2500), Second})}};
+  constexpr int Seconds = 76;
+  constexpr int JobsPerSecond = 15;
+  for (int I = 0; I < Seconds * JobsPerSecond; ++I)
+    World.after(I * 1000 / JobsPerSecond * Ms,
+                [&World, Body] { World.submit("mailing", Body); });
+  constexpr duration First = 3000 * Ms;
+  constexpr duration Interval = 3300 * Ms;
+  constexpr int Kills = 21;
+  const auto SetSlow = [&World](const double Share) {
+    for (node &Each : World.Nodes)
+      Each.Store->setSlow(Share, SlowAnswer);
+    World.Record.line(Share > 0 ? "the store is slow" : "the store is fast");
+  };
+  for (int I = 0; I < Kills; ++I) {
+    const duration At = First + I * Interval;
+    World.after(At, [&World] {
+      const std::size_t Leader = World.leader();
+      if (Leader < World.Nodes.size())
+        World.restart(Leader, 500 * Ms, SIGKILL);
+    });
+    if (!troubled())
+      continue;
+    World.after(At - 200 * Ms, [SetSlow] { SetSlow(SlowShare); });
+    World.after(At + 2000 * Ms, [SetSlow] { SetSlow(0); });
+  }
+  World.pause(Seconds * 1000 * Ms + 14000 * Ms);
+  World.query();
+  for (const auto &[Id, Job] : World.Jobs) {
+    if (Job.Accepted && Job.State == "410")
+      World.Record.broken("LOST job " + Id + " was accepted and isn't known");
+  }
+  return verdict(World, World.accepted() > Seconds * 2);
+}
+
 } // namespace
 
 int main(const int Count, char **Words) {
@@ -143,6 +195,8 @@
   try {
     if (Scenario == "restart-under-id")
       return restartUnderId(Words[2]);
+    if (Scenario == "slow-claim")
+      return slowClaim(Words[2]);
     if (Scenario == "wave-in-small-pool")
       return waveInSmallPool(Words[2]);
   } catch (const std::exception &Error) {
--- a/review/standins-2/world.cc
+++ b/review/standins-2/world.cc
@@ -30,9 +30,8 @@
     Node.Host = hostOf(I);
     const http::address Callers{Node.Host, 8624};
     Node.Callers = std::make_unique<soak::tcp_proxy>(Loop, Callers);
-    // The store answers in 4 ms.
-    Node.Store = std::make_unique<soak::tcp_proxy>(Loop, Store.address());
-    Node.Store->setFault(soak::link_fault::Delayed, 2 * Ms);
+    Node.Store =
+        std::make_unique<slow_link>(Loop, Store.address(), 1 + I);
     Node.Settings = Directory / (Node.Name + ".json");
     // The fields of deploy/settings.json with the figures of a small site.
     const json Settings{
--- a/review/standins-2/world.hh
+++ b/review/standins-2/world.hh
@@ -5,6 +5,7 @@
 
 #include "fleet.hh"
 #include "galenalink/http/client.hpp"
+#include "slow_link.hh"
 #include "system/process.hpp"
 #include <filesystem>
 
@@ -15,7 +16,7 @@
   std::string Host;
   std::filesystem::path Settings;
   std::unique_ptr<soak::tcp_proxy> Callers;
-  std::unique_ptr<soak::tcp_proxy> Store;
+  std::unique_ptr<slow_link> Store;
   std::unique_ptr<galenalink::system_test::process> Process;
   time_point StartAt{NoDeadline};
   bool MayEnd{false};
