--- a/review/standins-2/fleet.cc
+++ b/review/standins-2/fleet.cc
@@ -81,7 +81,10 @@
   Machine.ClockStart = boot_clock::now();
   Record.line("executor " + Machine.Id + " on " + Machine.Name +
               " begins life " + std::to_string(Machine.Lives));
-  writeEntry(Machine);
+  if (NewId || EntryDelay == duration{0})
+    writeEntry(Machine);
+  else
+    Machine.NextEntryAt = boot_clock::now() + EntryDelay;
 }
 
 void fleet::writeEntry(machine &Machine) {
@@ -327,11 +330,17 @@
   return Places;
 }
 
-std::size_t fleet::busiest() const {
+std::size_t fleet::busiest(const std::int64_t FreeCpu) const {
   std::size_t Best = 0;
+  std::size_t Most = 0;
   for (std::size_t I = 0; I < Machines.size(); ++I) {
-    if (Machines[I]->Running.size() > Machines[Best]->Running.size())
+    std::int64_t Free = Cpu;
+    for (const run &Each : Machines[I]->Running)
+      Free -= Each.Cpu;
+    if (Free >= FreeCpu && Machines[I]->Running.size() >= Most) {
       Best = I;
+      Most = Machines[I]->Running.size();
+    }
   }
   return Best;
 }
--- a/review/standins-2/fleet.hh
+++ b/review/standins-2/fleet.hh
@@ -127,8 +127,8 @@
   [[nodiscard]] std::size_t placesFor(const std::string &Job,
                                       std::size_t MostOnOne,
                                       std::int64_t Cpu) const;
-  // The machine with most runs.
-  [[nodiscard]] std::size_t busiest() const;
+  // The machine with most runs of those that have room for so much more.
+  [[nodiscard]] std::size_t busiest(std::int64_t FreeCpu) const;
   [[nodiscard]] std::size_t starts() const { return Starts; }
   [[nodiscard]] std::size_t doneRuns() const { return Done; }
 
@@ -142,6 +142,8 @@
   std::function<void(const machine &)> OnUpkeep;
   duration UpkeepTime{2000 * Ms};
   duration HeartbeatTime{1500 * Ms};
+  // From the start of a life under an id of before to its first entry.
+  duration EntryDelay{0 * Ms};
   std::int64_t Cpu{32000};
   // What a task of a job asks for, by job.
   std::map<std::string, std::int64_t> TaskCpu;
--- a/review/standins-2/main.cc
+++ b/review/standins-2/main.cc
@@ -43,6 +43,8 @@
 // Backend servers lose power silently and start again under their ids.
 int restartUnderId(const std::string &File) {
   world World{File, 3};
+  // Entries are written every 1.5 s; the first of the new life after 1 s.
+  World.Fleet.EntryDelay = 1000 * Ms;
   World.publishConfig({{{"name", "mailing"}, {"service", "postroom"}}},
                       {{{"name", "postroom"}, {"admissionCheck", false}}});
   for (int I = 0; I < 8; ++I)
@@ -56,9 +58,9 @@
     World.after(I * 100 * Ms,
                 [&World, Body] { World.submit("mailing", Body); });
   if (troubled()) {
-    for (int I = 0; I < 4; ++I)
-      World.after((4000 + I * 6000) * Ms, [&World] {
-        World.Fleet.darkRestart(World.Fleet.busiest(), 800 * Ms);
+    for (int I = 0; I < 8; ++I)
+      World.after((4000 + I * 3000) * Ms, [&World] {
+        World.Fleet.darkRestart(World.Fleet.busiest(6000), 800 * Ms);
       });
   }
   World.pause(Jobs * 100 * Ms + 10000 * Ms);
