--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Backend servers lose power silently for 0.8 s and start again under their ids.
-# Needs the build of the deploy file and review/build-2.sh. TROUBLE=0 leaves
-# the losses of power out.
+# Backend servers are cut off silently for 0.8 s and start again under their ids
+# behind the cut. Needs the build of the deploy file and review/build-2.sh.
+# TROUBLE=0 leaves the cuts and the new starts out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/apps/galenalinkd ] && [ -x target/review-2/world ] || exit 2
 exec timeout 118 target/review-2/world restart-under-id review/8/record.txt
--- a/review/standins-2/fleet.cc
+++ b/review/standins-2/fleet.cc
@@ -124,7 +124,7 @@
 
 void fleet::darkRestart(const std::size_t Index, const duration Dark) {
   machine &Machine = *Machines.at(Index);
-  Record.line("executor " + Machine.Id + " loses power, silently, for " +
+  Record.line("executor " + Machine.Id + " is cut off, silently, and starts again behind the cut, for " +
               std::to_string(Dark / Ms) + " ms");
   lose(Machine);
   Machine.Link->powerOff();
--- a/review/standins-2/fleet.hh
+++ b/review/standins-2/fleet.hh
@@ -117,7 +117,8 @@
   void add(const std::string &Name, const std::string &Pool,
            const std::string &Rack);
   [[nodiscard]] http::address listAddress() const;
-  // Silent loss of power for a time; then the server starts again under its id.
+  // Cut off silently for a time, in which the server crashes and starts again
+  // under its id.
   void darkRestart(std::size_t Index, duration Dark);
   [[nodiscard]] std::size_t size() const { return Machines.size(); }
   machine &at(std::size_t Index) { return *Machines.at(Index); }
--- a/review/standins-2/link.hh
+++ b/review/standins-2/link.hh
@@ -1,6 +1,7 @@
-// A link to one machine whose power can fail. Without power the machine takes
-// no connection and answers nothing; nobody is told. When it is back, a
-// connection of before is reset as soon as its peer has sent something on it.
+// A link to one machine that is cut off silently while its backend server
+// crashes and starts again. Meanwhile the machine takes no connection and answers
+// nothing; nobody is told. When it is back, a connection of before is reset as
+// soon as its peer has sent something on it.
 #ifndef REVIEW_2_LINK_HH
 #define REVIEW_2_LINK_HH
 
--- a/review/standins-2/main.cc
+++ b/review/standins-2/main.cc
@@ -40,7 +40,7 @@
   return Status;
 }
 
-// Backend servers lose power silently and start again under their ids.
+// Backend servers are cut off and start again under their ids behind the cut.
 int restartUnderId(const std::string &File) {
   world World{File, 3};
   // Entries are written every 1.5 s; the first of the new life after 1 s.
@@ -154,14 +154,14 @@
   Second["dependsOn"] = {0};
   const json Body{{"spec", "2500"},
                   {"steps", json::array({step(2, 1000, 2500), Second})}};
-  constexpr int Seconds = 76;
+  constexpr int Seconds = 92;
   constexpr int JobsPerSecond = 15;
   for (int I = 0; I < Seconds * JobsPerSecond; ++I)
     World.after(I * 1000 / JobsPerSecond * Ms,
                 [&World, Body] { World.submit("mailing", Body); });
   constexpr duration First = 3000 * Ms;
   constexpr duration Interval = 3300 * Ms;
-  constexpr int Kills = 21;
+  constexpr int Kills = 27;
   const auto SetSlow = [&World](const double Share) {
     for (node &Each : World.Nodes)
       Each.Store->setSlow(Share, SlowAnswer);
@@ -179,7 +179,7 @@
     World.after(At - 200 * Ms, [SetSlow] { SetSlow(SlowShare); });
     World.after(At + 2000 * Ms, [SetSlow] { SetSlow(0); });
   }
-  World.pause(Seconds * 1000 * Ms + 14000 * Ms);
+  World.pause(Seconds * 1000 * Ms + 9000 * Ms);
   World.query();
   for (const auto &[Id, Job] : World.Jobs) {
     if (Job.Accepted && Job.State == "410")
