Elect a node once for each epoch

Cause: a node that claims leadership while a read of the leader log is under way learns of its claim from the read and again from the response to the claim. Both called OnElected.

Change: the elector reports an epoch once, whichever of the two comes first, and logs "elected" on both paths. Related: a claim at or below the current epoch is ignored, so that a late response to a superseded claim, or a read that was under way when a fence deposed the node, does not bring an old leadership back. A change of epoch without a gap counts as deposed.

Tests, each failed before: leader_elector_with_slow_store/ claim_read_before_its_response_elects_once (two elections), leader_election/claim_read_after_the_resignation_is_ignored and late_response_to_a_superseded_claim_is_ignored.

--- a/src/galenalink/job/election.cpp
+++ b/src/galenalink/job/election.cpp
@@ -59,10 +59,13 @@
   // The claim of an epoch precedes its other records.
   if (Record.Kind != leader_record::kind::Claim && Record.Epoch > Offset)
     return;
+  // A claim is reported by its response and by a read of the log, in any order.
+  // Between the two the node may have resigned or read a later claim.
+  if (Record.Kind == leader_record::kind::Claim && Offset < Current.Epoch)
+    return;
   const bool OwnClaim =
       Record.Kind == leader_record::kind::Claim && Record.Node == Settings.Node;
-  // The same claim may be applied by its response and by a read.
-  if (OwnClaim && OwnEpoch != Offset + 1)
+  if (OwnClaim)
     PredecessorSeenAt = std::max({LastRecordAt, LastAppendAt, RecordsLostAt});
   LastRecordAt = Now;
   UnreachableEpoch = 0;
--- a/src/galenalink/job/election.hpp
+++ b/src/galenalink/job/election.hpp
@@ -78,7 +78,8 @@
   explicit election(election_settings Settings)
       : Settings{std::move(Settings)} {}
 
-  /** @brief Applies a record; to be called in the order of the log. */
+  /** @brief Applies a record; to be called in the order of the log. A claim
+   * that is not above the current epoch has no effect. */
   void applyRecord(std::uint64_t Offset, const leader_record &Record,
                    time_point Now);
   /** @brief Notes that the log was read up to the given end. */
@@ -96,7 +97,8 @@
     return !Current.Released && Current.Node == Settings.Node &&
            Current.Epoch != 0 && OwnEpoch == Current.Epoch;
   }
-  /** @brief Notes that the node's own claim was appended at the offset. */
+  /** @brief Notes that the node's own claim was appended at the offset. The
+   * claim may have been read and superseded meanwhile. */
   void claimed(std::uint64_t Offset, time_point Now);
   /** @brief Makes the leadership of the epoch vacant without waiting for the
    * election timeout: its node reports that the leading process has ended or
--- a/src/galenalink/job_node/leader_elector.cpp
+++ b/src/galenalink/job_node/leader_elector.cpp
@@ -170,11 +170,7 @@
   Election.readSucceeded(Result.Next, Now);
   notifyIfDeposed();
   notifyLeaderChange();
-  if (Election.leads() && !WasLeading) {
-    WasLeading = true;
-    LedEpoch = Election.current().Epoch;
-    Hooks.OnElected(Election.current().Epoch);
-  }
+  notifyIfElected();
   step();
 }
 
@@ -227,11 +223,8 @@
   UnconfirmedSince = NoDeadline;
   if (Kind == leader_record::kind::Claim) {
     Election.claimed(Offset, Now);
-    WasLeading = true;
-    LedEpoch = Offset + 1;
-    Log.info("elected", {{"epoch", Offset + 1}});
     notifyLeaderChange();
-    Hooks.OnElected(Offset + 1);
+    notifyIfElected();
   } else {
     Election.readSucceeded(Offset + 1, Now);
     Election.heartbeatSent(Now);
@@ -251,8 +244,19 @@
   Hooks.OnLeaderChange(Current);
 }
 
+void leader_elector::notifyIfElected() {
+  const std::uint64_t Epoch = Election.current().Epoch;
+  if (!Election.leads() || Epoch <= LedEpoch)
+    return;
+  WasLeading = true;
+  LedEpoch = Epoch;
+  Log.info("elected", {{"epoch", Epoch}});
+  Hooks.OnElected(Epoch);
+}
+
 void leader_elector::notifyIfDeposed(const std::string_view RejectedBy) {
-  if (!WasLeading || Election.leads())
+  const bool Leads = Election.leads() && Election.current().Epoch == LedEpoch;
+  if (!WasLeading || Leads)
     return;
   WasLeading = false;
   // After a fence, the log names the successor once it is read again.
--- a/src/galenalink/job_node/leader_elector.hpp
+++ b/src/galenalink/job_node/leader_elector.hpp
@@ -31,7 +31,10 @@
 class leader_elector {
 public:
   struct hooks {
-    /** This node has been elected leader of the epoch. */
+    /** This node has been elected leader of the epoch; called once for each
+     * epoch. A second leader of one epoch would append under sequence numbers
+     * that the first one has used, which the store acknowledges without storing
+     * anything. */
     std::function<void(std::uint64_t Epoch)> OnElected;
     /** This node is no longer the leader. */
     std::function<void()> OnDeposed;
@@ -86,6 +89,7 @@
   void handleAppendResult(job::leader_record::kind Kind, std::uint64_t Offset,
                           const job::claim_result &Result);
   void handleReadResult(const job::read_result &Result);
+  void notifyIfElected();
   /** @param RejectedBy The outside system that fenced a request; empty if the
    * log shows the successor. */
   void notifyIfDeposed(std::string_view RejectedBy = {});
--- a/test/galenalink/job/election.cpp
+++ b/test/galenalink/job/election.cpp
@@ -69,6 +69,29 @@
   BOOST_TEST(A.current().Epoch == 5U);
 }
 
+// A read of the log that was under way at the claim brought a leader back that
+// had resigned since: it led its epoch a second time.
+BOOST_AUTO_TEST_CASE(claim_read_after_the_resignation_is_ignored) {
+  election A = makeElection("a");
+  A.claimed(4, Start);
+  BOOST_REQUIRE(A.leads());
+  A.resign();
+  A.applyRecord(4, makeClaim("a"), Start);
+  BOOST_TEST(!A.leads());
+}
+
+// A late response to a claim that was read and superseded meanwhile made the
+// node lead beside its successor.
+BOOST_AUTO_TEST_CASE(late_response_to_a_superseded_claim_is_ignored) {
+  election A = makeElection("a");
+  A.applyRecord(4, makeClaim("a"), Start);
+  A.applyRecord(5, makeClaim("b"), Start);
+  A.claimed(4, Start + Second);
+  BOOST_TEST(!A.leads());
+  BOOST_TEST(A.current().Epoch == 6U);
+  BOOST_TEST(A.current().Node == "b");
+}
+
 // The election timeout must not run while the node cannot read the log.
 // Otherwise all nodes would claim at once after an outage of the store.
 BOOST_AUTO_TEST_CASE(election_timeout_runs_only_while_reading) {
--- a/test/galenalink/job_node/leader_elector.cpp
+++ b/test/galenalink/job_node/leader_elector.cpp
@@ -187,3 +187,92 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/** A node that replaces an unhealthy leader on a log whose reads wait for new
+ * records, and whose responses to appends arrive long after the record. */
+struct slow_claim_fixture {
+  http::loop Loop;
+  ports Ports;
+  std::vector<keyed_record> Log;
+  /** Responds to the read that waits for a new record; unset without one. */
+  std::function<void()> WaitingRead;
+  std::uint32_t ClaimResponses{0};
+  std::vector<std::uint64_t> ElectedEpochs;
+  std::vector<http::timer> Timers;
+
+  slow_claim_fixture() {
+    Log.push_back(
+        {"", toText({leader_record::kind::Claim, "other", "other:1", 0})});
+    Ports.Read = [this](topic, const std::uint64_t From, const std::uint32_t,
+                        const auto &Callback) {
+      WaitingRead = [this, From, Callback] {
+        read_result Result;
+        Result.Outcome = call_outcome::Done;
+        Result.Records.assign(Log.begin() + static_cast<std::ptrdiff_t>(From),
+                              Log.end());
+        Result.Next = Log.size();
+        Result.End = Log.size();
+        Callback(Result);
+      };
+      if (From < Log.size())
+        runAfter(1, [this] { respondToRead(); });
+    };
+    Ports.Claim = [this](std::uint64_t, const std::string &Record,
+                         const auto &Callback) {
+      Log.push_back({"", Record});
+      runAfter(1, [this] { respondToRead(); });
+      runAfter(100, [this, Callback] {
+        ++ClaimResponses;
+        Callback({call_outcome::Done, 0});
+      });
+    };
+  }
+
+  void respondToRead() {
+    if (const auto Respond = std::exchange(WaitingRead, nullptr))
+      Respond();
+  }
+
+  void runAfter(const std::uint32_t DelayMs, std::function<void()> Call) {
+    Timers.push_back(
+        Loop.at(boot_clock::now() + DelayMs * Millisecond, std::move(Call)));
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(leader_elector_with_slow_store)
+
+// A claim that was read from the log before its response arrived elected the
+// node twice for one epoch. The second leader reused the sequence numbers of
+// the first one, so the store acknowledged its appends without storing them:
+// accepted jobs were lost.
+BOOST_AUTO_TEST_CASE(claim_read_before_its_response_elects_once) {
+  slow_claim_fixture Store;
+  election_settings Settings;
+  Settings.Node = "self";
+  Settings.Address = "self:1";
+  Settings.StartedAt = boot_clock::now();
+  leader_elector Elector{
+      Store.Loop,
+      Store.Ports,
+      Settings,
+      {[&](const std::uint64_t Epoch) { Store.ElectedEpochs.push_back(Epoch); },
+       [] {}, [](const leadership &) {},
+       [&](const leadership &, std::function<void(probe_result)> Done) {
+         Store.runAfter(
+             1, [Done = std::move(Done)] { Done(probe_result::Unhealthy); });
+       }}};
+  Elector.start();
+  static_cast<void>(
+      Store.Loop.runUntil([&] { return Store.ClaimResponses > 0; },
+                          boot_clock::now() + 5000 * Millisecond));
+  BOOST_REQUIRE(Store.ClaimResponses > 0);
+  BOOST_TEST(Elector.leads());
+  BOOST_REQUIRE(Store.ElectedEpochs.size() == 1U);
+  BOOST_TEST(Store.ElectedEpochs.front() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
