--- a/src/galenalink/job/vm_orders.hpp
+++ b/src/galenalink/job/vm_orders.hpp
@@ -28,13 +28,6 @@
  * registration is missing.
  * @return Null if the VM has none or it is not known yet. */
 [[nodiscard]] server *serverOnVm(leader &Leader, std::string_view Vm);
-/** @brief Whether all runs on the backend server may be ended now without
- * exceeding the disruption budget of any long-running step. */
-[[nodiscard]] bool budgetsAllowDisruption(const leader &Leader,
-                                          const server &Server);
-/** @brief Stops long-running tasks on a cordoned backend server, as far as the
- * disruption budgets of their steps allow, so that they restart elsewhere. */
-void evacuate(leader &Leader, server &Server);
 /** @return Number of runs on the backend server that are not long-running. */
 [[nodiscard]] std::size_t countFiniteRuns(const server &Server);
 
