Drain only VMs whose long-running tasks can leave

Cause: drains of one pool were started without regard to each other, and a task was stopped to leave a VM without asking whether any VM that still took work had room for it. The stopped task used up its step's disruption budget, so that neither drain could end, and nothing gave a drain up.

Change: a drain starts only while the runs there can move, or be ended, within their budgets, counting VMs that are about to return; a drain that can no longer end is given up and its backend server takes work again; a task is stopped only with room for it, and for those that wait already, on backend servers that accept work. Finite runs there are left out of account, since they end.

--- a/src/galenalink/job/disruption_budget.cpp
+++ b/src/galenalink/job/disruption_budget.cpp
@@ -1,4 +1,5 @@
 #include "galenalink/job/disruption_budget.hpp"
+#include "galenalink/job/placement.hpp"
 #include "galenalink/job/runs.hpp"
 #include <algorithm>
 
@@ -64,6 +65,72 @@
   return Step != nullptr && Step->DisruptionBudget > 0 ? Step : nullptr;
 }
 
+/** @brief Counts the tasks of the step that have no run anywhere. */
+std::uint32_t countTasksWithoutRun(const job &Job, const task_id &Id) {
+  const auto &Occurrences = Job.openOccurrences();
+  const auto Found =
+      std::ranges::find(Occurrences, Id.Occurrence, &occurrence::Number);
+  if (Found == Occurrences.end())
+    return 0;
+  return static_cast<std::uint32_t>(
+      std::ranges::count_if(Found->Steps[Id.Step].Tasks, [](const task &Each) {
+        return !Each.Done && Each.Runs == 0;
+      }));
+}
+
+/** @brief Counts the further tasks of the step that other backend servers of
+ * the job's pool can take now, if finite runs there are left to end.
+ * @param Max Counting ends at this number. */
+std::uint32_t countPlacesElsewhere(const leader &Leader, const job &Job,
+                                   const task_id &Id, const server &Server,
+                                   const std::uint32_t Max) {
+  const step_spec &Step = Job.spec().Steps[Id.Step];
+  std::uint32_t Places = 0;
+  for (const server *Each : Leader.ServersByPool.of(Job.pool())) {
+    if (Places >= Max)
+      break;
+    if (Each != &Server && acceptsWork(*Each, Leader.Now()))
+      Places += countLongRunningPlaces(*Each, Step, Id, Max - Places);
+  }
+  return Places;
+}
+
+/** @brief Whether the VM will soon serve the pool with a backend server that
+ * has no runs. */
+bool isArriving(const leader &Leader, const vm &Vm,
+                const std::string_view Pool) {
+  const auto Order = Leader.PendingVmOrders.find(Vm.Name);
+  if (Order != Leader.PendingVmOrders.end() && !Order->second.Pool.empty())
+    return Order->second.Pool == Pool;
+  if (Vm.Pool != Pool)
+    return false;
+  if (Order != Leader.PendingVmOrders.end() ||
+      Vm.State == vm_state::Maintenance || Vm.State == vm_state::Moving)
+    return true;
+  const server *Server = Leader.findServer(Vm.Server);
+  return Vm.State == vm_state::Up && (Server == nullptr || !Server->Synced);
+}
+
+/** @brief Counts the further tasks of the step that VMs can take which are
+ * about to serve the job's pool.
+ * @param Max Counting ends at this number. */
+std::uint32_t countArrivingPlaces(const leader &Leader, const job &Job,
+                                  const task_id &Id, const std::uint32_t Max) {
+  const step_spec &Step = Job.spec().Steps[Id.Step];
+  std::uint32_t Places = 0;
+  for (const auto &[Name, Vm] : Leader.Vms) {
+    if (Places >= Max)
+      break;
+    if (!isArriving(Leader, Vm, Job.pool()))
+      continue;
+    server Empty;
+    Empty.Entry.Capacity = Vm.Capacity;
+    Empty.Entry.Labels = Vm.Labels;
+    Places += countLongRunningPlaces(Empty, Step, Id, Max - Places);
+  }
+  return Places;
+}
+
 } // namespace
 
 bool budgetsAllowDisruption(const leader &Leader, const server &Server) {
@@ -79,6 +146,26 @@
   });
 }
 
+bool canVacate(const leader &Leader, const server &Server) {
+  return std::ranges::all_of(Server.Runs, [&](const auto &Each) {
+    const auto &[Id, Run] = Each;
+    const step_spec *Step = findBudgetedStep(Leader, Id, Run);
+    if (Step == nullptr)
+      return true;
+    const job &Job = Leader.findJob(Id.Task.Job)->Job;
+    const std::uint32_t Unplaced =
+        countRunsOnServer(Server, Id.Task) + countTasksWithoutRun(Job, Id.Task);
+    if (Unplaced <= Step->DisruptionBudget)
+      return true;
+    const std::uint32_t Needed = Unplaced - Step->DisruptionBudget;
+    const std::uint32_t Places =
+        countPlacesElsewhere(Leader, Job, Id.Task, Server, Needed);
+    return Places +
+               countArrivingPlaces(Leader, Job, Id.Task, Needed - Places) >=
+           Needed;
+  });
+}
+
 void evacuate(leader &Leader, server &Server) {
   std::vector<run_id> Leaving;
   for (const auto &[Id, Run] : Server.Runs) {
@@ -96,9 +183,13 @@
         std::ranges::any_of(Leaving, [&, Task = Id.Task](const run_id &Each) {
           return Each.Task.Job == Task.Job;
         });
-    if (!AnyUnavailable && !AlreadyChosen &&
+    const bool MayLeave =
+        !AnyUnavailable && !AlreadyChosen &&
         countUnavailableElsewhere(Leader, Job, Id.Task, Server) <
-            Step->DisruptionBudget)
+            Step->DisruptionBudget;
+    const std::uint32_t Needed = countTasksWithoutRun(Job, Id.Task) + 1;
+    if (MayLeave &&
+        countPlacesElsewhere(Leader, Job, Id.Task, Server, Needed) == Needed)
       Leaving.push_back(Id);
   }
   for (const auto &Id : Leaving)
--- a/src/galenalink/job/maintenance.cpp
+++ b/src/galenalink/job/maintenance.cpp
@@ -155,6 +155,25 @@
   }
 }
 
+/** @brief Ends drains whose runs can't leave within their disruption budgets.
+ * Their backend servers take work again, which runs on other draining backend
+ * servers may need; the VMs are drained later. */
+void giveUpBlockedDrains(leader &Leader, wave_progress &Wave) {
+  std::erase_if(Wave.Draining, [&](const auto &Each) {
+    server *Server = serverOnVm(Leader, Each.first);
+    if (Server == nullptr || canVacate(Leader, *Server))
+      return false;
+    Log.info("drain given up, its runs have no room elsewhere",
+             {{"vm", Each.first},
+              {"wave", Wave.Wave.Number},
+              {"runs", Server->Runs.size()},
+              {"draining", Wave.Draining.size()}});
+    Server->Cordoned = false;
+    requestDispatch(Leader, Server->Entry.Pool);
+    return true;
+  });
+}
+
 void startDrains(leader &Leader, wave_progress &Wave) {
   const time_point Now = Leader.Now();
   auto Remaining = remainingVms(Leader, Wave);
@@ -172,7 +191,12 @@
   for (const auto &Vm : Remaining) {
     if (Wave.Draining.size() + Down >= Limit)
       return;
+    server *Server = serverOnVm(Leader, Vm);
+    if (Server != nullptr && !canVacate(Leader, *Server))
+      continue;
     Wave.Draining.emplace(Vm, Now);
+    if (Server != nullptr)
+      Server->Cordoned = true;
   }
 }
 
@@ -199,6 +223,7 @@
 void advanceWave(leader &Leader, wave_progress &Wave) {
   if (Wave.CompletedPublished || Wave.Wave.Vms.empty())
     return;
+  giveUpBlockedDrains(Leader, Wave);
   orderMaintenanceOfDrained(Leader, Wave);
   startDrains(Leader, Wave);
   const bool Complete =
--- a/src/galenalink/job/placement.cpp
+++ b/src/galenalink/job/placement.cpp
@@ -103,6 +103,28 @@
          countRunsOfStep(Server, Request.Task) < Step.MaxPerServer;
 }
 
+std::uint32_t countLongRunningPlaces(const server &Server,
+                                     const step_spec &Step, const task_id &Task,
+                                     const std::uint32_t Max) {
+  if (!hasLabel(Server, Step.Label))
+    return 0;
+  std::uint32_t Places = Max;
+  if (Step.MaxPerServer != 0)
+    Places = std::min(
+        Places, Step.MaxPerServer -
+                    std::min(Step.MaxPerServer, countRunsOfStep(Server, Task)));
+  resources Free = Server.Entry.Capacity;
+  for (const auto &[Id, Run] : Server.Runs) {
+    if (Run.LongRunning)
+      Free -= server::chargedResources(Run.Size, Run.BestEffort);
+  }
+  const resources Needed = server::chargedResources(Step.Size, Step.BestEffort);
+  std::uint32_t Count = 0;
+  for (; Count < Places && Needed.fits(Free); ++Count)
+    Free -= Needed;
+  return Count;
+}
+
 server *chooseServer(const std::vector<server *> &Servers,
                      const placement_request &Request) {
   const rack_runs Racks = Request.Step->LongRunning
--- a/src/galenalink/job/placement.hpp
+++ b/src/galenalink/job/placement.hpp
@@ -29,6 +29,16 @@
 [[nodiscard]] bool canRun(const server &Server,
                           const placement_request &Request);
 
+/**
+ * @brief Counts the further tasks of a long-running step that the backend
+ * server can take once the finite runs there have ended.
+ * @param Max Counting ends at this number.
+ */
+[[nodiscard]] std::uint32_t countLongRunningPlaces(const server &Server,
+                                                   const step_spec &Step,
+                                                   const task_id &Task,
+                                                   std::uint32_t Max);
+
 /**
  * @brief Chooses the backend server for a task. Finite tasks are packed where
  * the least CPU is free, which keeps capacity for large tasks. Tasks of a
--- a/test/galenalink/job/maintenance.cpp
+++ b/test/galenalink/job/maintenance.cpp
@@ -36,6 +36,87 @@
   BOOST_TEST(minRunning(Platform, 6, 6000 * Millisecond) >= 5U);
 }
 
+namespace {
+
+/** @brief A long-running step, two of whose tasks fit on one backend server. */
+step_spec makePairedStep(const std::uint32_t Count) {
+  auto Step = makeLongRunningStep(Count, 1);
+  Step.MaxPerServer = 2;
+  return Step;
+}
+
+std::size_t countRunning(const simulated_platform &Platform,
+                         const std::uint32_t Count) {
+  std::size_t Running = 0;
+  for (std::uint32_t Index = 0; Index < Count; ++Index)
+    Running += Platform.countRunning({"a", 0, 0, Index});
+  return Running;
+}
+
+/** @return VMs whose backend servers have as many runs. */
+std::vector<std::string> vmsWithRuns(const simulated_platform &Platform,
+                                     const std::size_t Runs) {
+  std::vector<std::string> Vms;
+  for (const auto &[Id, Server] : Platform.Servers) {
+    if (Server.Running.size() == Runs)
+      Vms.push_back(Server.Vm);
+  }
+  return Vms;
+}
+
+} // namespace
+
+// Two VMs of a pool of three were drained at once, so that a task that had been
+// stopped to leave one of them had no room anywhere. It used up the disruption
+// budget, and neither drain ended: the task never ran again.
+BOOST_AUTO_TEST_CASE(task_is_not_evacuated_without_room_elsewhere) {
+  one_pool Platform{3};
+  Platform.submit("press", "a", makeJob({makePairedStep(5)}));
+  Platform.advance(5 * Second);
+  wave Wave{1, vmsWithRuns(Platform, 1), 8, 2};
+  Wave.Vms.push_back(vmsWithRuns(Platform, 2).front());
+  BOOST_REQUIRE(Wave.Vms.size() == 2U);
+  Platform.Leader->setWaves({{1, Wave}});
+  BOOST_TEST(minRunning(Platform, 5, 30 * Second) >= 4U);
+  BOOST_TEST(countRunning(Platform, 5) == 5U);
+  BOOST_TEST(Platform.VmOrders.size() == 2U);
+  checkNoViolations(Platform);
+}
+
+// A backend server was lost while two others of its pool were drained. Its
+// tasks had room on those alone, which took no work until the drains ended, and
+// these waited for the tasks to be available.
+BOOST_AUTO_TEST_CASE(blocked_drains_are_given_up) {
+  one_pool Platform{4};
+  // Keeps the drains from ending before the backend server is lost.
+  auto Finite = makeStep(4, 20000, 4000);
+  Platform.submit("press", "a", makeJob({makePairedStep(6)}));
+  Platform.advance(3 * Second);
+  Platform.submit("press", "b", makeJob({Finite}));
+  Platform.advance(Second);
+  std::vector<std::string> Drained;
+  std::string Lost;
+  for (const auto &[Id, Server] : Platform.Servers) {
+    const auto Tasks = std::ranges::count_if(
+        Server.Running, [](auto &Each) { return Each.first.Task.Job == "a"; });
+    if (Tasks == 1)
+      Drained.push_back(Server.Vm);
+    else
+      Lost = Id;
+  }
+  BOOST_REQUIRE(Drained.size() == 2U);
+  Platform.Leader->setWaves({{1, wave{1, Drained, 8, 2}}});
+  Platform.advance(Second);
+  for (auto &Each : Platform.Vms) {
+    if (Each.Server == Lost)
+      Each.State = vm_state::Down;
+  }
+  Platform.crash(Lost);
+  Platform.advance(3 * Second);
+  BOOST_TEST(countRunning(Platform, 6) == 6U);
+  checkNoViolations(Platform);
+}
+
 // A task that had just been evacuated from one VM and was starting on the next
 // one was ended there together with another task of its step.
 BOOST_AUTO_TEST_CASE(starting_task_counts_as_unavailable) {
