Let HTTP requests name the process that their connection must lead to

A client that opens a connection to an address can't tell which process accepts it. A request may now carry a connection check: a request that a new connection carries first, and a predicate on its response. Connections are reused for requests with the same peer only; a request whose check fails or gets no response is not sent and says so.

--- a/src/galenalink/http/client.cpp
+++ b/src/galenalink/http/client.cpp
@@ -52,6 +52,10 @@
   evhttp_connection *Http{nullptr};
   std::list<std::unique_ptr<connection>>::iterator Position;
   std::shared_ptr<call::state> Current;
+  /** The connection check is in progress; the current request follows it. */
+  bool Checking{false};
+  /** Process that the connection was checked for; empty without a check. */
+  std::string Peer;
   /** Set when a byte of the current request was handed to the kernel. */
   bool Wrote{false};
   time_point IdleSince;
@@ -127,8 +131,13 @@
       : Loop{Loop}, Options{Options} {}
 
   void place(const std::shared_ptr<call::state> &State);
-  void start(pool &Pool, std::list<std::unique_ptr<connection>>::iterator Each,
+  void start(std::list<std::unique_ptr<connection>>::iterator Each,
              const std::shared_ptr<call::state> &State);
+  void write(connection &Connection, evhttp_request *Request, method Method,
+             const std::string &Path);
+  void writeCheck(connection &Connection, const connection_check &Check);
+  void writeRequest(connection &Connection);
+  void checkDone(connection &Connection, evhttp_request *Request);
   [[nodiscard]] std::unique_ptr<connection> open(pool &Pool);
   void done(connection &Connection, evhttp_request *Request);
   void release(connection &Connection);
@@ -148,8 +157,10 @@
   return failure{Delivery, {Code, std::move(Message)}};
 }
 
-/** @brief Makes evhttp's request; null if a header is not valid. */
-evhttp_request *toEvhttp(const request &From, const address &Address,
+/** @brief Makes evhttp's request; null if a header is not valid.
+ * @param From A `request` or a `connection_check`. */
+template <typename Type>
+evhttp_request *toEvhttp(const Type &From, const address &Address,
                          connection &Connection) {
   evhttp_request *Request = evhttp_request_new(
       [](evhttp_request *Done, void *Arg) {
@@ -188,18 +199,20 @@
 
 void client::impl::place(const std::shared_ptr<call::state> &State) {
   pool &Pool = *State->Pool;
+  const auto &Check = State->Request.Check;
+  const std::string_view Peer = Check ? Check->Peer : std::string_view{};
   while (!Pool.Idle.empty()) {
-    if (Pool.Idle.back()->usable()) {
+    if (Pool.Idle.back()->Peer == Peer && Pool.Idle.back()->usable()) {
       Pool.Idle.back()->leaveIdleOrder();
       Pool.Busy.splice(Pool.Busy.end(), Pool.Idle, std::prev(Pool.Idle.end()));
-      start(Pool, std::prev(Pool.Busy.end()), State);
+      start(std::prev(Pool.Busy.end()), State);
       return;
     }
     Pool.Idle.pop_back();
   }
   if (Pool.Busy.size() < Options.MaxConnections) {
     Pool.Busy.push_back(open(Pool));
-    start(Pool, std::prev(Pool.Busy.end()), State);
+    start(std::prev(Pool.Busy.end()), State);
     return;
   }
   if (Pool.Waiting.size() >= Options.MaxWaiting) {
@@ -238,7 +251,7 @@
         if (Info->n_deleted == 0)
           return;
         auto *Self = static_cast<connection *>(Arg);
-        Self->Wrote = true;
+        Self->Wrote = !Self->Checking;
         Self->Client->Traffic.Sent += Info->n_deleted;
       },
       Connection.get());
@@ -253,23 +266,33 @@
 }
 
 void client::impl::start(
-    pool &Pool, const std::list<std::unique_ptr<connection>>::iterator Each,
+    const std::list<std::unique_ptr<connection>>::iterator Each,
     const std::shared_ptr<call::state> &State) {
   connection &Connection = **Each;
   Connection.Position = Each;
   Connection.Wrote = false;
-  const request &From = State->Request;
-  evhttp_request *Request = toEvhttp(From, Pool.Address, Connection);
+  Connection.Current = State;
+  State->Connection = &Connection;
+  const auto &Check = State->Request.Check;
+  if (Check && Connection.Peer != Check->Peer)
+    writeCheck(Connection, *Check);
+  else
+    writeRequest(Connection);
+}
+
+void client::impl::write(connection &Connection, evhttp_request *Request,
+                         const method Method, const std::string &Path) {
   if (Request == nullptr) {
+    const auto State = std::move(Connection.Current);
+    Connection.Current = nullptr;
+    Connection.Checking = false;
     postAlive([this, &Connection] { release(Connection); });
     finish(State, failed(delivery::NotSent, errc::BadInput,
                          "a header contains a line break"));
     return;
   }
-  Connection.Current = State;
-  State->Connection = &Connection;
-  if (evhttp_make_request(Connection.Http, Request, toCommand(From.Method),
-                          From.Path.c_str()) != 0 &&
+  if (evhttp_make_request(Connection.Http, Request, toCommand(Method),
+                          Path.c_str()) != 0 &&
       Connection.Current)
     done(Connection, nullptr);
   // Connecting a bufferevent resets its priority.
@@ -278,7 +301,54 @@
                              UrgentPriority);
 }
 
+void client::impl::writeCheck(connection &Connection,
+                              const connection_check &Check) {
+  Connection.Checking = true;
+  write(Connection, toEvhttp(Check, Connection.Pool->Address, Connection),
+        Check.Method, Check.Path);
+}
+
+void client::impl::writeRequest(connection &Connection) {
+  const request &From = Connection.Current->Request;
+  write(Connection, toEvhttp(From, Connection.Pool->Address, Connection),
+        From.Method, From.Path);
+}
+
+void client::impl::checkDone(connection &Connection, evhttp_request *Request) {
+  const auto State = Connection.Current;
+  Connection.Checking = false;
+  const connection_check &Check = *State->Request.Check;
+  const bool Answered =
+      Request != nullptr && evhttp_request_get_response_code(Request) != 0;
+  response Response;
+  if (Answered)
+    Response = detail::toResponse(Request);
+  const bool Accepted =
+      Answered && detail::isComplete(Response) && Check.Accepts(Response);
+  if (Accepted)
+    Connection.Peer = Check.Peer;
+  // evhttp may still use the connection in the call of `done`.
+  postAlive([this, &Connection, Accepted, Weak = std::weak_ptr{State}] {
+    const auto Call = Weak.lock();
+    if (!Call || Call->Connection != &Connection)
+      return; // abandoned meanwhile, with its connection
+    // A lost connection would be replaced by one that was not checked.
+    if (Accepted && Connection.usable()) {
+      writeRequest(Connection);
+      return;
+    }
+    abandon(*Call);
+    finish(Call, failed(delivery::NotSent, errc::Unavailable,
+                        Accepted ? "connection lost after its check"
+                                 : "connection check failed"));
+  });
+}
+
 void client::impl::done(connection &Connection, evhttp_request *Request) {
+  if (Connection.Checking && Connection.Current) {
+    checkDone(Connection, Request);
+    return;
+  }
   const auto State = std::move(Connection.Current);
   Connection.Current = nullptr;
   if (!State)
--- a/src/galenalink/http/client.hpp
+++ b/src/galenalink/http/client.hpp
@@ -67,7 +67,8 @@
 /**
  * @brief HTTP/1.1 client with a bounded pool of connections for each address.
  * A request is written at most once: never repeated and never moved to another
- * connection.
+ * connection. A request with a connection check is not sent if the check fails
+ * or gets no response.
  */
 class client {
 public:
--- a/src/galenalink/http/message.hpp
+++ b/src/galenalink/http/message.hpp
@@ -5,6 +5,7 @@
 #include "galenalink/core/error.hpp"
 #include "galenalink/core/time.hpp"
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -38,20 +39,39 @@
 /** @brief Decodes one segment; bytes that are not valid stay as they are. */
 [[nodiscard]] std::string decodeSegment(std::string_view Text);
 
-struct request {
+struct response {
+  int Status{0};
+  headers Headers;
+  std::string Body;
+};
+
+/** @brief Request that a connection carries before all others, to identify the
+ * process at its other end. */
+struct connection_check {
+  /** The process expected. A connection that was checked for another one is not
+   * used. */
+  std::string Peer;
   method Method{method::Get};
   /** Path and query, percent-encoded. */
   std::string Path;
   headers Headers;
   std::string Body;
-  /** The client sends no first byte at or after this time. */
-  time_point WriteBy{time_point::max()};
+  /** Whether the response is that of the expected process. If not, the
+   * connection is closed. */
+  std::function<bool(const response &)> Accepts;
 };
 
-struct response {
-  int Status{0};
+struct request {
+  method Method{method::Get};
+  /** Path and query, percent-encoded. */
+  std::string Path;
   headers Headers;
   std::string Body;
+  /** The client sends no first byte at or after this time. */
+  time_point WriteBy{time_point::max()};
+  /** If set, the request is written only to a connection that has passed the
+   * check. */
+  std::optional<connection_check> Check{};
 };
 
 /** @brief Whether a failed request may have reached the server. */
