Send nothing to a later incarnation of a backend server

Cause: the header with the expected id does not tell two incarnations apart. A start order that waited for a connection while the server was down reached its next incarnation, which carried it out. Its response had no effect or never came, the runs were released when the new start time was read, and the tasks started elsewhere beside them. The order's lease, a time on the former clock, also applied to everything that the new incarnation ran, up to maxHoldMs, so that its runs outlived the lease that the leader counted.

Responses to orders for a former incarnation no longer change the state of the present one, and a heartbeat response is no longer dropped because the start time became known meanwhile.

--- a/src/galenalink/job/heartbeats.cpp
+++ b/src/galenalink/job/heartbeats.cpp
@@ -193,18 +193,17 @@
   resendStops(Leader, Server);
 }
 
-void onHeartbeatResponse(leader &Leader, const std::string &Id,
-                         const std::int64_t StartedMs,
+void onHeartbeatResponse(leader &Leader, const server_target &Target,
                          const heartbeat_result &Result) {
-  server *Found = Leader.findServer(Id);
-  if (Found == nullptr || Found->Entry.StartedAtMs != StartedMs)
+  server *Found = Leader.findTarget(Target);
+  if (Found == nullptr)
     return;
   server &Server = *Found;
   Server.HeartbeatPending = false;
-  const bool Restarted = Result.StartedAtMs != 0 && StartedMs != 0 &&
-                         Result.StartedAtMs != StartedMs;
+  const bool Restarted =
+      !mayBeSameIncarnation(Result.StartedAtMs, Target.StartedAtMs);
   if (Result.Outcome == call_outcome::Fenced) {
-    reportFenced(Leader, Id);
+    reportFenced(Leader, Target.Id);
     return;
   }
   if (Result.Outcome == call_outcome::Replaced || Restarted) {
@@ -227,7 +226,7 @@
   if (Server.HeartbeatFailures == 1)
     Log.warning(
         "heartbeat without a response",
-        {{"server", Id},
+        {{"server", Target.Id},
          {"outcome", std::string{nameOf(CallOutcomeNames, Result.Outcome)}},
          {"runs", Server.Runs.size()}});
 }
@@ -253,10 +252,9 @@
   Server.HeartbeatPending = true;
   Server.HeartbeatSentAt = Now;
   Leader.Ports.Heartbeat(Order,
-                         Leader.guarded([&Leader, Id = Server.Entry.Id,
-                                         StartedMs = Server.Entry.StartedAtMs](
+                         Leader.guarded([&Leader, Target = Order.Server](
                                             const heartbeat_result &Result) {
-                           onHeartbeatResponse(Leader, Id, StartedMs, Result);
+                           onHeartbeatResponse(Leader, Target, Result);
                          }));
 }
 
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -261,6 +261,15 @@
     const auto Found = Servers.find(Id);
     return Found == Servers.end() ? nullptr : Found->second.get();
   }
+  /** @return The backend server that a request was sent to; null if it is
+   * unknown or has started again since. */
+  [[nodiscard]] server *findTarget(const server_target &Target) const {
+    server *Found = findServer(Target.Id);
+    return Found != nullptr && mayBeSameIncarnation(Found->Entry.StartedAtMs,
+                                                    Target.StartedAtMs)
+               ? Found
+               : nullptr;
+  }
   /** Called after each guarded callback, which may have created work. */
   std::function<void()> AfterEvent;
 
--- a/src/galenalink/job/pacing.cpp
+++ b/src/galenalink/job/pacing.cpp
@@ -30,13 +30,13 @@
               const std::uint32_t Percent) {
   Run.PaceSent = true;
   Leader.Ports.Pace({Server.target(), Leader.Epoch, Id, Percent},
-                    Leader.guarded([&Leader, ServerId = Server.Entry.Id, Id,
+                    Leader.guarded([&Leader, Target = Server.target(), Id,
                                     Percent](const order_result &Result) {
                       if (Result.Outcome == call_outcome::Fenced) {
-                        reportFenced(Leader, ServerId);
+                        reportFenced(Leader, Target.Id);
                         return;
                       }
-                      server *Found = Leader.findServer(ServerId);
+                      server *Found = Leader.findTarget(Target);
                       struct run *Paced =
                           Found == nullptr ? nullptr : Found->findRun(Id);
                       if (Paced == nullptr)
--- a/src/galenalink/job/ports.hpp
+++ b/src/galenalink/job/ports.hpp
@@ -16,7 +16,8 @@
   Refused,
   /** A caller with a higher epoch exists. */
   Fenced,
-  /** Another incarnation of the backend server uses the address. */
+  /** Another incarnation of the backend server uses the address, with or
+   * without the same id; the call was not carried out. */
   Replaced,
   /** It may have taken effect, or may still do so. */
   Unknown,
@@ -168,6 +169,9 @@
   std::string Id;
   /** `host:port`. */
   std::string Address;
+  /** Start of the incarnation, ms since the Unix epoch; 0 if unknown, which
+   * admits any incarnation under the id. */
+  std::int64_t StartedAtMs{0};
 };
 
 /**
--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -95,7 +95,7 @@
     awaitListOfRuns(Leader, Server, Found);
 }
 
-void onStartResponse(leader &Leader, const std::string &ServerId,
+void onStartResponse(leader &Leader, const server_target &Target,
                      const run_id &Run, const order_result &Result);
 
 void sendStart(leader &Leader, server &Server, const run_id &RunId) {
@@ -118,28 +118,28 @@
           Order.Ticket.size(),
       Now);
   Leader.Ports.Start(Order,
-                     Leader.guarded([&Leader, Id = Server.Entry.Id, RunId,
+                     Leader.guarded([&Leader, Target = Order.Server, RunId,
                                      WindowId](const order_result &Result) {
                        Leader.StartWindow.release(WindowId);
-                       onStartResponse(Leader, Id, RunId, Result);
+                       onStartResponse(Leader, Target, RunId, Result);
                      }));
 }
 
-void onStartResponse(leader &Leader, const std::string &ServerId,
+void onStartResponse(leader &Leader, const server_target &Target,
                      const run_id &Run, const order_result &Result) {
   // A confirmed start adds nothing to the line "start".
   if (Result.Outcome != call_outcome::Done)
     Log.info(
         "response to start order",
         {{"run", toText(Run)},
-         {"server", ServerId},
+         {"server", Target.Id},
          {"outcome", std::string{nameOf(CallOutcomeNames, Result.Outcome)}},
          {"why", std::string{nameOf(StartRefusalNames, Result.Reason)}}});
   if (Result.Outcome == call_outcome::Fenced) {
-    reportFenced(Leader, ServerId);
+    reportFenced(Leader, Target.Id);
     return;
   }
-  server *Found = Leader.findServer(ServerId);
+  server *Found = Leader.findTarget(Target);
   struct run *Started = Found == nullptr ? nullptr : Found->findRun(Run);
   if (Started == nullptr)
     return; // its end was reported before the response arrived
@@ -165,13 +165,13 @@
   }
 }
 
-void onStopResponse(leader &Leader, const std::string &ServerId,
+void onStopResponse(leader &Leader, const server_target &Target,
                     const run_id &Run, const order_result &Result) {
   if (Result.Outcome == call_outcome::Fenced) {
-    reportFenced(Leader, ServerId);
+    reportFenced(Leader, Target.Id);
     return;
   }
-  server *Found = Leader.findServer(ServerId);
+  server *Found = Leader.findTarget(Target);
   if (Found == nullptr)
     return;
   server &Server = *Found;
@@ -315,10 +315,10 @@
     Run.State = run_state::Stopping;
   Leader.Ports.Stop(
       {Server.target(), Leader.Epoch, Leader.Now() + OrderTimeout, RunId},
-      Leader.guarded(
-          [&Leader, Id = Server.Entry.Id, RunId](const order_result &Result) {
-            onStopResponse(Leader, Id, RunId, Result);
-          }));
+      Leader.guarded([&Leader, Target = Server.target(),
+                      RunId](const order_result &Result) {
+        onStopResponse(Leader, Target, RunId, Result);
+      }));
 }
 
 void stopJobRuns(leader &Leader, const std::string &Job) {
--- a/src/galenalink/job/server.hpp
+++ b/src/galenalink/job/server.hpp
@@ -87,6 +87,14 @@
   [[nodiscard]] bool operator==(const run_totals &) const = default;
 };
 
+/** @brief Whether two start times, ms since the Unix epoch, can be those of one
+ * incarnation. A time of 0 is unknown. */
+[[nodiscard]] constexpr bool
+mayBeSameIncarnation(const std::int64_t OneMs,
+                     const std::int64_t OtherMs) noexcept {
+  return OneMs == 0 || OtherMs == 0 || OneMs == OtherMs;
+}
+
 /** @brief One incarnation of a backend server as the leader sees it. */
 struct server {
   registration Entry;
@@ -133,7 +141,7 @@
   server_health Health;
 
   [[nodiscard]] server_target target() const {
-    return {Entry.Id, Entry.Address};
+    return {Entry.Id, Entry.Address, Entry.StartedAtMs};
   }
   [[nodiscard]] resources free() const noexcept {
     resources Free = Entry.Capacity;
--- a/src/galenalink/job/server_watch.cpp
+++ b/src/galenalink/job/server_watch.cpp
@@ -55,9 +55,8 @@
 void updateServer(leader &Leader, server &Server, const registration &Entry) {
   if (Server.Registered && Server.Entry == Entry)
     return;
-  const bool Restarted = Entry.StartedAtMs != 0 &&
-                         Server.Entry.StartedAtMs != 0 &&
-                         Entry.StartedAtMs != Server.Entry.StartedAtMs;
+  const bool Restarted =
+      !mayBeSameIncarnation(Entry.StartedAtMs, Server.Entry.StartedAtMs);
   if (Restarted) {
     markServerLost(Leader, Server, "restarted under its id");
     addRegisteredServer(Leader, Entry);
--- a/src/galenalink/job/start_revocations.cpp
+++ b/src/galenalink/job/start_revocations.cpp
@@ -13,16 +13,22 @@
 /** Longer than a closed TCP connection sends its bytes again. */
 constexpr duration Retention = std::chrono::minutes{20};
 
-void handleStopResponse(leader &Leader, const std::string &ServerId,
+void handleStopResponse(leader &Leader, const server_target &Target,
                         const run_id &Run, const order_result &Result) {
+  const std::string &ServerId = Target.Id;
   switch (Result.Outcome) {
   case call_outcome::Fenced:
     reportFenced(Leader, ServerId);
     return;
   case call_outcome::Replaced:
-    // An order to an earlier incarnation is rejected.
-    Leader.StartRevocations.forgetServer(ServerId);
-    return;
+    // Nothing is sent to another incarnation. Orders to the present one may
+    // have been added meanwhile.
+    if (Leader.findServer(ServerId) == nullptr ||
+        Leader.findTarget(Target) != nullptr) {
+      Leader.StartRevocations.forgetServer(ServerId);
+      return;
+    }
+    break;
   case call_outcome::Done:
     Leader.StartRevocations.settle(ServerId, Run);
     break;
@@ -88,8 +94,9 @@
     Entry.StopSent = true;
     Leader.Ports.Stop(
         {Server.target(), Leader.Epoch, Leader.Now() + OrderTimeout, Run},
-        Leader.guarded([&Leader, Id, Run = Run](const order_result &Result) {
-          handleStopResponse(Leader, Id, Run, Result);
+        Leader.guarded([&Leader, Target = Server.target(),
+                        Run = Run](const order_result &Result) {
+          handleStopResponse(Leader, Target, Run, Result);
         }));
   }
   return false;
--- a/test/galenalink/job/simulated_platform.cpp
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -21,6 +21,14 @@
       .count();
 }
 
+/** @brief Whether the order is meant for another incarnation under the id. It
+ * is not sent to the backend server then. */
+template <typename Order>
+bool isReplaced(const simulated_server &Server, const Order &Each) {
+  return !mayBeSameIncarnation(Server.Entry.StartedAtMs,
+                               Each.Server.StartedAtMs);
+}
+
 } // namespace
 
 step_spec makeStep(const std::uint32_t Count, const std::int64_t Cpu,
@@ -299,6 +307,8 @@
   if (Found == Servers.end())
     return {call_outcome::Replaced, start_refusal::None, 0};
   simulated_server &Server = Found->second;
+  if (isReplaced(Server, Order))
+    return {call_outcome::Replaced, start_refusal::None, 0};
   if (Server.RefusesStarts)
     return {call_outcome::Refused, start_refusal::Unavailable, 0};
   if (Order.Epoch < Server.Epoch)
@@ -329,6 +339,8 @@
   if (Found == Servers.end())
     return {call_outcome::Replaced, start_refusal::None, 0};
   simulated_server &Server = Found->second;
+  if (isReplaced(Server, Order))
+    return {call_outcome::Replaced, start_refusal::None, 0};
   if (Order.Epoch < Server.Epoch)
     return {call_outcome::Fenced, start_refusal::None, 0};
   Server.Epoch = Order.Epoch;
@@ -346,6 +358,10 @@
     return Result;
   }
   simulated_server &Server = Found->second;
+  if (isReplaced(Server, Order)) {
+    Result.Outcome = call_outcome::Replaced;
+    return Result;
+  }
   if (Order.Epoch < Server.Epoch) {
     Result.Outcome = call_outcome::Fenced;
     return Result;
@@ -450,4 +466,13 @@
 
 void simulated_platform::crash(const std::string &Id) { Servers.erase(Id); }
 
+void simulated_platform::restart(const std::string &Id) {
+  simulated_server &Server = Servers.at(Id);
+  simulated_server Restarted;
+  Restarted.Entry = Server.Entry;
+  Restarted.Entry.StartedAtMs = toMs(Now);
+  Restarted.Vm = Server.Vm;
+  Server = std::move(Restarted);
+}
+
 } // namespace galenalink::test
--- a/test/galenalink/job/simulated_platform.hpp
+++ b/test/galenalink/job/simulated_platform.hpp
@@ -125,6 +125,8 @@
    * finished starting up. */
   std::size_t countServing(const std::string &Job, std::uint32_t Count) const;
   void crash(const std::string &Id);
+  /** @brief Starts a backend server again under its id, without its runs. */
+  void restart(const std::string &Id);
   /** @return True wall-clock time, ms since the Unix epoch. */
   [[nodiscard]] wall_ms wallNow() const;
 
--- a/test/soak/fleet_standin.cpp
+++ b/test/soak/fleet_standin.cpp
@@ -13,6 +13,9 @@
 /** Tasks of at least this duration are services, which serve at once. */
 constexpr int ServiceMs = 3600000;
 constexpr duration CrashRecoveryTime = std::chrono::milliseconds{700};
+/** Reading of a new VM's clock. After a restart under the same id it begins at
+ * 0, so that times of the former incarnation lie far ahead. */
+constexpr duration FirstClockReading = std::chrono::hours{1};
 
 void replyJson(http::exchange &Exchange, const int Status, const json &Body) {
   Exchange.reply(Status, {{"Content-Type", "application/json"}}, Body.dump());
@@ -82,7 +85,7 @@
   Vm.Id = "i-" + std::to_string(++NextId);
   Vm.StartedAtMs = wallNow();
   Vm.RegistrationSeq = 0;
-  Vm.ClockStart = boot_clock::now();
+  Vm.ClockStart = boot_clock::now() - FirstClockReading;
   Vm.ClockPercent = 98 + static_cast<std::int64_t>(Random() % 3);
   writeRegistration(Vm);
 }
@@ -105,7 +108,7 @@
   Store.put("keyed.servers", Vm.Id, Entry.dump());
 }
 
-void fleet_standin::endIncarnation(soak_vm &Vm) {
+void fleet_standin::dropState(soak_vm &Vm) {
   for (const auto &Each : Vm.Running)
     History.recordEnd(Each.Record, "");
   Vm.Running.clear();
@@ -115,6 +118,12 @@
   Vm.EndCount = 0;
   Vm.FencingToken = 0;
   Vm.LeaseEndMs = 0;
+}
+
+void fleet_standin::endIncarnation(soak_vm &Vm) {
+  dropState(Vm);
+  Vm.RestartAt = NoDeadline;
+  Vm.RegisterAt = NoDeadline;
   if (!Vm.Id.empty())
     Store.put("keyed.servers", Vm.Id, std::nullopt);
   Vm.Id.clear();
@@ -130,6 +139,34 @@
   Crashed.ResumeAt = boot_clock::now() + CrashRecoveryTime;
 }
 
+void fleet_standin::restartUnderId(const std::size_t Vm, const duration Dark,
+                                   const duration RegistrationDelay) {
+  soak_vm &Restarted = *Vms.at(Vm);
+  dropState(Restarted);
+  Restarted.Link->silenceConnections();
+  Restarted.Link->setFault(link_fault::Silent);
+  Restarted.RestartAt = boot_clock::now() + Dark;
+  Restarted.RegistrationDelay = RegistrationDelay;
+}
+
+void fleet_standin::finishRestart(soak_vm &Vm, const time_point Now) {
+  if (Vm.RestartAt != NoDeadline && Now >= Vm.RestartAt) {
+    Vm.RestartAt = NoDeadline;
+    Vm.StartedAtMs = wallNow();
+    Vm.RegistrationSeq = 0;
+    Vm.ClockStart = Now;
+    Vm.RegisterAt = Now + Vm.RegistrationDelay;
+    // Connections end with the incarnation; those opened since wait for the
+    // next.
+    Vm.Link->resetSilencedConnections();
+    Vm.Link->setFault(link_fault::None);
+  }
+  if (Vm.RegisterAt != NoDeadline && Now >= Vm.RegisterAt) {
+    Vm.RegisterAt = NoDeadline;
+    writeRegistration(Vm);
+  }
+}
+
 void fleet_standin::partitionVm(const std::size_t Vm, const duration Duration) {
   Vms.at(Vm)->PartitionedUntil = boot_clock::now() + Duration;
 }
@@ -328,6 +365,7 @@
     Vm.Pool = Vm.NextPool;
     startIncarnation(Vm);
   }
+  finishRestart(Vm, Now);
   const bool LeaseExpired = Vm.clockMs() > Vm.LeaseEndMs;
   for (std::size_t I = Vm.Running.size(); I-- > 0;) {
     if (LeaseExpired)
--- a/test/soak/fleet_standin.hpp
+++ b/test/soak/fleet_standin.hpp
@@ -40,6 +40,11 @@
   std::int64_t ClockPercent{100};
   /** When a move, maintenance or crash ends; `NoDeadline` while up. */
   time_point ResumeAt{NoDeadline};
+  /** When it starts again under its id, and when it registers after that;
+   * `NoDeadline` for neither. */
+  time_point RestartAt{NoDeadline};
+  time_point RegisterAt{NoDeadline};
+  duration RegistrationDelay{0};
   std::string NextPool;
   /** Requests get no response until this time. */
   time_point PartitionedUntil{NoDeadline};
@@ -92,6 +97,14 @@
   [[nodiscard]] http::address listAddress() const;
   /** @brief Ends the incarnation; the VM is back up after a fixed time. */
   void crashVm(std::size_t Vm);
+  /**
+   * @brief Starts the backend server again under its id after the duration,
+   * during which requests get no response and new connections wait. The clock
+   * of the new incarnation is far behind that of the former one.
+   * @param RegistrationDelay From the new start to its registration.
+   */
+  void restartUnderId(std::size_t Vm, duration Dark,
+                      duration RegistrationDelay);
   /** @brief Leaves requests to the VM without a response for the duration. */
   void partitionVm(std::size_t Vm, duration Duration);
   /** @brief Writes the VM's registration once more, as a backend server does at
@@ -120,7 +133,10 @@
 private:
   void startIncarnation(soak_vm &Vm);
   void writeRegistration(soak_vm &Vm);
+  /** @brief Ends the runs and drops what the incarnation knows. */
+  void dropState(soak_vm &Vm);
   void endIncarnation(soak_vm &Vm);
+  void finishRestart(soak_vm &Vm, time_point Now);
   void handleRequest(soak_vm &Vm, http::exchange Exchange);
   void startRun(soak_vm &Vm, http::exchange &Exchange,
                 const nlohmann::json &Body);
--- a/test/soak/tcp_proxy.cpp
+++ b/test/soak/tcp_proxy.cpp
@@ -200,6 +200,14 @@
     Each->SilentForGood = true;
 }
 
+void tcp_proxy::resetSilencedConnections() {
+  for (auto &Each : Connections) {
+    if (Each->SilentForGood)
+      Each->reset();
+  }
+  startForwarding();
+}
+
 void tcp_proxy::holdConnections() {
   for (auto &Each : Connections)
     Each->HeldBack = true;
--- a/test/soak/tcp_proxy.hpp
+++ b/test/soak/tcp_proxy.hpp
@@ -40,6 +40,9 @@
   /** @brief Holds all bytes of the present connections for good, without
    * closing them. New connections work. */
   void silenceConnections();
+  /** @brief Resets both ends of the silenced connections, as a machine does
+   * that was started again. */
+  void resetSilencedConnections();
   /** @brief Holds all bytes of the present connections until
    * `releaseConnections`; as from a kernel, they arrive even if the sender has
    * closed its end. New connections work. */
