--- a/test/galenalink/http/connection_check.cpp
+++ b/test/galenalink/http/connection_check.cpp
@@ -38,11 +38,14 @@
   /** @brief Sends a request to the expected process and awaits the answer. */
   answer send(const std::string &Expected, const duration Limit = 10s) {
     request Request{method::Post, "/order", {}, "body"};
-    Request.Check =
-        connection_check{Expected, method::Post, "/check", {}, "",
-                         [Expected](const response &Response) {
-                           return Response.Body == Expected;
-                         }};
+    Request.Check = connection_check{Expected,
+                                     method::Post,
+                                     "/check",
+                                     {},
+                                     "",
+                                     [Expected](const response &Response) {
+                                       return Response.Body == Expected;
+                                     }};
     std::optional<answer> Answer;
     Client.send(Address, std::move(Request), boot_clock::now() + Limit,
                 [&](answer Each) { Answer = std::move(Each); });
--- a/test/soak/single_node_run.hpp
+++ b/test/soak/single_node_run.hpp
@@ -6,6 +6,7 @@
 #include "soak/node_group.hpp"
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <utility>
 
 namespace galenalink::soak {
 
@@ -19,8 +20,8 @@
   static constexpr duration StepTimeout = 10 * Second;
 
   /** @param VmCount Number of VMs of the pool, named by it and an index. */
-  single_node_run(const std::string &Pool, const std::size_t VmCount)
-      : Store{Loop}, Fleet{Loop, Store, FleetSeed}, Pool{Pool},
+  single_node_run(std::string Pool, const std::size_t VmCount)
+      : Store{Loop}, Fleet{Loop, Store, FleetSeed}, Pool{std::move(Pool)},
         Disruptions{}, Nodes{Loop, Disruptions}, Client{Loop, {}} {
     publishConfig();
     for (std::size_t I = 0; I < VmCount; ++I)
