Answer heartbeats for lists alone from the check of their connection

Cause: a heartbeat that follows one without a response opens a connection, whose check asked for the same lists once more.

Change: a heartbeat without a lease and without a wait is answered by the response to the check. Its acknowledgement follows with the next one.

Tests: connection_check/check_answers_a_request_on_a_new_connection, platform_backend_server_client/heartbeat_without_a_lease_needs_no_check_of_its_own.

--- a/src/galenalink/http/client.cpp
+++ b/src/galenalink/http/client.cpp
@@ -327,6 +327,13 @@
       Answered && detail::isComplete(Response) && Check.Accepts(Response);
   if (Accepted)
     Connection.Peer = Check.Peer;
+  if (Accepted && Check.AnswersRequest) {
+    Connection.Current = nullptr;
+    State->Delivery = delivery::Unknown;
+    postAlive([this, &Connection] { release(Connection); });
+    finish(State, std::move(Response));
+    return;
+  }
   // evhttp may still use the connection in the call of `done`.
   postAlive([this, &Connection, Accepted, Weak = std::weak_ptr{State}] {
     const auto Call = Weak.lock();
--- a/src/galenalink/http/message.hpp
+++ b/src/galenalink/http/message.hpp
@@ -59,6 +59,9 @@
   /** Whether the response is that of the expected process. If not, the
    * connection is closed. */
   std::function<bool(const response &)> Accepts;
+  /** The response to an accepted check is that of the request, too, which is
+   * not written then. */
+  bool AnswersRequest{false};
 };
 
 struct request {
--- a/test/galenalink/http/connection_check.cpp
+++ b/test/galenalink/http/connection_check.cpp
@@ -35,8 +35,10 @@
   address Address{Loopback, listenOrFail(Server)};
   client Client{Loop, {}};
 
-  /** @brief Sends a request to the expected process and awaits the answer. */
-  answer send(const std::string &Expected, const duration Limit = 10s) {
+  /** @brief Sends a request to the expected process and awaits the answer.
+   * @param CheckAnswers The response to the check answers the request. */
+  answer send(const std::string &Expected, const duration Limit = 10s,
+              const bool CheckAnswers = false) {
     request Request{method::Post, "/order", {}, "body"};
     Request.Check = connection_check{Expected,
                                      method::Post,
@@ -46,6 +48,7 @@
                                      [Expected](const response &Response) {
                                        return Response.Body == Expected;
                                      }};
+    Request.Check->AnswersRequest = CheckAnswers;
     std::optional<answer> Answer;
     Client.send(Address, std::move(Request), boot_clock::now() + Limit,
                 [&](answer Each) { Answer = std::move(Each); });
@@ -108,6 +111,17 @@
   BOOST_TEST(Peer.Client.connections(Peer.Address) == 0U);
 }
 
+// A request that asks for what the check returns needs no second round trip,
+// but only on a new connection.
+BOOST_AUTO_TEST_CASE(check_answers_a_request_on_a_new_connection) {
+  checked_peer Peer;
+  for (int I = 0; I < 2; ++I)
+    BOOST_REQUIRE(
+        std::holds_alternative<response>(Peer.send("first", 10s, true)));
+  BOOST_TEST(Peer.count("/check") == 1);
+  BOOST_TEST(Peer.count("/order") == 1);
+}
+
 // A connection that ended with its check was opened anew for the request, which
 // reached whichever process served then.
 BOOST_AUTO_TEST_CASE(request_is_not_moved_to_a_new_connection_after_the_check) {
--- a/test/platform/backend_server_client.cpp
+++ b/test/platform/backend_server_client.cpp
@@ -52,11 +52,12 @@
     return *Result;
   }
 
-  heartbeat_result list(const std::int64_t StartedAtMs) {
+  heartbeat_result list(const std::int64_t StartedAtMs,
+                        const std::int64_t LeaseEndMs = 900000) {
     heartbeat_order Order;
     Order.Server = target(StartedAtMs);
     Order.Epoch = 7;
-    Order.LeaseEndMs = 900000;
+    Order.LeaseEndMs = LeaseEndMs;
     Order.LastStoredEnd = 57;
     std::optional<heartbeat_result> Result;
     Client.sendHeartbeat(Order,
@@ -95,6 +96,18 @@
   BOOST_TEST(Server.Lists.front().at("lastSeen") == 0);
 }
 
+// The first heartbeat after one without a response took two requests, so that a
+// backend server that lost half of them was out of service twice as long.
+BOOST_AUTO_TEST_CASE(heartbeat_without_a_lease_needs_no_check_of_its_own) {
+  restarting_server Server;
+  BOOST_CHECK(Server.list(1000, 0).Outcome == call_outcome::Done);
+  BOOST_REQUIRE(Server.Lists.size() == 1U);
+  BOOST_CHECK(Server.list(1000).Outcome == call_outcome::Done);
+  BOOST_REQUIRE(Server.Lists.size() == 2U);
+  BOOST_TEST(Server.Lists.back().contains("deadlineMs"));
+  BOOST_TEST(Server.Lists.back().at("lastSeen") == 57);
+}
+
 // A deposed leader must learn of its successor from the check of a new
 // connection as from any other response.
 BOOST_AUTO_TEST_CASE(fenced_check_is_reported_as_fenced) {
