Require that late start orders arrive in their test

Cause: since connections are checked, an order that needs a new connection is not written while the link is down; its check is held instead. In one of the two cases of late_start nothing arrived late any more (node log: the order was refused as not sent), and the case passed without testing anything.

Change: a short job leaves checked connections before the outage, and the test fails unless a start order arrives when the held bytes are released.

--- a/test/soak/fleet_standin.cpp
+++ b/test/soak/fleet_standin.cpp
@@ -216,6 +216,7 @@
                              const json &Body) {
   const std::string Task = Body.at("task");
   const std::uint64_t Number = Body.at("run");
+  ++StartOrders[Task];
   const bool AlreadyRunning =
       std::ranges::any_of(Vm.Running, [&](const server_run &Each) {
         return Each.Task == Task && Each.Number == Number;
--- a/test/soak/fleet_standin.hpp
+++ b/test/soak/fleet_standin.hpp
@@ -127,6 +127,8 @@
   void setFailurePercent(std::uint64_t Percent) { FailurePercent = Percent; }
 
   task_history History;
+  /** Start orders that have arrived, refused ones included, by task. */
+  std::map<std::string, std::size_t> StartOrders;
   /** Highest number of VMs in maintenance at the same time. */
   std::size_t MaxInMaintenance{0};
 
--- a/test/soak/late_start_test.cpp
+++ b/test/soak/late_start_test.cpp
@@ -23,6 +23,10 @@
   /** @brief Submits the job whose start order gets no response and is held by
    * the network, and waits until its lease has expired. */
   bool submitHeldJob(const std::int64_t Cpu) {
+    // Leaves checked connections: an order that needs a new one is not written
+    // before the outage ends.
+    if (!submit("00000000000000ff", 4, 1000, 100))
+      return false;
     pause(Second); // responses to earlier orders arrive
     firstLink().setFault(link_fault::Silent);
     if (!submitTask(HeldJob, Cpu))
@@ -41,8 +45,11 @@
   /** @brief Delivers the held orders and checks that they begin no run. */
   void checkLateStarts() {
     const std::size_t Starts = Fleet.History.starts();
+    const std::string HeldTask = std::string{HeldJob} + ".0.0.0";
+    const std::size_t Orders = Fleet.StartOrders[HeldTask];
     firstLink().releaseConnections();
     pause(2 * Second);
+    BOOST_TEST(Fleet.StartOrders[HeldTask] > Orders);
     BOOST_TEST(Fleet.History.starts() == Starts);
     BOOST_TEST(countRunning(HeldJob) == 1);
     BOOST_TEST_MESSAGE("runs:" + Fleet.History.describe(HeldJob));
