Authenticate callers by the keys of customers

The entry node resolves the key; the leader decides again by the newer of the two versions, so that a node that is cut off from the store admits no removed key. Unknown keys get 401, jobs of another customer 403. The customer is stored with the job. A configuration without customers needs no keys.

--- a/bench/leader_pass.cpp
+++ b/bench/leader_pass.cpp
@@ -232,8 +232,8 @@
       Step.MaxPerServer = 1;
       Step.DisruptionBudget = 4;
       Spec.Steps.push_back(Step);
-      Controller->submit(PoolNames[I % PoolNames.size()], Rules.Version,
-                         "service-" + std::to_string(I), Spec,
+      Controller->submit({PoolNames[I % PoolNames.size()], Rules.Version,
+                          "service-" + std::to_string(I), Spec},
                          [](const caller_reply &) {});
     }
     DispatchDue = true;
@@ -270,7 +270,7 @@
     ++Submitted;
     measured("submit", [&] {
       Controller->submit(
-          Pool, Rules.Version, Id, Spec, [this](const caller_reply &Reply) {
+          {Pool, Rules.Version, Id, Spec}, [this](const caller_reply &Reply) {
             ++(Reply.Verdict == caller_reply::verdict::Ok ? Accepted : Refused);
           });
     });
@@ -278,7 +278,7 @@
     if (std::uniform_real_distribution<>{}(Random) < CancelledShare)
       at(Now + 300 * Millisecond, [this, Name = std::string{Id}] {
         measured("cancel", [&] {
-          Controller->cancel(Name, [](const caller_reply &) {});
+          Controller->cancel({Name}, [](const caller_reply &) {});
         });
         DispatchDue = true;
       });
--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -1,4 +1,5 @@
 #include "galenalink/job/callers.hpp"
+#include "galenalink/job/access.hpp"
 #include "galenalink/job/job_limits.hpp"
 #include "galenalink/telemetry/log.hpp"
 #include <algorithm>
@@ -42,15 +43,15 @@
 }
 
 admission decideAdmission(leader &Leader, const queue_rule &Rule,
-                          const pool_load &Load, const std::string &Id,
-                          const job_spec &Spec) {
+                          const pool_load &Load, const submission &Submission) {
+  const job_spec &Spec = Submission.Spec;
   admission_request Request;
   Request.CriticalPathMs = criticalPathMs(Leader, Rule.Name, &Rule, Spec);
   Request.ObjectiveMs = Rule.Stretch * Request.CriticalPathMs + Rule.SlackMs;
   for (const auto &Step : Spec.Steps)
     Request.Work += estimateStepWork(Leader, Rule.Name, Step, Step.Count);
   // Demand includes refused jobs, but counts each job only once.
-  if (Leader.RecentJobs.add(Id, Leader.Now())) {
+  if (Leader.RecentJobs.add(Submission.Id, Leader.Now())) {
     Leader.Demand[Rule.Pool].recordArrival(Leader.Now(), Request.Work);
     Leader.Forecast.recordArrival(Rule.Pool, Request.Work, Leader.Wall());
   }
@@ -65,10 +66,12 @@
   return admit(Load, Request);
 }
 
-void acceptJob(leader &Leader, const queue_rule &Rule, const std::string &Id,
-               job_spec Spec, const bool Deferred, reply_function Reply) {
-  job Job{Id, Rule.Name, Rule.Pool, std::move(Spec), Leader.Wall()};
+void acceptJob(leader &Leader, const queue_rule &Rule, submission Submission,
+               const bool Deferred, reply_function Reply) {
+  const std::string Id = Submission.Id;
+  job Job{Id, Rule.Name, Rule.Pool, std::move(Submission.Spec), Leader.Wall()};
   Job.setRule(Rule, Leader.Rules.Version);
+  Job.setCustomer(std::move(Submission.Customer));
   job_entry &Entry = addJob(Leader, std::move(Job));
   Entry.Deferred = Deferred;
   ++Leader.WaitingJobs;
@@ -107,13 +110,15 @@
 }
 
 void logDecision(const leader &Leader, const queue_rule &Rule,
-                 const pool_load &Load, const std::string &Id,
-                 const job_spec &Spec, const admission &Admission) {
+                 const pool_load &Load, const submission &Submission,
+                 const admission &Admission) {
+  const job_spec &Spec = Submission.Spec;
   const auto Number = [](const double Value) {
     return std::to_string(static_cast<std::int64_t>(Value));
   };
-  Log.info("admission", {{"job", Id},
+  Log.info("admission", {{"job", Submission.Id},
                          {"queue", Rule.Name},
+                         {"customer", Submission.Customer},
                          {"verdict", std::string{nameOf(AdmissionVerdictNames,
                                                         Admission.Verdict)}},
                          {"finish_ms", Number(Admission.FinishMs)},
@@ -217,66 +222,90 @@
                      Leader.OverloadGate.retryAfterMs(Backlog, Now));
 }
 
-void submitJob(leader &Leader, const std::string &Queue,
-               const std::uint64_t KnownSince, const std::string &Id,
-               job_spec Spec, reply_function Reply) {
-  if (job_entry *Existing = Leader.findJob(Id)) {
-    if (Existing->Stored)
-      Reply(makeOkReply(Existing->StoredState));
-    else
-      Existing->OnStored.push_back(std::move(Reply));
-    return;
-  }
-  const queue_rule *Rule = Leader.Rules.queue(Queue);
-  if (Rule == nullptr &&
-      (Leader.Rules.Version == 0 || Leader.Rules.Version < KnownSince)) {
-    Log.warning("admission", {{"job", Id},
-                              {"queue", Queue},
+namespace {
+
+caller_reply replyOf(const verdict Verdict) {
+  caller_reply Reply;
+  Reply.Verdict = Verdict;
+  return Reply;
+}
+
+bool mayAccessJob(const leader &Leader, const job_entry &Entry,
+                  const std::string &Queue, const std::string &Customer) {
+  return mayAccess(Leader.Rules, {Entry.Job.customer(), Entry.Job.queue()},
+                   Queue, Customer);
+}
+
+/** @brief Replies to a submission of a job that was accepted before. */
+void replyToRepeat(const leader &Leader, job_entry &Entry,
+                   const submission &Submission, reply_function Reply) {
+  if (!mayAccessJob(Leader, Entry, Submission.Queue, Submission.Customer))
+    Reply(replyOf(verdict::Forbidden));
+  else if (Entry.Stored)
+    Reply(makeOkReply(Entry.StoredState));
+  else
+    Entry.OnStored.push_back(std::move(Reply));
+}
+
+/** @return Why a job can't be accepted whatever its pool has free; `nullopt` if
+ * that depends on the pool. */
+std::optional<caller_reply> refuseWithoutAdmission(leader &Leader,
+                                                   const queue_rule *Rule,
+                                                   const submission &Job) {
+  const bool RulesMissing =
+      Leader.Rules.Version == 0 || Leader.Rules.Version < Job.KnownSince;
+  if (Rule == nullptr && RulesMissing) {
+    Log.warning("admission", {{"job", Job.Id},
+                              {"queue", Job.Queue},
                               {"verdict", "refused"},
                               {"why", "the rules have not been read"},
                               {"rules", Leader.Rules.Version},
-                              {"known_since", KnownSince}});
-    Reply(makeRefusal("the rules have not been read", BusyRetryMs));
-    return;
+                              {"known_since", Job.KnownSince}});
+    return makeRefusal("the rules have not been read", BusyRetryMs);
   }
-  if (Rule == nullptr) {
-    caller_reply NotFound;
-    NotFound.Verdict = verdict::NoQueue;
-    Reply(NotFound);
-    return;
+  if (Rule == nullptr)
+    return replyOf(verdict::NoQueue);
+  if (taskCount(Job.Spec) > limits::MaxTasks || Leader.Jobs.size() >= MaxJobs)
+    return makeRefusal("too many tasks or jobs", BusyRetryMs);
+  if (auto Refusal = refuseIfOverloaded(Leader))
+    return Refusal;
+  if (!Leader.Journal.healthy()) {
+    Log.warning("admission", {{"job", Job.Id},
+                              {"queue", Job.Queue},
+                              {"verdict", "refused"},
+                              {"why", "the store does not answer"}});
+    return makeRefusal("the store does not answer", BusyRetryMs);
   }
-  if (taskCount(Spec) > limits::MaxTasks || Leader.Jobs.size() >= MaxJobs) {
-    Reply(makeRefusal("too many tasks or jobs", BusyRetryMs));
+  return std::nullopt;
+}
+
+} // namespace
+
+void submitJob(leader &Leader, submission Submission, reply_function Reply) {
+  if (job_entry *Existing = Leader.findJob(Submission.Id)) {
+    replyToRepeat(Leader, *Existing, Submission, std::move(Reply));
     return;
   }
-  if (auto Refusal = refuseIfOverloaded(Leader)) {
+  const queue_rule *Rule = Leader.Rules.queue(Submission.Queue);
+  if (const auto Refusal = refuseWithoutAdmission(Leader, Rule, Submission)) {
     Reply(*Refusal);
     return;
   }
-  if (!Leader.Journal.healthy()) {
-    Log.warning("admission", {{"job", Id},
-                              {"queue", Queue},
-                              {"verdict", "refused"},
-                              {"why", "the store does not answer"}});
-    Reply(makeRefusal("the store does not answer", BusyRetryMs));
-    return;
-  }
   const pool_load Load = computePoolLoad(Leader, Rule->Pool);
   admission Admission;
   Admission.Verdict = admission_verdict::InTime;
-  if (!Spec.isLongRunning() && Spec.Times == 0)
-    Admission = decideAdmission(Leader, *Rule, Load, Id, Spec);
-  logDecision(Leader, *Rule, Load, Id, Spec, Admission);
+  if (!Submission.Spec.isLongRunning() && Submission.Spec.Times == 0)
+    Admission = decideAdmission(Leader, *Rule, Load, Submission);
+  logDecision(Leader, *Rule, Load, Submission, Admission);
   if (Admission.Verdict == admission_verdict::Refused) {
     ++Leader.Counts->Refused;
     Reply(makeRefusal("the pool is full", Admission.RetryAfterMs));
     return;
   }
-  ++(Admission.Verdict == admission_verdict::Deferred
-         ? Leader.Counts->AdmittedDeferred
-         : Leader.Counts->AdmittedInTime);
-  acceptJob(Leader, *Rule, Id, std::move(Spec),
-            Admission.Verdict == admission_verdict::Deferred, std::move(Reply));
+  const bool Deferred = Admission.Verdict == admission_verdict::Deferred;
+  ++(Deferred ? Leader.Counts->AdmittedDeferred
+              : Leader.Counts->AdmittedInTime);
+  acceptJob(Leader, *Rule, std::move(Submission), Deferred, std::move(Reply));
 }
 
 namespace {
@@ -292,23 +321,30 @@
 
 } // namespace
 
-caller_reply queryJob(const leader &Leader, const std::string &Id) {
-  const job_entry *Entry = Leader.findJob(Id);
+caller_reply queryJob(const leader &Leader, const job_request &Request) {
+  const job_entry *Entry = Leader.findJob(Request.Id);
   if (Entry == nullptr)
     return replyForUnknownJob(Leader);
+  if (!mayAccessJob(Leader, *Entry, Request.Queue, Request.Customer))
+    return replyOf(verdict::Forbidden);
   const bool Started = Entry->StoredState == job_state::Queued &&
                        Entry->Job.state() != job_state::Queued;
   return makeOkReply(Started ? job_state::Running : Entry->StoredState);
 }
 
-void cancelJob(leader &Leader, const std::string &Id, reply_function Reply) {
-  job_entry *Entry = Leader.findJob(Id);
+void cancelJob(leader &Leader, const job_request &Request,
+               reply_function Reply) {
+  job_entry *Entry = Leader.findJob(Request.Id);
   if (Entry == nullptr) {
     Reply(replyForUnknownJob(Leader));
     return;
   }
+  if (!mayAccessJob(Leader, *Entry, Request.Queue, Request.Customer)) {
+    Reply(replyOf(verdict::Forbidden));
+    return;
+  }
   if (Entry->Job.cancel()) {
-    Log.info("cancel", {{"job", Id}, {"queue", Entry->Job.queue()}});
+    Log.info("cancel", {{"job", Request.Id}, {"queue", Entry->Job.queue()}});
     recordProgress(Leader, *Entry);
     endJob(Leader, *Entry);
   }
--- a/src/galenalink/job/callers.hpp
+++ b/src/galenalink/job/callers.hpp
@@ -7,18 +7,15 @@
 namespace galenalink::job {
 
 /** @brief Accepts a job, or refuses it immediately. Idempotent: resubmitting an
- * accepted job returns its current state.
- * @param KnownSince A version of the rules that has the queue; 0 for unknown.
- * A leader whose rules are older refuses a queue that they lack. */
-void submitJob(leader &Leader, const std::string &Queue,
-               std::uint64_t KnownSince, const std::string &Id, job_spec Spec,
-               reply_function Reply);
+ * accepted job returns its current state. */
+void submitJob(leader &Leader, submission Submission, reply_function Reply);
 /** @return A refusal if the leader is too far behind to accept a new job. It
  * must not be sent for a job that was accepted before. */
 [[nodiscard]] std::optional<caller_reply> refuseIfOverloaded(leader &Leader);
 [[nodiscard]] caller_reply queryJob(const leader &Leader,
-                                    const std::string &Id);
-void cancelJob(leader &Leader, const std::string &Id, reply_function Reply);
+                                    const job_request &Request);
+void cancelJob(leader &Leader, const job_request &Request,
+               reply_function Reply);
 /** @brief Counts the accepted jobs of a queue without a started task.
  * @return A reply with the count in `Pending`. */
 [[nodiscard]] caller_reply countPendingJobs(const leader &Leader,
--- a/src/galenalink/job/controller.cpp
+++ b/src/galenalink/job/controller.cpp
@@ -52,10 +52,8 @@
   return !Leader->PendingVmOrders.empty();
 }
 
-void controller::submit(const std::string &Queue,
-                        const std::uint64_t KnownSince, const std::string &Id,
-                        job_spec Spec, reply_function Reply) {
-  submitJob(*Leader, Queue, KnownSince, Id, std::move(Spec), std::move(Reply));
+void controller::submit(submission Submission, reply_function Reply) {
+  submitJob(*Leader, std::move(Submission), std::move(Reply));
 }
 
 std::optional<caller_reply> controller::refuseUnparsed(const std::string &Id) {
@@ -63,12 +61,12 @@
                                         : std::nullopt;
 }
 
-caller_reply controller::query(const std::string &Id) const {
-  return queryJob(*Leader, Id);
+caller_reply controller::query(const job_request &Request) const {
+  return queryJob(*Leader, Request);
 }
 
-void controller::cancel(const std::string &Id, reply_function Reply) {
-  cancelJob(*Leader, Id, std::move(Reply));
+void controller::cancel(const job_request &Request, reply_function Reply) {
+  cancelJob(*Leader, Request, std::move(Reply));
 }
 
 caller_reply controller::pending(const std::string &Queue) const {
--- a/src/galenalink/job/controller.hpp
+++ b/src/galenalink/job/controller.hpp
@@ -23,10 +23,7 @@
    * change. */
   [[nodiscard]] bool hasPendingVmOrders() const noexcept;
 
-  /** @param KnownSince A version of the rules that has the queue; 0 for
-   * unknown. */
-  void submit(const std::string &Queue, std::uint64_t KnownSince,
-              const std::string &Id, job_spec Spec, reply_function Reply);
+  void submit(submission Submission, reply_function Reply);
   /** @return The reply to a submission that is refused because the leader is
    * overloaded; `nullopt` if it must be looked at in full. */
   [[nodiscard]] std::optional<caller_reply>
@@ -34,8 +31,8 @@
   [[nodiscard]] bool knows(const std::string &Id) const noexcept {
     return Leader->findJob(Id) != nullptr;
   }
-  [[nodiscard]] caller_reply query(const std::string &Id) const;
-  void cancel(const std::string &Id, reply_function Reply);
+  [[nodiscard]] caller_reply query(const job_request &Request) const;
+  void cancel(const job_request &Request, reply_function Reply);
   [[nodiscard]] caller_reply pending(const std::string &Queue) const;
 
   /** @brief Makes one pass of the control loop; call every few ms.
--- a/src/galenalink/job/job.hpp
+++ b/src/galenalink/job/job.hpp
@@ -72,6 +72,11 @@
   [[nodiscard]] const std::string &id() const noexcept { return Id; }
   [[nodiscard]] const std::string &queue() const noexcept { return Queue; }
   [[nodiscard]] const std::string &pool() const noexcept { return Pool; }
+  /** @brief Customer that submitted the job; empty for none. */
+  [[nodiscard]] const std::string &customer() const noexcept {
+    return Customer;
+  }
+  void setCustomer(std::string Name) { Customer = std::move(Name); }
   /** @brief Pools that the queue was sent to before, where runs of the job may
    * still exist. */
   [[nodiscard]] const std::vector<std::string> &formerPools() const noexcept {
@@ -167,6 +172,7 @@
   std::string Id;
   std::string Queue;
   std::string Pool;
+  std::string Customer;
   std::vector<std::string> FormerPools;
   job_spec Spec;
   wall_ms AcceptedMs;
--- a/src/galenalink/job/job_limits.hpp
+++ b/src/galenalink/job/job_limits.hpp
@@ -28,6 +28,8 @@
 inline constexpr std::int64_t MaxCallerTimeoutMs = 86'400'000;
 /** Largest factor of a queue's latency objective. */
 inline constexpr double MaxStretch = 1e6;
+/** Largest weight of a customer. */
+inline constexpr double MaxCustomerWeight = 1e9;
 /** Bytes of one record with its key. The store accepts 262,144 bytes; an append
  * with a larger record is refused however often it is repeated, and everything
  * that is stored later waits behind it. */
--- a/src/galenalink/job/job_record.cpp
+++ b/src/galenalink/job/job_record.cpp
@@ -166,11 +166,16 @@
   json Fields =
       json::array({Job.queue(), Job.pool(), Job.acceptedMs(), Spec.Spec, Steps,
                    Spec.Times, Spec.StartAtMs, Spec.IntervalMs});
-  if (Job.rule() != nullptr) {
+  const bool HasCustomer = !Job.customer().empty();
+  const bool HasFormerPools = !Job.formerPools().empty();
+  if (Job.rule() != nullptr)
     Fields.push_back(toJson(*Job.rule(), Job.ruleVersion()));
-    if (!Job.formerPools().empty())
-      Fields.push_back(Job.formerPools());
-  }
+  else if (HasCustomer)
+    Fields.push_back(nullptr);
+  if (HasFormerPools || HasCustomer)
+    Fields.push_back(Job.formerPools());
+  if (HasCustomer)
+    Fields.push_back(Job.customer());
   return toText(Fields);
 }
 
@@ -190,14 +195,17 @@
       return std::nullopt;
     job Job{Id, From.at(0), From.at(1), std::move(Spec),
             boundedInteger<wall_ms>(From.at(2), TimeRange)};
-    // The rule is absent in records of earlier versions.
+    // Later fields are absent in records of earlier versions.
     constexpr std::size_t RuleField = 8;
     constexpr std::size_t FormerPoolsField = 9;
-    if (From.size() > RuleField)
+    constexpr std::size_t CustomerField = 10;
+    if (From.size() > RuleField && !From.at(RuleField).is_null())
       restoreRule(Job, From.at(RuleField));
     if (From.size() > FormerPoolsField)
       Job.setFormerPools(
           From.at(FormerPoolsField).get<std::vector<std::string>>());
+    if (From.size() > CustomerField)
+      Job.setCustomer(From.at(CustomerField));
     return Job;
   } catch (const std::exception &) {
     return std::nullopt;
@@ -287,9 +295,15 @@
 
 std::string job::progressRecord() const {
   json Occurrences = json::array();
-  if (ended())
-    return toText(json::array(
-        {static_cast<std::uint32_t>(State), OpenedCount, Occurrences, Queue}));
+  if (ended()) {
+    json Fields = json::array(
+        {static_cast<std::uint32_t>(State), OpenedCount, Occurrences, Queue});
+    if (!Customer.empty()) {
+      Fields.push_back(Customer);
+      Fields.push_back(AcceptedMs);
+    }
+    return toText(Fields);
+  }
   std::size_t Budget = checkpointBudget(OpenOccurrences);
   for (const auto &Each : OpenOccurrences) {
     json Steps = json::array();
@@ -305,7 +319,17 @@
                               const std::string_view Progress) {
   try {
     const json From = parseCbor(Progress);
-    job Job{Id, From.at(3), "", {}, 0};
+    // Both are absent for a job without a customer.
+    constexpr std::size_t CustomerField = 4;
+    constexpr std::size_t AcceptedField = 5;
+    const wall_ms AcceptedMs =
+        From.size() > AcceptedField
+            ? boundedInteger<wall_ms>(From.at(AcceptedField),
+                                      {0, limits::MaxWallMs})
+            : 0;
+    job Job{Id, From.at(3), "", {}, AcceptedMs};
+    if (From.size() > CustomerField)
+      Job.setCustomer(From.at(CustomerField));
     if (Job.restore(Progress) && Job.ended())
       return Job;
   } catch (const std::exception &) {
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -36,6 +36,10 @@
     /** Between nodes only: the job is not known yet, so that its submission
      * must be sent with its body. */
     BodyNeeded,
+    /** The request has no key of a customer and the queue requires one. */
+    Unauthorized,
+    /** The job belongs to another customer. */
+    Forbidden,
   };
   verdict Verdict{verdict::Unknown};
   job_state State{job_state::Queued};
@@ -47,7 +51,7 @@
   std::string Reason;
 };
 
-inline constexpr enum_names<caller_reply::verdict, 7> VerdictNames{{
+inline constexpr enum_names<caller_reply::verdict, 9> VerdictNames{{
     {caller_reply::verdict::Ok, "ok"},
     {caller_reply::verdict::Refused, "refused"},
     {caller_reply::verdict::NoQueue, "no-queue"},
@@ -55,10 +59,33 @@
     {caller_reply::verdict::Unknown, "unknown"},
     {caller_reply::verdict::NotLeading, "not-leading"},
     {caller_reply::verdict::BodyNeeded, "body-needed"},
+    {caller_reply::verdict::Unauthorized, "unauthorized"},
+    {caller_reply::verdict::Forbidden, "forbidden"},
 }};
 
 using reply_function = std::function<void(const caller_reply &)>;
 
+/** @brief A job that a caller submits. */
+struct submission {
+  std::string Queue;
+  /** A version of the rules that has the queue; 0 for unknown. A leader whose
+   * rules are older refuses a queue that they lack. */
+  std::uint64_t KnownSince{0};
+  std::string Id;
+  job_spec Spec;
+  /** Customer that submits it; empty for none. */
+  std::string Customer{};
+};
+
+/** @brief A caller's query or cancellation of a job. */
+struct job_request {
+  std::string Id;
+  /** Queue that the request's path maps to; empty for unknown. */
+  std::string Queue{};
+  /** Customer that sends it; empty for none. */
+  std::string Customer{};
+};
+
 /** @brief Called when an outside system has rejected a request of the leader,
  * since it has seen a higher epoch. */
 using fenced_function = std::function<void(std::string_view RejectedBy)>;
--- a/src/galenalink/job/types.hpp
+++ b/src/galenalink/job/types.hpp
@@ -205,10 +205,27 @@
   std::string Pool;
   /** Maximum time to answer a caller's request, ms. */
   std::uint32_t TimeoutMs{0};
+  /** Requests need no key of a customer. */
+  bool Public{false};
 
   [[nodiscard]] bool operator==(const queue_rule &) const = default;
 };
 
+/** @brief Configuration of a customer. */
+struct customer_rule {
+  std::string Name;
+  /** Each key identifies its callers. */
+  std::vector<std::string> Keys;
+  /** Share of a full pool relative to the other customers, and the number of
+   * new jobs a second up to which it has a claim to service; 0 for neither. */
+  double Weight{0};
+  /** Resources that its runs may use at the same time on all backend servers
+   * together; 0 for no limit. */
+  resources Quota;
+
+  [[nodiscard]] bool operator==(const customer_rule &) const = default;
+};
+
 /** @brief Configuration of a pool. */
 struct pool_rule {
   std::string Name;
@@ -225,6 +242,9 @@
   std::uint64_t Version{0};
   std::vector<queue_rule> Queues;
   std::vector<pool_rule> Pools;
+  /** Unset if the configuration has no customers, so that no request needs a
+   * key. */
+  std::optional<std::vector<customer_rule>> Customers;
 
   [[nodiscard]] const queue_rule *queue(std::string_view Name) const noexcept {
     for (const auto &Each : Queues) {
@@ -233,6 +253,16 @@
     }
     return nullptr;
   }
+  [[nodiscard]] const customer_rule *
+  customer(std::string_view Name) const noexcept {
+    if (!Customers)
+      return nullptr;
+    for (const auto &Each : *Customers) {
+      if (Each.Name == Name)
+        return &Each;
+    }
+    return nullptr;
+  }
   [[nodiscard]] const pool_rule *pool(std::string_view Name) const noexcept {
     for (const auto &Each : Pools) {
       if (Each.Name == Name)
--- a/src/galenalink/job_node/fleet_view.cpp
+++ b/src/galenalink/job_node/fleet_view.cpp
@@ -12,6 +12,10 @@
  * one are not stale reads: the known one is from another writer. */
 constexpr std::uint32_t MaxStaleRecords = 3;
 
+std::size_t countCustomers(const job::fleet_rules &Rules) {
+  return Rules.Customers ? Rules.Customers->size() : 0;
+}
+
 } // namespace
 
 bool fleet_view::applyOperatorRecords(
@@ -25,8 +29,10 @@
       Log.info("applying new rules", {{"version", New->Version},
                                       {"before", Rules.Version},
                                       {"queues", New->Queues.size()},
-                                      {"pools", New->Pools.size()}});
+                                      {"pools", New->Pools.size()},
+                                      {"customers", countCustomers(*New)}});
       Rules = std::move(*New);
+      Keys = job::key_index{Rules};
       Changed = true;
     }
     if (auto *Wave = std::get_if<job::wave>(&Decoded)) {
--- a/src/galenalink/job_node/fleet_view.hpp
+++ b/src/galenalink/job_node/fleet_view.hpp
@@ -1,6 +1,7 @@
 #ifndef GALENALINK_JOB_NODE_FLEET_VIEW_HPP
 #define GALENALINK_JOB_NODE_FLEET_VIEW_HPP
 
+#include "galenalink/job/access.hpp"
 #include "galenalink/job/ports.hpp"
 #include <map>
 
@@ -21,6 +22,8 @@
                           bool IsSnapshot);
 
   [[nodiscard]] const job::fleet_rules &rules() const noexcept { return Rules; }
+  /** @brief Index of the customers of `rules()`. */
+  [[nodiscard]] const job::key_index &keys() const noexcept { return Keys; }
   [[nodiscard]] const std::map<std::uint64_t, job::wave> &
   waves() const noexcept {
     return Waves;
@@ -33,6 +36,7 @@
 
   const job::ports &Ports;
   job::fleet_rules Rules;
+  job::key_index Keys;
   std::map<std::uint64_t, job::wave> Waves;
   std::map<std::string, job::registration> Registrations;
   /** Number of consecutive older records of each key. */
--- a/src/galenalink/job_node/node.hpp
+++ b/src/galenalink/job_node/node.hpp
@@ -51,6 +51,13 @@
   [[nodiscard]] time_point rulesAppliedAt() const noexcept {
     return RulesAppliedAt;
   }
+  /** @return Whether the key admits requests on the queue by the rules that
+   * this node knows. */
+  [[nodiscard]] job::access checkAccess(const job::queue_rule &Queue,
+                                        const std::string &Key) const;
+  /** @return Whether the log of the operator was read so recently that the
+   * rules are in force. Otherwise the leader decides on unknown keys. */
+  [[nodiscard]] bool rulesAreCurrent() const;
   /** @return Whether requests of callers can be served now. */
   [[nodiscard]] bool ready() const;
   [[nodiscard]] bool leads() const noexcept { return Controller != nullptr; }
--- a/src/galenalink/job_node/node_requests.cpp
+++ b/src/galenalink/job_node/node_requests.cpp
@@ -14,6 +14,9 @@
  * Its body names the process that the node knows as the leader. */
 constexpr std::string_view LeaderPath = "/v1/leader";
 constexpr duration ProbeTimeout = std::chrono::milliseconds{400};
+/** Rules that were read longer ago may lack the newest version. Twice the time
+ * for which a read of the operator's log waits. */
+constexpr duration MaxRulesAge = std::chrono::milliseconds{1500};
 
 job::caller_reply replyOf(const verdict Verdict) {
   job::caller_reply Reply;
@@ -23,6 +26,16 @@
 
 } // namespace
 
+job::access node::checkAccess(const job::queue_rule &Queue,
+                              const std::string &Key) const {
+  return job::checkAccess(View.rules(), View.keys(), Queue, Key);
+}
+
+bool node::rulesAreCurrent() const {
+  const time_point ReadAt = OperatorReader.lastResponseAt();
+  return ReadAt != NoDeadline && boot_clock::now() < ReadAt + MaxRulesAge;
+}
+
 void node::handleRequest(const caller_request &Request,
                          job::reply_function Reply) {
   auto RecordAndReply = [this, Kind = Request.Kind,
@@ -42,16 +55,23 @@
 
 void node::serveLocally(const caller_request &Request,
                         job::reply_function Reply) {
+  const job::access Access = decideAccess(View.rules(), View.keys(), Request);
+  if (Access.Verdict != job::access_verdict::Granted) {
+    Reply(replyOf(verdict::Unauthorized));
+    return;
+  }
   switch (Request.Kind) {
   case request_kind::Submit:
-    Controller->submit(Request.Queue, Request.RulesVersion, Request.Job,
-                       Request.Spec, std::move(Reply));
+    Controller->submit({Request.Queue, Request.RulesVersion, Request.Job,
+                        Request.Spec, Access.Customer},
+                       std::move(Reply));
     break;
   case request_kind::Query:
-    Reply(Controller->query(Request.Job));
+    Reply(Controller->query({Request.Job, Request.Queue, Access.Customer}));
     break;
   case request_kind::Cancel:
-    Controller->cancel(Request.Job, std::move(Reply));
+    Controller->cancel({Request.Job, Request.Queue, Access.Customer},
+                       std::move(Reply));
     break;
   case request_kind::Pending:
     Reply(Controller->pending(Request.Queue));
@@ -143,12 +163,18 @@
 
 bool node::serveSubmissionHead(const submission_head &Head,
                                const job::reply_function &Reply) {
-  if (Controller->knows(Head.Job)) {
-    Controller->submit(Head.Queue, 0, Head.Job, {},
-                       withDeadline(Loop, Head.Deadline, Reply));
+  const caller_request &Request = Head.Request;
+  const job::access Access = decideAccess(View.rules(), View.keys(), Request);
+  if (Access.Verdict != job::access_verdict::Granted) {
+    Reply(replyOf(verdict::Unauthorized));
+    return true;
+  }
+  if (Controller->knows(Request.Job)) {
+    Controller->submit({Request.Queue, 0, Request.Job, {}, Access.Customer},
+                       withDeadline(Loop, Request.Deadline, Reply));
     return true;
   }
-  if (const auto Refusal = Controller->refuseUnparsed(Head.Job)) {
+  if (const auto Refusal = Controller->refuseUnparsed(Request.Job)) {
     Reply(*Refusal);
     return true;
   }
--- a/src/galenalink/job_node/peer_api.cpp
+++ b/src/galenalink/job_node/peer_api.cpp
@@ -14,6 +14,12 @@
 constexpr std::string_view DeadlineHeader = "Galenalink-Deadline-Ms";
 /** Carries the version of the rules by which the queue was chosen. */
 constexpr std::string_view RulesVersionHeader = "Galenalink-Rules-Version";
+/** Carries the key that the caller sent. */
+constexpr std::string_view KeyHeader = "Galenalink-Key";
+/** Carries what the entry node decided on the key. */
+constexpr std::string_view AccessHeader = "Galenalink-Access";
+/** Carries the customer that the entry node found for the key. */
+constexpr std::string_view CustomerHeader = "Galenalink-Customer";
 /** Marks a submission whose body is sent only if the leader asks for it. */
 constexpr std::string_view BodyHeader = "Galenalink-Body";
 /** Used if the header is missing or not a number. */
@@ -56,6 +62,35 @@
   return Version;
 }
 
+std::string headerText(const http::exchange &Exchange,
+                       const std::string_view Name) {
+  return std::string{Exchange.header(Name).value_or("")};
+}
+
+/** @brief Adds what the leader needs to decide on the caller's key. */
+void addAccess(const caller_request &Request, http::headers &Headers) {
+  if (!Request.Key.empty())
+    Headers.push_back(
+        {std::string{KeyHeader}, http::encodeSegment(Request.Key)});
+  if (!Request.Access.Customer.empty())
+    Headers.push_back({std::string{CustomerHeader},
+                       http::encodeSegment(Request.Access.Customer)});
+  if (Request.Access.Verdict != job::access_verdict::Granted)
+    Headers.push_back(
+        {std::string{AccessHeader},
+         std::string{nameOf(job::AccessVerdictNames, Request.Access.Verdict)}});
+}
+
+/** @brief Decodes what `addAccess` wrote. A verdict that is not known counts as
+ * an unknown key. */
+void parseAccess(const http::exchange &Exchange, caller_request &Out) {
+  Out.Key = http::decodeSegment(headerText(Exchange, KeyHeader));
+  Out.Access.Customer =
+      http::decodeSegment(headerText(Exchange, CustomerHeader));
+  if (Exchange.header(AccessHeader))
+    Out.Access.Verdict = job::access_verdict::UnknownKey;
+}
+
 struct job_path {
   std::string Queue;
   std::string Job;
@@ -79,8 +114,15 @@
   const auto Target = parseJobPath(Exchange.path());
   if (!Target || kindOf(Exchange.method()) != request_kind::Submit)
     return std::nullopt;
-  return submission_head{Target->Queue, Target->Job, requestDeadline(Exchange),
-                         Exchange.header(BodyHeader).has_value()};
+  submission_head Head;
+  Head.Request.Kind = request_kind::Submit;
+  Head.Request.Queue = Target->Queue;
+  Head.Request.Job = Target->Job;
+  Head.Request.RulesVersion = rulesVersion(Exchange);
+  Head.Request.Deadline = requestDeadline(Exchange);
+  parseAccess(Exchange, Head.Request);
+  Head.BodyWithheld = Exchange.header(BodyHeader).has_value();
+  return Head;
 }
 
 http::request toRequest(const caller_request &Request) {
@@ -97,6 +139,7 @@
       {std::string{DeadlineHeader}, std::to_string(Remaining.count())});
   HttpRequest.Headers.push_back(
       {std::string{RulesVersionHeader}, std::to_string(Request.RulesVersion)});
+  addAccess(Request, HttpRequest.Headers);
   if (Request.BodyWithheld)
     HttpRequest.Headers.push_back({std::string{BodyHeader}, "withheld"});
   else if (Request.Kind == request_kind::Submit)
@@ -123,6 +166,7 @@
   caller_request Request;
   Request.Deadline = requestDeadline(Exchange);
   Request.RulesVersion = rulesVersion(Exchange);
+  parseAccess(Exchange, Request);
   const std::string_view Path = Exchange.path();
   if (Path.starts_with(QueuesPath)) {
     Request.Kind = request_kind::Pending;
@@ -160,7 +204,7 @@
     const auto Fields = job::parseCbor(Body);
     using verdict = job::caller_reply::verdict;
     job::caller_reply Reply;
-    Reply.Verdict = parseEnumerator(Fields.at(0), verdict::BodyNeeded);
+    Reply.Verdict = parseEnumerator(Fields.at(0), verdict::Forbidden);
     Reply.State = parseEnumerator(Fields.at(1), job::job_state::Cancelled);
     Reply.Pending = job::boundedInteger<decltype(Reply.Pending)>(Fields.at(2));
     Reply.RetryAfterMs =
--- a/src/galenalink/job_node/peer_api.hpp
+++ b/src/galenalink/job_node/peer_api.hpp
@@ -15,18 +15,17 @@
 /** @return Kind of a request on a job by its method; nothing if the method is
  * not supported. */
 [[nodiscard]] std::optional<request_kind> kindOf(http::method Method) noexcept;
-/** @return Nothing if path, method or body is invalid. */
 /** @brief A forwarded submission without its body. */
 struct submission_head {
-  std::string Queue;
-  std::string Job;
-  time_point Deadline;
+  /** Without `Spec`. */
+  caller_request Request;
   bool BodyWithheld{false};
 };
 
 /** @return `nullopt` for other requests than submissions. */
 [[nodiscard]] std::optional<submission_head>
 parseSubmissionHead(const http::exchange &Exchange);
+/** @return Nothing if path, method or body is invalid. */
 [[nodiscard]] std::optional<caller_request>
 parseRequest(const http::exchange &Exchange);
 
--- a/test/galenalink/job/dispatch.cpp
+++ b/test/galenalink/job/dispatch.cpp
@@ -120,7 +120,7 @@
     static_cast<void>(
         Platform.submit(Pools[Random() % Pools.size()], Id, Spec));
     if (Random() % 5 == 0)
-      Platform.Leader->cancel("job-" + std::to_string(Round / 2),
+      Platform.Leader->cancel({"job-" + std::to_string(Round / 2)},
                               [](const caller_reply &) {});
     Platform.Leader->dispatchAndFlush();
     BOOST_TEST(countStartableTasks(Platform.Leader->state()) == 0U);
--- a/test/galenalink/job/leader_test.cpp
+++ b/test/galenalink/job/leader_test.cpp
@@ -216,7 +216,7 @@
   one_pool Platform;
   Platform.submit("press", "a", makeJob({makeLongRunningStep(4, 1)}));
   Platform.advance(Second);
-  Platform.Leader->cancel("a", [](const caller_reply &) {});
+  Platform.Leader->cancel({"a"}, [](const caller_reply &) {});
   Platform.advance(Second);
   const auto Started = Platform.Starts;
   Platform.advance(3 * Second);
--- a/test/galenalink/job/lost_stops.cpp
+++ b/test/galenalink/job/lost_stops.cpp
@@ -38,7 +38,7 @@
   }
 
   void cancel() {
-    Platform.Leader->cancel("a", [](const caller_reply &) {});
+    Platform.Leader->cancel({"a"}, [](const caller_reply &) {});
     Platform.Leader->dispatchAndFlush();
   }
 
--- a/test/galenalink/job/overload.cpp
+++ b/test/galenalink/job/overload.cpp
@@ -90,9 +90,9 @@
     job_spec Spec;
     Spec.Spec = "text";
     Spec.Steps = {makeStep(TasksPerJob, TaskCpu, TaskMs)};
-    Leader->submit("press", 0, Id, Spec, [this, Id](const caller_reply &Reply) {
-      answer(Id, Reply);
-    });
+    Leader->submit(
+        {"press", 0, Id, Spec},
+        [this, Id](const caller_reply &Reply) { answer(Id, Reply); });
     schedule(ForwardTimeout, [this, Id, Deadline] { send(Id, Deadline); });
   }
   void retry(const std::string &Id) {
@@ -201,7 +201,7 @@
   std::map<caller_reply::verdict, int> Verdicts;
   for (int I = 0; I < 60; ++I) {
     Platform.Leader->submit(
-        "press", 0, "j" + std::to_string(I), Spec,
+        {"press", 0, "j" + std::to_string(I), Spec},
         [&](const caller_reply &Reply) { ++Verdicts[Reply.Verdict]; });
     Platform.advance(40 * Millisecond);
   }
--- a/test/galenalink/job/pool_plan.cpp
+++ b/test/galenalink/job/pool_plan.cpp
@@ -195,7 +195,7 @@
   Platform.submit("press", "small", Small);
   const leader &State = Platform.Leader->state();
   BOOST_REQUIRE(State.findJob("large")->Deferred);
-  Platform.Leader->cancel("large", [](const caller_reply &) {});
+  Platform.Leader->cancel({"large"}, [](const caller_reply &) {});
   Platform.submit("press", "next", Large);
   Platform.addServer("s1", "press");
   Platform.addServer("s2", "press");
--- a/test/galenalink/job/restarted_servers.cpp
+++ b/test/galenalink/job/restarted_servers.cpp
@@ -30,7 +30,7 @@
   Platform.Ports.Stop = [&](const stop_order &, const auto &Callback) {
     Respond = Callback;
   };
-  Platform.Leader->cancel("a", [](const caller_reply &) {});
+  Platform.Leader->cancel({"a"}, [](const caller_reply &) {});
   Platform.advance(Second / 2);
   BOOST_REQUIRE(Respond);
   Platform.Ports.Stop = Stop;
--- a/test/galenalink/job/run_locations.cpp
+++ b/test/galenalink/job/run_locations.cpp
@@ -65,7 +65,7 @@
     Spec.Steps.front().Speculative = Random() % 3 == 0;
     static_cast<void>(Platform.submit("press", Id, Spec));
     if (Round % 7 == 3)
-      Platform.Leader->cancel("job-" + std::to_string(Round / 2),
+      Platform.Leader->cancel({"job-" + std::to_string(Round / 2)},
                               [](const caller_reply &) {});
     if (Round % 20 == 11)
       Platform.crash("s" + std::to_string(Round % 12));
--- a/test/galenalink/job/simulated_platform.cpp
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -438,7 +438,7 @@
                            const job_spec &Spec,
                            const std::uint64_t KnownSince) {
   auto Reply = std::make_shared<std::optional<caller_reply>>();
-  Leader->submit(Queue, KnownSince, Id, Spec,
+  Leader->submit({Queue, KnownSince, Id, Spec},
                  [Reply](const caller_reply &Result) { *Reply = Result; });
   Leader->dispatchAndFlush();
   advance(std::chrono::milliseconds{40});
@@ -446,7 +446,7 @@
 }
 
 job_state simulated_platform::stateOf(const std::string &Id) const {
-  return Leader->query(Id).State;
+  return Leader->query({Id}).State;
 }
 
 std::size_t simulated_platform::countServing(const std::string &Job,
--- a/test/galenalink/job/unknown_runs.cpp
+++ b/test/galenalink/job/unknown_runs.cpp
@@ -213,15 +213,15 @@
   const auto Cancel = [&] {
     std::optional<verdict> Verdict;
     Platform.Leader->cancel(
-        "a", [&](const caller_reply &Reply) { Verdict = Reply.Verdict; });
+        {"a"}, [&](const caller_reply &Reply) { Verdict = Reply.Verdict; });
     Platform.advance(Second);
     return Verdict;
   };
   Platform.LeadershipConfirmed = false;
-  BOOST_CHECK(Platform.Leader->query("a").Verdict == verdict::NotLeading);
+  BOOST_CHECK(Platform.Leader->query({"a"}).Verdict == verdict::NotLeading);
   BOOST_CHECK(Cancel() == verdict::NotLeading);
   Platform.LeadershipConfirmed = true;
-  BOOST_CHECK(Platform.Leader->query("a").Verdict == verdict::NoJob);
+  BOOST_CHECK(Platform.Leader->query({"a"}).Verdict == verdict::NoJob);
   BOOST_CHECK(Cancel() == verdict::NoJob);
 }
 
