Limit customers by quota, rate and fair share

Cause: a customer could use any amount of resources, and its flood filled the pools for all others. Change: customer_quotas counts every run that exists or may exist against the customer's quota, also the runs that a new leader does not see yet. customer_rates finds the jobs beyond the customer's rate, which run only in capacity that others leave; a new leader rebuilds its window from the job records. fair_share limits what a customer is promised in a full pool. Logs and metrics show the decisions by customer. Tests: access, customers, customer_quotas, customer_rates, fair_share; the test of odd replies uses the first verdict that is not known now.

--- a/src/galenalink/job/access.hpp
+++ b/src/galenalink/job/access.hpp
@@ -25,12 +25,12 @@
 }};
 
 /** @brief Whether a request may be served, and on behalf of whom. */
-struct access {
+struct access_decision {
   access_verdict Verdict{access_verdict::UnknownKey};
   /** Customer that the request belongs to; empty for none. */
   std::string Customer;
 
-  [[nodiscard]] bool operator==(const access &) const = default;
+  [[nodiscard]] bool operator==(const access_decision &) const = default;
 };
 
 /** @brief Index of the customers of one version of the rules by key. */
@@ -60,10 +60,10 @@
 /** @brief Decides whether a key admits requests on a queue. A request on a
  * public queue belongs to no customer.
  * @param Keys Index of the same rules. */
-[[nodiscard]] inline access checkAccess(const fleet_rules &Rules,
-                                        const key_index &Keys,
-                                        const queue_rule &Queue,
-                                        const std::string &Key) {
+[[nodiscard]] inline access_decision checkAccess(const fleet_rules &Rules,
+                                                 const key_index &Keys,
+                                                 const queue_rule &Queue,
+                                                 const std::string &Key) {
   if (!Rules.Customers || Queue.Public)
     return {access_verdict::Granted, {}};
   std::string Customer = Keys.customerOf(Key);
--- a/src/galenalink/job/admission.hpp
+++ b/src/galenalink/job/admission.hpp
@@ -2,9 +2,12 @@
 #define GALENALINK_JOB_ADMISSION_HPP
 
 #include "galenalink/core/enum_names.hpp"
+#include "galenalink/job/fair_share.hpp"
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <string>
+#include <vector>
 
 namespace galenalink::job {
 
@@ -18,6 +21,8 @@
   double InTimeWork{0};
   /** Remaining work of jobs that run only in otherwise unused capacity. */
   double DeferredWork{0};
+  /** `InTimeWork` and demand by customer; empty if no job has a customer. */
+  std::vector<customer_claim> Claims{};
 };
 
 /** @brief A job to be admitted or refused. */
@@ -27,6 +32,15 @@
   double Work{0};
   /** Time within which it should complete, ms from now. */
   double ObjectiveMs{0};
+  /** Customer that submits it; empty for none. */
+  std::string Customer{};
+  /** Its share of a full pool relative to the other customers. */
+  double Weight{1};
+  /** The customer has a claim to service for it. */
+  bool WithinRate{true};
+  /** Until when the customer's quota lets its jobs and this one complete, ms
+   * from now. */
+  double QuotaMs{0};
 };
 
 enum class admission_verdict : std::uint8_t { InTime, Deferred, Refused };
@@ -45,18 +59,34 @@
   std::uint32_t RetryAfterMs{0};
 };
 
+/** Share of the capacity that tasks can use; bin packing wastes the rest. */
+inline constexpr double PackingEfficiency = 0.85;
+
+/** @return Work that the pool does until it has done the customer's own, if
+ * the customers share it by weight; 0 without customers. */
+[[nodiscard]] inline double ownShareOfWork(const pool_load &Load,
+                                           const admission_request &Request) {
+  const customer_claim *Own = findClaim(Load.Claims, Request.Customer);
+  if (Own == nullptr)
+    return 0;
+  const double Share = fairRate(Load.Claims, Request.Customer, Request.Weight,
+                                Load.Capacity, Request.ObjectiveMs) /
+                       Load.Capacity;
+  return Own->Work / Share;
+}
+
 /**
  * @brief Admission control during a demand peak above the pool's capacity.
  *
  * A job that can meet its objective after the jobs accepted before it is
- * admitted. A job that would complete late is deferred to capacity left after
- * the peak, if it still completes early enough to be useful. Any other job is
- * refused immediately.
+ * admitted, as long as the customer keeps to its fair share of the pool. A job
+ * that would complete late is deferred to capacity left after the peak, if it
+ * still completes early enough to be useful. Any other job is refused
+ * immediately. A job beyond its customer's rate is deferred if the pool has
+ * room for it beside all others, and refused otherwise.
  */
 [[nodiscard]] inline admission admit(const pool_load &Load,
                                      const admission_request &Request) {
-  /** Share of the capacity that tasks can use; bin packing wastes the rest. */
-  constexpr double PackingEfficiency = 0.85;
   /** Latest useful completion, as a multiple of the objective. It is one tenth
    * below the multiple at which a job loses its value, to allow for inaccurate
    * estimates. */
@@ -72,14 +102,20 @@
   const double Rate = Load.Capacity * PackingEfficiency;
   const double ExecutionMs =
       std::max(Request.CriticalPathMs, Request.Work / Rate);
-  Result.FinishMs = Load.InTimeWork / Rate + ExecutionMs;
-  if (Result.FinishMs <= Request.ObjectiveMs) {
+  const double AheadMs =
+      std::max(Load.InTimeWork, ownShareOfWork(Load, Request)) / Rate;
+  Result.FinishMs = std::max(AheadMs + ExecutionMs, Request.QuotaMs);
+  if (Request.WithinRate && Result.FinishMs <= Request.ObjectiveMs) {
     Result.Verdict = admission_verdict::InTime;
     return Result;
   }
-  Result.FinishMs += Load.DeferredWork / Rate;
-  const double LatestUsefulMs = Request.ObjectiveMs * MaxUsefulFactor;
-  if (Result.FinishMs <= LatestUsefulMs) {
+  Result.FinishMs =
+      std::max((Load.InTimeWork + Load.DeferredWork) / Rate + ExecutionMs,
+               Request.QuotaMs);
+  const double LatestMs = Request.WithinRate
+                              ? Request.ObjectiveMs * MaxUsefulFactor
+                              : Request.ObjectiveMs;
+  if (Result.FinishMs <= LatestMs) {
     Result.Verdict = admission_verdict::Deferred;
     return Result;
   }
--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -1,5 +1,6 @@
 #include "galenalink/job/callers.hpp"
 #include "galenalink/job/access.hpp"
+#include "galenalink/job/customers.hpp"
 #include "galenalink/job/job_limits.hpp"
 #include "galenalink/telemetry/log.hpp"
 #include <algorithm>
@@ -16,6 +17,10 @@
  * removed. */
 constexpr std::size_t MaxJobs = 200000;
 constexpr std::uint32_t BusyRetryMs = 1000;
+/** Only a new version of the rules can admit the job. */
+constexpr std::uint32_t QuotaRetryMs = 60000;
+/** Customers that are counted by name; further ones are counted together. */
+constexpr std::size_t MaxCountedCustomers = 1024;
 /** Time after which a new leader has contacted its backend servers. */
 constexpr duration ServerDiscoveryTime = std::chrono::milliseconds{1000};
 
@@ -42,17 +47,43 @@
                    Leader.Durations.predictMs(Queue, Step.EstimateMs);
 }
 
+/** @return Time that the customer's quota takes for its open jobs and the given
+ * work, ms; 0 without a limit of CPU. */
+double quotaMs(const leader &Leader, const std::string &Customer,
+               const double Work) {
+  const auto Limit = static_cast<double>(Leader.Quotas.limit(Customer).Cpu);
+  // A customer that holds little of its quota does not wait for it.
+  const auto InUse = static_cast<double>(Leader.Quotas.inUse(Customer).Cpu);
+  if (Customer.empty() || Limit <= 0 || InUse < Limit / 2)
+    return 0;
+  double Sum = Work;
+  for (const auto &[Id, Entry] : Leader.OpenJobs) {
+    if (Entry->Job.customer() == Customer)
+      Sum += remainingWork(Leader, Entry->Job);
+  }
+  return Sum / Limit;
+}
+
 admission decideAdmission(leader &Leader, const queue_rule &Rule,
-                          const pool_load &Load, const submission &Submission) {
+                          const pool_load &Load, const submission &Submission,
+                          const bool WithinRate) {
   const job_spec &Spec = Submission.Spec;
   admission_request Request;
+  Request.Customer = Submission.Customer;
+  Request.Weight = shareWeight(Leader, Submission.Customer);
+  Request.WithinRate = WithinRate;
   Request.CriticalPathMs = criticalPathMs(Leader, Rule.Name, &Rule, Spec);
   Request.ObjectiveMs = Rule.Stretch * Request.CriticalPathMs + Rule.SlackMs;
   for (const auto &Step : Spec.Steps)
     Request.Work += estimateStepWork(Leader, Rule.Name, Step, Step.Count);
-  // Demand includes refused jobs, but counts each job only once.
-  if (Leader.RecentJobs.add(Submission.Id, Leader.Now())) {
+  Request.QuotaMs = quotaMs(Leader, Submission.Customer, Request.Work);
+  // Demand includes refused jobs, but counts each job only once. No capacity is
+  // provided for jobs beyond a customer's rate.
+  if (WithinRate && Leader.RecentJobs.add(Submission.Id, Leader.Now())) {
     Leader.Demand[Rule.Pool].recordArrival(Leader.Now(), Request.Work);
+    if (!Submission.Customer.empty())
+      Leader.CustomerDemand[Rule.Pool][Submission.Customer].recordArrival(
+          Leader.Now(), Request.Work);
     Leader.Forecast.recordArrival(Rule.Pool, Request.Work, Leader.Wall());
   }
   // Zero capacity means nothing before a new leader has contacted its backend
@@ -66,14 +97,21 @@
   return admit(Load, Request);
 }
 
+/** @brief Which capacity an accepted job may use. */
+struct job_class {
+  bool Deferred{false};
+  bool BeyondRate{false};
+};
+
 void acceptJob(leader &Leader, const queue_rule &Rule, submission Submission,
-               const bool Deferred, reply_function Reply) {
+               const job_class Class, reply_function Reply) {
   const std::string Id = Submission.Id;
   job Job{Id, Rule.Name, Rule.Pool, std::move(Submission.Spec), Leader.Wall()};
   Job.setRule(Rule, Leader.Rules.Version);
   Job.setCustomer(std::move(Submission.Customer));
   job_entry &Entry = addJob(Leader, std::move(Job));
-  Entry.Deferred = Deferred;
+  Entry.Deferred = Class.Deferred;
+  Entry.BeyondRate = Class.BeyondRate;
   ++Leader.WaitingJobs;
   Entry.OnStored.push_back(std::move(Reply));
   openDueOccurrences(Leader, Entry);
@@ -89,6 +127,10 @@
   });
 }
 
+std::string toInteger(const double Value) {
+  return std::to_string(static_cast<std::int64_t>(Value));
+}
+
 /** @brief Lists the properties of the job's steps that constrain placement. */
 std::string describeTraits(const queue_rule &Rule, const job_spec &Spec) {
   std::string Traits = Rule.Advice ? "advised " : "";
@@ -109,27 +151,42 @@
   return Traits;
 }
 
+/** @brief Adds the figures by which a customer's job was judged. */
+void addCustomer(const leader &Leader, const pool_load &Load,
+                 const submission &Submission, const bool WithinRate,
+                 std::vector<telemetry::attribute> &Line) {
+  const std::string &Customer = Submission.Customer;
+  const customer_claim *Claim = findClaim(Load.Claims, Customer);
+  const resources InUse = Leader.Quotas.inUse(Customer);
+  const resources Quota = Leader.Quotas.limit(Customer);
+  Line.emplace_back("customer", Customer);
+  Line.emplace_back("rate", std::string{WithinRate ? "within" : "beyond"});
+  Line.emplace_back("own_work", toInteger(Claim == nullptr ? 0 : Claim->Work));
+  Line.emplace_back("cpu_in_use", std::to_string(InUse.Cpu));
+  Line.emplace_back("cpu_quota", std::to_string(Quota.Cpu));
+}
+
 void logDecision(const leader &Leader, const queue_rule &Rule,
                  const pool_load &Load, const submission &Submission,
-                 const admission &Admission) {
+                 const admission &Admission, const bool WithinRate) {
   const job_spec &Spec = Submission.Spec;
-  const auto Number = [](const double Value) {
-    return std::to_string(static_cast<std::int64_t>(Value));
-  };
-  Log.info("admission", {{"job", Submission.Id},
-                         {"queue", Rule.Name},
-                         {"customer", Submission.Customer},
-                         {"verdict", std::string{nameOf(AdmissionVerdictNames,
-                                                        Admission.Verdict)}},
-                         {"finish_ms", Number(Admission.FinishMs)},
-                         {"retry_ms", Admission.RetryAfterMs},
-                         {"capacity", Number(Load.Capacity)},
-                         {"in_time_work", Number(Load.InTimeWork)},
-                         {"deferred_work", Number(Load.DeferredWork)},
-                         {"steps", Spec.Steps.size()},
-                         {"times", Spec.Times},
-                         {"traits", describeTraits(Rule, Spec)},
-                         {"rules", Leader.Rules.Version}});
+  std::vector<telemetry::attribute> Line{
+      {"job", Submission.Id},
+      {"queue", Rule.Name},
+      {"verdict",
+       std::string{nameOf(AdmissionVerdictNames, Admission.Verdict)}},
+      {"finish_ms", toInteger(Admission.FinishMs)},
+      {"retry_ms", Admission.RetryAfterMs},
+      {"capacity", toInteger(Load.Capacity)},
+      {"in_time_work", toInteger(Load.InTimeWork)},
+      {"deferred_work", toInteger(Load.DeferredWork)},
+      {"steps", Spec.Steps.size()},
+      {"times", Spec.Times},
+      {"traits", describeTraits(Rule, Spec)},
+      {"rules", Leader.Rules.Version}};
+  if (!Submission.Customer.empty())
+    addCustomer(Leader, Load, Submission, WithinRate, Line);
+  Log.write(telemetry::severity::Info, "admission", Line);
 }
 
 } // namespace
@@ -146,6 +203,36 @@
   return Work;
 }
 
+namespace {
+
+customer_claim &claimOf(const leader &Leader, const std::string &Customer,
+                        pool_load &Load) {
+  const auto Found =
+      std::ranges::find(Load.Claims, Customer, &customer_claim::Customer);
+  if (Found != Load.Claims.end())
+    return *Found;
+  return Load.Claims.emplace_back(
+      customer_claim{Customer, shareWeight(Leader, Customer), 0, 0});
+}
+
+void addInTimeWork(const leader &Leader, const std::string &Customer,
+                   const double Work, pool_load &Load) {
+  Load.InTimeWork += Work;
+  if (Leader.Rules.Customers)
+    claimOf(Leader, Customer, Load).Work += Work;
+}
+
+void addDemand(const leader &Leader, const std::string_view Pool,
+               pool_load &Load) {
+  const auto Found = Leader.CustomerDemand.find(Pool);
+  if (Found == Leader.CustomerDemand.end())
+    return;
+  for (const auto &[Customer, Meter] : Found->second)
+    claimOf(Leader, Customer, Load).Demand = Meter.rate(Leader.Now());
+}
+
+} // namespace
+
 pool_load computePoolLoad(const leader &Leader, const std::string_view Pool) {
   pool_load Load;
   for (const server *Server : Leader.ServersByPool.of(Pool)) {
@@ -162,9 +249,13 @@
       continue;
     const bool InTime = !Entry->Deferred &&
                         Now < Entry->Job.openOccurrences().front().Objective;
-    (InTime ? Load.InTimeWork : Load.DeferredWork) +=
-        remainingWork(Leader, Entry->Job);
+    const double Work = remainingWork(Leader, Entry->Job);
+    if (InTime)
+      addInTimeWork(Leader, Entry->Job.customer(), Work, Load);
+    else
+      Load.DeferredWork += Work;
   }
+  addDemand(Leader, Pool, Load);
   return Load;
 }
 
@@ -174,7 +265,8 @@
   Leader.WaitingJobs = 0;
   for (auto &[Id, Entry] : Leader.OpenJobs) {
     Leader.WaitingJobs += Entry->Job.state() == job_state::Queued ? 1 : 0;
-    if (!Entry->Deferred || Entry->Job.openOccurrences().empty())
+    if (!Entry->Deferred || Entry->BeyondRate ||
+        Entry->Job.openOccurrences().empty())
       continue;
     const auto [Load, Added] = Loads.try_emplace(Entry->Job.pool());
     if (Added)
@@ -187,11 +279,13 @@
         remainingCriticalPathMs(Leader, Entry->Job, Occurrence);
     Request.Work = remainingWork(Leader, Entry->Job);
     Request.ObjectiveMs = std::max(UntilObjective.count(), 0.0);
+    Request.Customer = Entry->Job.customer();
+    Request.Weight = shareWeight(Leader, Request.Customer);
     if (admit(Load->second, Request).Verdict != admission_verdict::InTime)
       continue;
     Log.info("promoted", {{"job", Id}, {"queue", Entry->Job.queue()}});
     Entry->Deferred = false;
-    Load->second.InTimeWork += Request.Work;
+    addInTimeWork(Leader, Request.Customer, Request.Work, Load->second);
     Load->second.DeferredWork -= Request.Work;
     requestDispatch(Leader, Entry->Job.pool());
   }
@@ -247,6 +341,15 @@
     Entry.OnStored.push_back(std::move(Reply));
 }
 
+/** @brief Whether the job has a gang that can't run within its customer's
+ * quota, even alone. */
+bool exceedsQuota(const leader &Leader, const submission &Job) {
+  return std::ranges::any_of(Job.Spec.Steps, [&](const step_spec &Step) {
+    return Step.Gang &&
+           !Leader.Quotas.canEverRun(Job.Customer, Step.Size, Step.Count);
+  });
+}
+
 /** @return Why a job can't be accepted whatever its pool has free; `nullopt` if
  * that depends on the pool. */
 std::optional<caller_reply> refuseWithoutAdmission(leader &Leader,
@@ -267,6 +370,8 @@
     return replyOf(verdict::NoQueue);
   if (taskCount(Job.Spec) > limits::MaxTasks || Leader.Jobs.size() >= MaxJobs)
     return makeRefusal("too many tasks or jobs", BusyRetryMs);
+  if (exceedsQuota(Leader, Job))
+    return makeRefusal("a gang exceeds the customer's quota", QuotaRetryMs);
   if (auto Refusal = refuseIfOverloaded(Leader))
     return Refusal;
   if (!Leader.Journal.healthy()) {
@@ -281,6 +386,26 @@
 
 } // namespace
 
+namespace {
+
+void countDecision(leader &Leader, const std::string &Customer,
+                   const admission_verdict Verdict, const bool WithinRate) {
+  if (Customer.empty())
+    return;
+  auto &Customers = Leader.Counts->Customers;
+  const bool HasEntry =
+      Customers.contains(Customer) || Customers.size() < MaxCountedCustomers;
+  customer_counts &Counts = Customers[HasEntry ? Customer : "other"];
+  if (Verdict != admission_verdict::Refused)
+    ++Counts.Admitted;
+  else if (WithinRate)
+    ++Counts.RefusedFull;
+  else
+    ++Counts.RefusedRate;
+}
+
+} // namespace
+
 void submitJob(leader &Leader, submission Submission, reply_function Reply) {
   if (job_entry *Existing = Leader.findJob(Submission.Id)) {
     replyToRepeat(Leader, *Existing, Submission, std::move(Reply));
@@ -291,21 +416,29 @@
     Reply(*Refusal);
     return;
   }
+  const bool WithinRate = claimRate(Leader, Submission);
   const pool_load Load = computePoolLoad(Leader, Rule->Pool);
   admission Admission;
   Admission.Verdict = admission_verdict::InTime;
   if (!Submission.Spec.isLongRunning() && Submission.Spec.Times == 0)
-    Admission = decideAdmission(Leader, *Rule, Load, Submission);
-  logDecision(Leader, *Rule, Load, Submission, Admission);
+    Admission = decideAdmission(Leader, *Rule, Load, Submission, WithinRate);
+  if (!WithinRate)
+    Admission.RetryAfterMs = std::max(Admission.RetryAfterMs,
+                                      rateRetryMs(Leader, Submission.Customer));
+  logDecision(Leader, *Rule, Load, Submission, Admission, WithinRate);
+  countDecision(Leader, Submission.Customer, Admission.Verdict, WithinRate);
   if (Admission.Verdict == admission_verdict::Refused) {
     ++Leader.Counts->Refused;
-    Reply(makeRefusal("the pool is full", Admission.RetryAfterMs));
+    Reply(makeRefusal(WithinRate ? "the pool is full"
+                                 : "the customer's rate is exceeded",
+                      Admission.RetryAfterMs));
     return;
   }
   const bool Deferred = Admission.Verdict == admission_verdict::Deferred;
   ++(Deferred ? Leader.Counts->AdmittedDeferred
               : Leader.Counts->AdmittedInTime);
-  acceptJob(Leader, *Rule, std::move(Submission), Deferred, std::move(Reply));
+  acceptJob(Leader, *Rule, std::move(Submission), {Deferred, !WithinRate},
+            std::move(Reply));
 }
 
 namespace {
--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -1,4 +1,5 @@
 #include "galenalink/job/dispatch.hpp"
+#include "galenalink/job/customers.hpp"
 #include "galenalink/job/placement.hpp"
 #include "galenalink/job/runs.hpp"
 #include "galenalink/job/server_watch.hpp"
@@ -192,6 +193,10 @@
       continue;
     if (!Leader.StartWindow.open())
       return;
+    if (!Leader.Quotas.permits(Entry.Job.customer(), Spec.Size)) {
+      Leader.Quotas.markWaiting(Entry.Job.customer(), Entry.Job.pool());
+      return;
+    }
     placement_request Request;
     Request.Step = &Spec;
     Request.Task = {Entry.Job.id(), Candidate.Occurrence->Number,
@@ -245,6 +250,11 @@
   });
   if (!AllWait)
     return;
+  if (!Leader.Quotas.permitsAll(Entry.Job.customer(), Spec.Size,
+                                Tasks.size())) {
+    Leader.Quotas.markWaiting(Entry.Job.customer(), Entry.Job.pool());
+    return;
+  }
   placement_request Request;
   Request.Step = &Spec;
   Request.Task = {Entry.Job.id(), Candidate.Occurrence->Number, Candidate.Step,
@@ -356,7 +366,8 @@
   const step_spec *Step = Entry == nullptr ? nullptr : Entry->Job.stepSpec(Id);
   if (!mayGrantLeases(Leader) || Task == nullptr || Task->Done ||
       Task->Runs != 1 || !Step->Speculative || !Entry->PoolStored ||
-      !Entry->Job.permitsRun(*Step, *Task))
+      !Entry->Job.permitsRun(*Step, *Task) ||
+      !Leader.Quotas.permits(Entry->Job.customer(), Step->Size))
     return;
   placement_request Request;
   Request.Step = Step;
@@ -419,6 +430,8 @@
     return;
   }
   const auto Pools = duePools(Leader);
+  if (!Pools.empty())
+    countUnknownRuns(Leader);
   const bool WasHeld = Leader.StartsHeldSince != NoDeadline;
   const bool Proceeds =
       WasHeld ? Leader.StartWindow.hasRoom() : Leader.StartWindow.open();
--- a/src/galenalink/job/heartbeats.cpp
+++ b/src/galenalink/job/heartbeats.cpp
@@ -21,10 +21,6 @@
 constexpr duration UnrecordedInterval = std::chrono::milliseconds{400};
 /** Time to the next heartbeat after one without a response. */
 constexpr duration RetryInterval = std::chrono::milliseconds{200};
-/** Reserved for a run of unknown size: more than any backend server has, since
- * its capacity may not be known yet either. */
-constexpr resources UnknownSize{std::int64_t{1} << 30, std::int64_t{1} << 30,
-                                0};
 
 /** Allows for late timers, and for leases that were granted by an old reading
  * of the backend server's clock. */
@@ -45,6 +41,8 @@
   Run.SentAt = Leader.Now();
   Run.ExpectedEnd = Leader.Now();
   Run.ProgressAt = Leader.Now();
+  if (Entry != nullptr)
+    Run.Customer = Entry->Job.customer();
   if (Step != nullptr) {
     Run.Size = Step->Size;
     Run.LongRunning = Step->LongRunning;
--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -1,4 +1,5 @@
 #include "galenalink/job/leader.hpp"
+#include "galenalink/job/customers.hpp"
 #include "galenalink/job/job_limits.hpp"
 #include "galenalink/job/runs.hpp"
 #include "galenalink/telemetry/log.hpp"
@@ -42,8 +43,8 @@
       Journal{{Ports.Append, this->Now,
                [OnFenced = this->OnFenced] { OnFenced("store"); }},
               Epoch},
-      LeadingSince{this->Now()}, PredecessorSeenAt{LeadingSince},
-      StartWindow{this->Settings.Starts} {}
+      Rates{this->Settings.RateWindow}, LeadingSince{this->Now()},
+      PredecessorSeenAt{LeadingSince}, StartWindow{this->Settings.Starts} {}
 
 void requestDispatch(leader &Leader, const std::string &Pool,
                      const time_point Due) {
@@ -68,6 +69,7 @@
   Slot = std::make_unique<server>();
   Slot->Entry = Entry;
   Slot->Locations = &Leader.RunLocations;
+  Slot->Quotas = &Leader.Quotas;
   Leader.ServersByPool.add(*Slot);
   return *Slot;
 }
@@ -252,6 +254,7 @@
       return std::optional{std::to_string(Leader.AppliedRulesVersion)};
     });
   }
+  applyCustomerRules(Leader);
   std::vector<job_entry *> Failed;
   for (auto &[Id, Entry] : Leader.OpenJobs) {
     const queue_rule *Rule = Leader.Rules.queue(Entry->Job.queue());
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -1,6 +1,8 @@
 #ifndef GALENALINK_JOB_LEADER_HPP
 #define GALENALINK_JOB_LEADER_HPP
 
+#include "galenalink/job/customer_quotas.hpp"
+#include "galenalink/job/customer_rates.hpp"
 #include "galenalink/job/demand.hpp"
 #include "galenalink/job/duration_estimator.hpp"
 #include "galenalink/job/job.hpp"
@@ -109,11 +111,22 @@
   duration MaintenanceTime{std::chrono::milliseconds{2000}};
   /** Minimum time between orders for one VM by two different leaders. */
   duration MinVmOrderGap{std::chrono::milliseconds{3000}};
+  /** Span over which the rates of customers are counted. */
+  duration RateWindow{std::chrono::seconds{5}};
   start_limits Starts;
   /** Heartbeats sent in one pass of the control loop, every 20 ms. */
   std::size_t MaxHeartbeatsPerPass{256};
 };
 
+/** @brief Decisions on the jobs of one customer. */
+struct customer_counts {
+  std::uint64_t Admitted{0};
+  /** Jobs refused because the pool was full. */
+  std::uint64_t RefusedFull{0};
+  /** Jobs refused because they were beyond the customer's rate. */
+  std::uint64_t RefusedRate{0};
+};
+
 /** @brief Counters of a node since its start, for metrics. */
 struct counters {
   std::uint64_t AdmittedInTime{0};
@@ -133,6 +146,8 @@
   std::uint64_t ServersLost{0};
   std::uint64_t Moves{0};
   std::uint64_t Maintenances{0};
+  /** By name of the customer. */
+  std::map<std::string, customer_counts> Customers;
 };
 
 /** @brief A VM order that is not yet known to be complete. */
@@ -185,6 +200,8 @@
   /** Admitted although it may miss its objective, to run on capacity that jobs
    * within their objective leave free. */
   bool Deferred{false};
+  /** Submitted beyond its customer's rate, so that it stays deferred. */
+  bool BeyondRate{false};
   /** The job has ended and only its state is kept. */
   bool Compacted{false};
   /** Callers to reply to once the job is stored. */
@@ -226,6 +243,8 @@
   time_point AllRunsKnownAt{NoDeadline};
   /** Task durations by queue. */
   duration_estimator Durations;
+  customer_quotas Quotas;
+  customer_rates Rates;
   ticket_cache Tickets;
   /** A ticket request awaits its response. */
   bool TicketRequestPending{false};
@@ -246,6 +265,9 @@
   std::map<std::uint64_t, wave_progress> Waves;
   /** Arrival rate of work by pool. */
   std::map<std::string, demand_meter> Demand;
+  /** Arrival rate of work by pool and customer. */
+  std::map<std::string, std::map<std::string, demand_meter>, std::less<>>
+      CustomerDemand;
   recent_jobs RecentJobs;
   peak_forecast Forecast;
   /** Number of VMs of each pool before any was moved. */
--- a/src/galenalink/job/recovery.cpp
+++ b/src/galenalink/job/recovery.cpp
@@ -1,4 +1,5 @@
 #include "galenalink/job/recovery.hpp"
+#include "galenalink/job/customers.hpp"
 #include "galenalink/job/job_limits.hpp"
 #include "galenalink/job/server_watch.hpp"
 #include "galenalink/telemetry/log.hpp"
@@ -131,6 +132,7 @@
   ForEachRecord(DurationsKey, recoverDurations);
   ForEachRecord(VmOrderKey, recoverVmOrder);
   ForEachRecord(AppliedRulesKey, recoverAppliedRules);
+  restoreClaims(Leader);
   for (auto &[Id, Entry] : Leader.OpenJobs) {
     setObjectives(Leader, *Entry);
     openDueOccurrences(Leader, *Entry);
--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -284,6 +284,7 @@
   ++Task.Runs;
   run Run;
   Run.Size = Step.Size;
+  Run.Customer = Entry.Job.customer();
   Run.LongRunning = Step.LongRunning;
   Run.BestEffort = Step.BestEffort;
   Run.TargetMs = Step.TargetMs;
@@ -334,8 +335,11 @@
   if (!Server.Runs.contains(Run))
     return;
   const task_id Id = Run.Task;
+  const std::string Customer = Server.Runs.at(Run).Customer;
   Server.eraseRun(run_id{Run});
   requestDispatch(Leader, Server.Entry.Pool);
+  for (const auto &Pool : Leader.Quotas.takeWaiting(Customer))
+    requestDispatch(Leader, Pool);
   job_entry *Entry = Leader.findJob(Id.Job);
   task *Task = Entry == nullptr ? nullptr : Entry->Job.find(Id);
   if (Task == nullptr)
--- a/src/galenalink/job/server.hpp
+++ b/src/galenalink/job/server.hpp
@@ -1,6 +1,7 @@
 #ifndef GALENALINK_JOB_SERVER_HPP
 #define GALENALINK_JOB_SERVER_HPP
 
+#include "galenalink/job/customer_quotas.hpp"
 #include "galenalink/job/lease.hpp"
 #include "galenalink/job/ports.hpp"
 #include "galenalink/job/run_locations.hpp"
@@ -31,6 +32,10 @@
 struct run {
   run_state State{run_state::Starting};
   resources Size;
+  /** Customer that its job belongs to; empty for none. */
+  std::string Customer;
+  /** What it counts against the customer's quota; set by `server::addRun`. */
+  resources QuotaSize;
   bool LongRunning{false};
   bool BestEffort{false};
   /** Tail latency target of a latency-sensitive task, ms; 0 for others. */
@@ -74,6 +79,11 @@
   }
 };
 
+/** Reserved for a run of unknown size: more than any backend server has, since
+ * its capacity may not be known yet either. */
+inline constexpr resources UnknownSize{std::int64_t{1} << 30,
+                                       std::int64_t{1} << 30, 0};
+
 /** @brief Sums over the runs of a backend server. */
 struct run_totals {
   /** Resources reserved. */
@@ -138,6 +148,8 @@
   std::map<run_id, run> Runs;
   /** Index of the runs of all backend servers; null for none. */
   run_locations *Locations{nullptr};
+  /** Resources in use by customer; null for none. */
+  customer_quotas *Quotas{nullptr};
   server_health Health;
 
   [[nodiscard]] server_target target() const {
@@ -171,7 +183,11 @@
     Totals.LongRunningCpu += reservedLongRunningCpu(Run);
     if (Locations != nullptr)
       Locations->add(Id.Task, *this);
-    return Runs.insert_or_assign(Id, Run).first->second;
+    run &Added = Runs.insert_or_assign(Id, Run).first->second;
+    Added.QuotaSize = quotaSize(Run);
+    if (Quotas != nullptr)
+      Quotas->add(Added.Customer, Added.QuotaSize);
+    return Added;
   }
   void eraseRun(const run_id &Id) {
     const auto Found = Runs.find(Id);
@@ -185,10 +201,17 @@
     Totals.LongRunningCpu -= reservedLongRunningCpu(Run);
     if (Locations != nullptr)
       Locations->remove(Id.Task, *this);
+    if (Quotas != nullptr)
+      Quotas->remove(Run.Customer, Run.QuotaSize);
     Runs.erase(Found);
   }
 
 private:
+  /** @brief Resources that a run counts against its customer's quota. A run of
+   * unknown size has at most the capacity of its backend server. */
+  [[nodiscard]] resources quotaSize(const run &Run) const noexcept {
+    return Run.Size.Cpu >= UnknownSize.Cpu ? Entry.Capacity : Run.Size;
+  }
   [[nodiscard]] static std::int64_t
   reservedLongRunningCpu(const run &Run) noexcept {
     return Run.LongRunning && !Run.BestEffort ? Run.Size.Cpu : 0;
--- a/src/galenalink/job_node/caller_request.hpp
+++ b/src/galenalink/job_node/caller_request.hpp
@@ -25,7 +25,7 @@
   /** Key that the caller sent; empty for none. */
   std::string Key;
   /** What the entry node decided by its rules. */
-  job::access Access{job::access_verdict::Granted, {}};
+  job::access_decision Access{job::access_verdict::Granted, {}};
   /** Id of the job; empty for `Pending`. */
   std::string Job;
   /** Set only for `Submit`. */
@@ -41,9 +41,9 @@
  * what the entry node decided if that node had read newer ones.
  * @param Keys Index of the same rules.
  */
-[[nodiscard]] inline job::access decideAccess(const job::fleet_rules &Rules,
-                                              const job::key_index &Keys,
-                                              const caller_request &Request) {
+[[nodiscard]] inline job::access_decision
+decideAccess(const job::fleet_rules &Rules, const job::key_index &Keys,
+             const caller_request &Request) {
   if (Rules.Version < Request.RulesVersion)
     return Request.Access;
   if (const job::queue_rule *Queue = Rules.queue(Request.Queue))
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -1,5 +1,6 @@
 #include "galenalink/job_node/node.hpp"
 #include "galenalink/core/hash.hpp"
+#include "galenalink/job/customers.hpp"
 #include "galenalink/telemetry/log.hpp"
 
 namespace galenalink::job_node {
@@ -106,6 +107,7 @@
   Leader.MinVmOrderGap = std::chrono::milliseconds{Settings.MinVmOrderGapMs};
   Leader.MoveTime = fromSeconds(Settings.MoveS);
   Leader.MaintenanceTime = fromSeconds(Settings.MaintenanceS);
+  Leader.RateWindow = fromSeconds(Settings.RateWindowS);
   Leader.Starts = startLimits(Settings);
   Leader.MaxHeartbeatsPerPass = maxHeartbeatsPerPass(Settings);
   return Leader;
@@ -410,6 +412,23 @@
   });
 }
 
+namespace {
+
+std::vector<customer_gauges> customerGauges(const job::leader &Leader) {
+  std::vector<customer_gauges> Gauges;
+  if (!Leader.Rules.Customers)
+    return Gauges;
+  double Weights = 0;
+  for (const auto &Each : *Leader.Rules.Customers)
+    Weights += job::shareWeight(Leader, Each.Name);
+  for (const auto &Each : *Leader.Rules.Customers)
+    Gauges.push_back({Each.Name, Leader.Quotas.inUse(Each.Name), Each.Quota,
+                      job::shareWeight(Leader, Each.Name) / Weights});
+  return Gauges;
+}
+
+} // namespace
+
 std::string node::metrics() {
   node_gauges Gauges;
   Gauges.Ready = ready();
@@ -433,6 +452,7 @@
     Gauges.JournalAgeS = toSeconds(Now - Journal.OldestAt.value_or(Now));
     Gauges.StartsInFlight = State.StartWindow.size();
     Gauges.WaitingJobs = State.WaitingJobs;
+    Gauges.Customers = customerGauges(State);
     if (State.StartsHeldSince != NoDeadline)
       Gauges.StartsHeldS = toSeconds(Now - State.StartsHeldSince);
   }
--- a/src/galenalink/job_node/node.hpp
+++ b/src/galenalink/job_node/node.hpp
@@ -53,8 +53,8 @@
   }
   /** @return Whether the key admits requests on the queue by the rules that
    * this node knows. */
-  [[nodiscard]] job::access checkAccess(const job::queue_rule &Queue,
-                                        const std::string &Key) const;
+  [[nodiscard]] job::access_decision checkAccess(const job::queue_rule &Queue,
+                                                 const std::string &Key) const;
   /** @return Whether the log of the operator was read so recently that the
    * rules are in force. Otherwise the leader decides on unknown keys. */
   [[nodiscard]] bool rulesAreCurrent() const;
--- a/src/galenalink/job_node/node_metrics.cpp
+++ b/src/galenalink/job_node/node_metrics.cpp
@@ -69,9 +69,46 @@
                  telemetry::lostLogLines());
 }
 
+void node_metrics::updateCustomers(const job::counters &Counts,
+                                   const std::vector<customer_gauges> &Gauges) {
+  const std::string Admissions = "Jobs of a customer, by what was decided.";
+  const auto Advance = [&](const std::string &Customer,
+                           const std::string &Verdict,
+                           const std::uint64_t Total) {
+    advanceCounter("galenalink_customer_admissions_total", Admissions,
+                   {{"customer", Customer}, {"verdict", Verdict}}, Total);
+  };
+  for (const auto &[Customer, Each] : Counts.Customers) {
+    Advance(Customer, "admitted", Each.Admitted);
+    Advance(Customer, "pool-full", Each.RefusedFull);
+    Advance(Customer, "rate-exceeded", Each.RefusedRate);
+  }
+  for (const customer_gauges &Each : Gauges) {
+    const telemetry::labels Labels{{"customer", Each.Customer}};
+    Metrics
+        .level("galenalink_customer_cpu_in_use",
+               "CPU that a customer's runs hold, thousandths of a core; "
+               "leader only.",
+               Labels)
+        .set(static_cast<double>(Each.InUse.Cpu));
+    Metrics
+        .level("galenalink_customer_cpu_quota",
+               "CPU that a customer's runs may hold, thousandths of a core; "
+               "0 for no limit; leader only.",
+               Labels)
+        .set(static_cast<double>(Each.Quota.Cpu));
+    Metrics
+        .level("galenalink_customer_share",
+               "Share of a full pool by the customers' weights; leader only.",
+               Labels)
+        .set(Each.Share);
+  }
+}
+
 std::string node_metrics::render(const job::counters &Counts,
                                  const node_gauges &Gauges) {
   updateCounters(Counts);
+  updateCustomers(Counts, Gauges.Customers);
   const auto Set = [&](const std::string &Name, const std::string &Help,
                        const auto Value) {
     Metrics.level(Name, Help).set(static_cast<double>(Value));
--- a/src/galenalink/job_node/node_metrics.hpp
+++ b/src/galenalink/job_node/node_metrics.hpp
@@ -6,6 +6,15 @@
 
 namespace galenalink::job_node {
 
+/** @brief Current values of one customer at the leader. */
+struct customer_gauges {
+  std::string Customer;
+  job::resources InUse;
+  job::resources Quota;
+  /** Share of a full pool if all customers want more than theirs. */
+  double Share{0};
+};
+
 /** @brief Current values of a node that are exported as gauges. */
 struct node_gauges {
   bool Ready{false};
@@ -35,6 +44,7 @@
   double StartsHeldS{0};
   /** Open jobs of which no task has started. */
   std::size_t WaitingJobs{0};
+  std::vector<customer_gauges> Customers;
 };
 
 /** @brief Metrics of one node. */
@@ -51,6 +61,8 @@
   void advanceCounter(const std::string &Name, const std::string &Help,
                       const telemetry::labels &Labels, std::uint64_t Total);
   void updateCounters(const job::counters &Counts);
+  void updateCustomers(const job::counters &Counts,
+                       const std::vector<customer_gauges> &Gauges);
 
   telemetry::metrics Metrics;
   /** Last exported total by metric name and labels. */
--- a/src/galenalink/job_node/node_requests.cpp
+++ b/src/galenalink/job_node/node_requests.cpp
@@ -26,8 +26,8 @@
 
 } // namespace
 
-job::access node::checkAccess(const job::queue_rule &Queue,
-                              const std::string &Key) const {
+job::access_decision node::checkAccess(const job::queue_rule &Queue,
+                                       const std::string &Key) const {
   return job::checkAccess(View.rules(), View.keys(), Queue, Key);
 }
 
@@ -55,7 +55,8 @@
 
 void node::serveLocally(const caller_request &Request,
                         job::reply_function Reply) {
-  const job::access Access = decideAccess(View.rules(), View.keys(), Request);
+  const job::access_decision Access =
+      decideAccess(View.rules(), View.keys(), Request);
   if (Access.Verdict != job::access_verdict::Granted) {
     Reply(replyOf(verdict::Unauthorized));
     return;
@@ -164,7 +165,8 @@
 bool node::serveSubmissionHead(const submission_head &Head,
                                const job::reply_function &Reply) {
   const caller_request &Request = Head.Request;
-  const job::access Access = decideAccess(View.rules(), View.keys(), Request);
+  const job::access_decision Access =
+      decideAccess(View.rules(), View.keys(), Request);
   if (Access.Verdict != job::access_verdict::Granted) {
     Reply(replyOf(verdict::Unauthorized));
     return true;
--- a/src/galenalink/job_node/settings.cpp
+++ b/src/galenalink/job_node/settings.cpp
@@ -12,6 +12,7 @@
 constexpr range PortRange{0, 65535, ""};
 constexpr range TimeRange{1, 3600000, "ms"};
 constexpr range SecondsRange{0, 3600, "s"};
+constexpr range RateWindowRange{1, 60, "s"};
 constexpr range ProcessorShareRange{0, 1, ""};
 constexpr range DescriptorRange{256, 1000000, ""};
 constexpr range LinkRange{0, 1000000, "Mbit/s"};
@@ -65,6 +66,7 @@
       .decimal("move_s", Out.MoveS, SecondsRange)
       .decimal("maintenance_s", Out.MaintenanceS, SecondsRange)
       .number("holder_pause_ms", Out.MinVmOrderGapMs, TimeRange)
+      .decimal("rate_window_s", Out.RateWindowS, RateWindowRange)
       .object("log", [&](reader &Nested) {
         Nested.choice("level", Out.Level, config::LogLevelNames)
             .choice("format", Out.Format, config::LogFormatNames);
--- a/src/galenalink/job_node/settings.hpp
+++ b/src/galenalink/job_node/settings.hpp
@@ -46,6 +46,8 @@
   /** Key `holder_pause_ms`; minimum gap between the orders of two leaders for
    * one VM, ms. */
   std::uint32_t MinVmOrderGapMs{3000};
+  /** Span over which the rates of customers are counted, s. */
+  double RateWindowS{5};
   config::log_level Level{config::log_level::Info};
   config::log_format Format{config::log_format::Json};
 };
--- a/src/galenalink/telemetry/log.cpp
+++ b/src/galenalink/telemetry/log.cpp
@@ -100,7 +100,7 @@
 
 std::string textLine(const std::string_view Prefix,
                      const std::string_view Message,
-                     const std::initializer_list<attribute> Attributes) {
+                     const std::span<const attribute> Attributes) {
   std::string Line{Prefix};
   Line += ": ";
   Line += Message;
@@ -140,7 +140,7 @@
 
 std::string jsonLine(const severity Level, const std::string_view Prefix,
                      const std::string_view Message,
-                     const std::initializer_list<attribute> Attributes) {
+                     const std::span<const attribute> Attributes) {
   std::string Line = "{\"time_ms\":" + std::to_string(wallNow());
   const auto Add = [&Line](const std::string_view Name,
                            const std::string_view Value) {
@@ -196,7 +196,7 @@
 std::uint64_t lostLogLines() noexcept { return state().Lost; }
 
 void logger::write(const severity Level, const std::string_view Message,
-                   const std::initializer_list<attribute> Attributes) const {
+                   const std::span<const attribute> Attributes) const {
   if (Level < state().Least)
     return;
   const std::string Line = state().Json
--- a/src/galenalink/telemetry/log.hpp
+++ b/src/galenalink/telemetry/log.hpp
@@ -4,6 +4,7 @@
 #include "galenalink/core/enum_names.hpp"
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -59,7 +60,12 @@
 
   /** @brief Writes one line: `prefix: message name=value ...`. */
   void write(severity Level, std::string_view Message,
-             std::initializer_list<attribute> Attributes = {}) const;
+             std::span<const attribute> Attributes) const;
+  void write(const severity Level, const std::string_view Message,
+             const std::initializer_list<attribute> Attributes = {}) const {
+    write(Level, Message,
+          std::span<const attribute>{Attributes.begin(), Attributes.size()});
+  }
 
   void debug(const std::string_view Message,
              const std::initializer_list<attribute> Attributes = {}) const {
--- a/test/galenalink/job/simulated_platform.cpp
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -435,10 +435,10 @@
 
 std::optional<caller_reply>
 simulated_platform::submit(const std::string &Queue, const std::string &Id,
-                           const job_spec &Spec,
-                           const std::uint64_t KnownSince) {
+                           const job_spec &Spec, const std::uint64_t KnownSince,
+                           const std::string &Customer) {
   auto Reply = std::make_shared<std::optional<caller_reply>>();
-  Leader->submit({Queue, KnownSince, Id, Spec},
+  Leader->submit({Queue, KnownSince, Id, Spec, Customer},
                  [Reply](const caller_reply &Result) { *Reply = Result; });
   Leader->dispatchAndFlush();
   advance(std::chrono::milliseconds{40});
@@ -446,7 +446,9 @@
 }
 
 job_state simulated_platform::stateOf(const std::string &Id) const {
-  return Leader->query({Id}).State;
+  const job_entry *Entry = Leader->state().findJob(Id);
+  const std::string Owner = Entry == nullptr ? "" : Entry->Job.customer();
+  return Leader->query({Id, "", Owner}).State;
 }
 
 std::size_t simulated_platform::countServing(const std::string &Job,
--- a/test/galenalink/job/simulated_platform.hpp
+++ b/test/galenalink/job/simulated_platform.hpp
@@ -113,11 +113,13 @@
   /** @brief Advances the time; the leader's periodic work runs every 20 ms. */
   void advance(duration Time);
   /** @param KnownSince A version of the rules that has the queue.
+   * @param Customer Customer that submits the job; empty for none.
    * @return The reply to the caller; `nullopt` without one after 40 ms. */
   std::optional<job::caller_reply> submit(const std::string &Queue,
                                           const std::string &Id,
                                           const job::job_spec &Spec,
-                                          std::uint64_t KnownSince = 0);
+                                          std::uint64_t KnownSince = 0,
+                                          const std::string &Customer = {});
   job::job_state stateOf(const std::string &Id) const;
   /** @return Number of runs of a task on all backend servers. */
   std::size_t countRunning(const job::task_id &Task) const;
--- a/test/galenalink/job_node/peer_api.cpp
+++ b/test/galenalink/job_node/peer_api.cpp
@@ -85,7 +85,7 @@
 BOOST_AUTO_TEST_CASE(odd_replies_are_rejected) {
   BOOST_TEST(parseReply(toBytes(json::array({0, 1, 2, 3, "why"}))).has_value());
   for (const json &Reply :
-       {json::array({7, 1, 2, 3, "why"}), json::array({-1, 1, 2, 3, "why"}),
+       {json::array({9, 1, 2, 3, "why"}), json::array({-1, 1, 2, 3, "why"}),
         json::array({256, 1, 2, 3, "why"}), json::array({0, 5, 2, 3, "why"}),
         json::array({0, 1, -2, 3, "why"}),
         json::array({0, 1, 2, 4294967296U * 2, "why"}),
@@ -96,4 +96,87 @@
     BOOST_TEST(!parseReply(std::string(260000, Each)));
 }
 
+// The leader decides on the key with what the entry node found. A key that
+// contains characters with a meaning in headers must arrive unchanged.
+BOOST_AUTO_TEST_CASE(key_and_decision_reach_the_leader) {
+  caller_request Request = makeRequest();
+  Request.Key = "k 1\r\nHost: other";
+  Request.Access = {job::access_verdict::Granted, "north & south"};
+  Request.RulesVersion = 7;
+  auto Received = receive(toRequest(Request));
+  BOOST_REQUIRE(Received);
+  BOOST_TEST(Received->Key == Request.Key);
+  BOOST_CHECK(Received->Access == Request.Access);
+  Request.Access = {};
+  Received = receive(toRequest(Request));
+  BOOST_CHECK(Received->Access.Verdict == job::access_verdict::UnknownKey);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/** @brief Rules of a version with one customer and a queue. */
+job::fleet_rules rulesWithKey(const std::uint64_t Version, const char *Key) {
+  job::fleet_rules Rules;
+  Rules.Version = Version;
+  Rules.Queues.emplace_back().Name = "press";
+  Rules.Customers.emplace();
+  Rules.Customers->push_back({"north", {Key}, 0, {}});
+  return Rules;
+}
+
+job::access_verdict decide(const job::fleet_rules &Rules,
+                           const caller_request &Request) {
+  return decideAccess(Rules, job::key_index{Rules}, Request).Verdict;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(access_at_the_leader)
+
+// A node that is cut off from the store goes on admitting a key that was taken
+// away, and refuses one that was added. The leader has the newer rules.
+BOOST_AUTO_TEST_CASE(newer_rules_of_the_leader_decide) {
+  caller_request Request = makeRequest();
+  Request.RulesVersion = 6;
+  Request.Key = "removed";
+  Request.Access = {job::access_verdict::Granted, "north"};
+  const auto Rules = rulesWithKey(7, "added");
+  BOOST_CHECK(decide(Rules, Request) == job::access_verdict::UnknownKey);
+  Request.Key = "added";
+  Request.Access = {};
+  BOOST_CHECK(decide(Rules, Request) == job::access_verdict::Granted);
+}
+
+// A leader that has not read the newest version yet must not refuse a new key,
+// nor admit one that was taken away.
+BOOST_AUTO_TEST_CASE(newer_rules_of_the_entry_node_decide) {
+  caller_request Request = makeRequest();
+  Request.RulesVersion = 8;
+  Request.Key = "added";
+  Request.Access = {job::access_verdict::Granted, "north"};
+  const auto Rules = rulesWithKey(7, "removed");
+  BOOST_CHECK(decide(Rules, Request) == job::access_verdict::Granted);
+  Request.Key = "removed";
+  Request.Access = {};
+  BOOST_CHECK(decide(Rules, Request) == job::access_verdict::UnknownKey);
+}
+
+// The jobs of a queue that was removed are accessible by a valid key only.
+BOOST_AUTO_TEST_CASE(removed_queue_still_needs_a_key) {
+  caller_request Request = makeRequest();
+  Request.Queue = "removed";
+  Request.RulesVersion = 6;
+  Request.Access = {job::access_verdict::Granted, "north"};
+  const auto Rules = rulesWithKey(7, "key");
+  Request.Key = "key";
+  BOOST_CHECK(decide(Rules, Request) == job::access_verdict::Granted);
+  Request.Key = "other";
+  BOOST_CHECK(decide(Rules, Request) == job::access_verdict::UnknownKey);
+  Request.Key.clear();
+  Request.Access = {job::access_verdict::Granted, ""};
+  BOOST_CHECK(decide(Rules, Request) == job::access_verdict::Granted);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/codec.cpp
+++ b/test/platform/codec.cpp
@@ -77,6 +77,33 @@
       parseOperatorRecord({"other", "{}"})));
 }
 
+// A configuration without customers must not be taken for one whose customers
+// have no keys. A row that cannot be read costs that customer only.
+BOOST_AUTO_TEST_CASE(customers_are_decoded) {
+  const auto Parse = [](const std::string &Customers) {
+    const auto Record = parseOperatorRecord(
+        {"config", R"({"version":7,"services":[],"routes":[{"name":"r",)"
+                   R"("host":"h","pathPrefix":"/p/","service":"a",)"
+                   R"("public":true}])" +
+                       Customers + "}"});
+    return std::get<fleet_rules>(Record);
+  };
+  BOOST_TEST(!Parse("").Customers.has_value());
+  BOOST_TEST(Parse("").Queues[0].Public);
+  BOOST_TEST(Parse(R"(,"tenants":[])").Customers->empty());
+  const auto Rules =
+      Parse(R"(,"tenants":[{"name":"north","apiKeys":["k1","k2"],"priority":1,)"
+            R"("weight":179,"cap":{"cpu":5026565000,"memMb":7,"gpu":0}},)"
+            R"({"name":"south"},{"weight":1},{"name":"east","weight":-1}])");
+  BOOST_REQUIRE(Rules.Customers->size() == 2U);
+  const customer_rule &North = Rules.Customers->front();
+  BOOST_TEST(North.Keys.size() == 2U);
+  BOOST_TEST(North.Weight == 179);
+  BOOST_CHECK(North.Quota == (resources{5026565000, 7, 0}));
+  BOOST_TEST(Rules.customer("south")->Keys.empty());
+  BOOST_CHECK(Rules.customer("south")->Quota == resources{});
+}
+
 // Runs and ended runs must be decoded by position; a body without them must not
 // pass for an empty list.
 BOOST_AUTO_TEST_CASE(heartbeat_response_with_runs) {
