Send an append again that has no response

Callers give up 3 s after their first attempt, so jobs of an outage of 2.6 s were lost. Change: an append without a response is sent again after 0.5 s with its sequence number, three times at most at once, and a failed one after 0.2 s. Results of requests for an earlier append are ignored.

--- a/src/galenalink/job/journal.cpp
+++ b/src/galenalink/job/journal.cpp
@@ -9,9 +9,18 @@
 /** Size of an append from which on further records wait for the next one. */
 constexpr std::size_t MaxBatchBytes = std::size_t{512} << 10U;
 
-/** Delay before a failed append is retried, doubled up to the limit. */
+/** Delay before a failed append is retried, doubled up to the limit. Callers
+ * wait for the end of an outage no longer than 3 s, so that each tenth of a
+ * second after it counts. */
 constexpr duration FirstRetryDelay = std::chrono::milliseconds{50};
-constexpr duration MaxRetryDelay = std::chrono::milliseconds{400};
+constexpr duration MaxRetryDelay = std::chrono::milliseconds{200};
+/** An append without a response is sent again after this time, while the first
+ * request may still get one: an outage that began and ended meanwhile leaves
+ * the connection without a response. Appends are idempotent, and a slow store
+ * takes less. */
+constexpr duration HedgeDelay = std::chrono::milliseconds{500};
+/** Requests for one append that may be without a response. */
+constexpr std::uint32_t MaxUnanswered = 3;
 
 /** Timeout of an append, doubled with each retry up to the limit. It starts
  * short so that a lost response does not delay callers for long, which is safe
@@ -40,7 +49,7 @@
 
 void journal::flush() {
   if (InFlight) {
-    if (!Sent && Hooks.Now() >= RetryAt)
+    if (Unanswered < MaxUnanswered && Hooks.Now() >= RetryAt)
       send();
     return;
   }
@@ -80,31 +89,41 @@
     StoredCallbacks.pop_front();
   }
   InFlight = true;
+  FirstSent = LastSent + 1;
+  Unanswered = 0;
   if (Batch.empty()) {
-    onAppendResult({call_outcome::Done, {}});
+    onAppendResult(++LastSent, {call_outcome::Done, {}});
     return;
   }
   send();
 }
 
 void journal::send() {
-  Sent = true;
+  const time_point Now = Hooks.Now();
   const duration Timeout = FirstAppendTimeout * (1U << std::min(Failures, 2U));
-  Hooks.Append(
-      Epoch, Sequence, Batch,
-      Hooks.Now() + std::min<duration>(Timeout, MaxAppendTimeout),
-      [this, Weak = std::weak_ptr{LifetimeToken}](const append_result &Result) {
-        if (Weak.lock())
-          onAppendResult(Result);
-      });
+  ++Unanswered;
+  RetryAt = Now + HedgeDelay;
+  Hooks.Append(Epoch, Sequence, Batch,
+               Now + std::min<duration>(Timeout, MaxAppendTimeout),
+               [this, Sent = ++LastSent, Weak = std::weak_ptr{LifetimeToken}](
+                   const append_result &Result) {
+                 if (Weak.lock())
+                   onAppendResult(Sent, Result);
+               });
 }
 
-void journal::onAppendResult(const append_result &Result) {
-  Sent = false;
+void journal::onAppendResult(const std::uint64_t Sent,
+                             const append_result &Result) {
+  // Another request for the same append has succeeded. The store rejects this
+  // one if several appends have followed, which shows no successor.
+  if (!InFlight || Sent < FirstSent)
+    return;
   if (Result.Outcome == call_outcome::Fenced) {
     Hooks.OnFenced();
     return;
   }
+  if (Unanswered > 0)
+    --Unanswered;
   if (Result.Outcome != call_outcome::Done) {
     const auto Delay = FirstRetryDelay * (1U << std::min(Failures, 3U));
     ++Failures;
--- a/src/galenalink/job/journal.hpp
+++ b/src/galenalink/job/journal.hpp
@@ -76,7 +76,8 @@
 
   void collect();
   void send();
-  void onAppendResult(const append_result &Result);
+  /** @param Sent Number of the request that the result is for. */
+  void onAppendResult(std::uint64_t Sent, const append_result &Result);
 
   hooks Hooks;
   std::uint64_t Epoch;
@@ -91,8 +92,12 @@
   std::vector<pending_callback> BatchCallbacks;
   std::size_t BatchBytes{0};
   bool InFlight{false};
-  bool Sent{false};
   std::uint32_t Failures{0};
+  /** Requests sent so far, and the first one for the append in flight. */
+  std::uint64_t LastSent{0};
+  std::uint64_t FirstSent{0};
+  /** Requests for the append in flight without a result. */
+  std::uint32_t Unanswered{0};
   time_point RetryAt;
   std::shared_ptr<bool> LifetimeToken{std::make_shared<bool>(true)};
 };
--- a/test/galenalink/job/journal.cpp
+++ b/test/galenalink/job/journal.cpp
@@ -59,6 +59,51 @@
       (Store.Appends[1].second == std::vector<keyed_record>{{"b", "2"}}));
 }
 
+// A store that was silent for a while leaves requests without a response, and
+// the leader stored nothing until their timeout, up to 1.2 s after the outage.
+// A late response of the first request must not count for a later append.
+BOOST_AUTO_TEST_CASE(append_without_a_response_is_sent_again) {
+  manual_store Store;
+  journal Journal = Store.makeJournal();
+  int Stored = 0;
+  Journal.put("a", valueOf("1"));
+  Journal.whenStored([&] { ++Stored; });
+  Journal.flush();
+  const auto First = Store.Respond;
+  Store.Now += 400 * Ms;
+  Journal.flush();
+  BOOST_TEST(Store.Appends.size() == 1U);
+  Store.Now += 100 * Ms;
+  Journal.flush();
+  BOOST_REQUIRE(Store.Appends.size() == 2U);
+  BOOST_CHECK(Store.Appends[0] == Store.Appends[1]);
+  Store.Respond({call_outcome::Done, ""});
+  BOOST_TEST(Stored == 1);
+  Journal.put("a", valueOf("2"));
+  Journal.whenStored([&] { ++Stored; });
+  Journal.flush();
+  for (const auto Late :
+       {call_outcome::Done, call_outcome::Unknown, call_outcome::Fenced})
+    First({Late, ""});
+  BOOST_TEST(Stored == 1);
+  BOOST_TEST(!Store.Fenced);
+  BOOST_TEST(Journal.healthy());
+  Store.Respond({call_outcome::Done, ""});
+  BOOST_TEST(Stored == 2);
+}
+
+// Requests without a response must not pile up during a long outage.
+BOOST_AUTO_TEST_CASE(repeats_of_an_append_are_bounded) {
+  manual_store Store;
+  journal Journal = Store.makeJournal();
+  Journal.put("a", valueOf("1"));
+  for (int I = 0; I < 1000; ++I) {
+    Journal.flush();
+    Store.Now += 10 * Ms;
+  }
+  BOOST_TEST(Store.Appends.size() == 3U);
+}
+
 // An append without a response must be retried with the same sequence number
 // and records, or it could take effect twice.
 BOOST_AUTO_TEST_CASE(unanswered_append_is_retried_unchanged) {
