Report a new leader to nodes that the store does not serve

Cause: a node learned of the leader from the store's log only. While the store rejected single nodes for 9 s, those nodes sent requests to the former leader and refused them as 'the leader can't be reached'. Change: the new leader reports itself to the former one, which tells the nodes that sent it requests; a node that does not lead names the leader that it knows in its reply. Replies carry the version of the leader's rules; a node that is behind refuses paths without a route with 503 instead of 404.

--- a/src/galenalink/job_node/leader_elector.hpp
+++ b/src/galenalink/job_node/leader_elector.hpp
@@ -64,6 +64,9 @@
     return Election.current();
   }
   [[nodiscard]] bool leads() const noexcept { return Election.leads(); }
+  [[nodiscard]] const job::election_settings &settings() const noexcept {
+    return Election.settings();
+  }
   /** @return Whether this node is the leader and the store accepts its appends,
    * so that it need not be replaced. */
   [[nodiscard]] bool isHealthyLeader() const noexcept;
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -170,10 +170,14 @@
               {[this](const std::uint64_t Epoch) { startRecovery(Epoch); },
                [this] { stopLeading(); },
                [this](const job::leadership &Leader) {
-                 Forwarder.setLeader(
-                     Leader.Released ? forward_target{}
-                                     : forward_target{Leader.Epoch, Leader.Node,
-                                                      Leader.Address});
+                 if (!Directory.applyLog(Leader))
+                   return;
+                 followLeader();
+                 // The former leader may be cut off from the log.
+                 const forward_target &Former = Directory.former();
+                 const bool Own = Leader.Node == Elector.settings().Node;
+                 if (Own && !Leader.Released && Former.Epoch != 0)
+                   reportLeader(Former.Address);
                },
                [this](const job::leadership &Leader,
                       std::function<void(probe_result)> Callback) {
@@ -216,12 +220,10 @@
     return false;
   if (Controller)
     return Controller->state().Journal.healthy();
-  const auto &Current = Elector.current();
   const bool Reachable =
       ForwardFailedAt == NoDeadline ||
       boot_clock::now() >= ForwardFailedAt + UnreadyAfterForwardFailure;
-  return Current.Epoch != 0 && !Current.Released && RecoveringEpoch == 0 &&
-         Reachable;
+  return Directory.current().Epoch != 0 && RecoveringEpoch == 0 && Reachable;
 }
 
 void node::applyOperatorRecords(const std::vector<job::keyed_record> &Records) {
--- a/src/galenalink/job_node/node.hpp
+++ b/src/galenalink/job_node/node.hpp
@@ -7,6 +7,7 @@
 #include "galenalink/job_node/callback_delay.hpp"
 #include "galenalink/job_node/fleet_view.hpp"
 #include "galenalink/job_node/keyed_log_reader.hpp"
+#include "galenalink/job_node/leader_directory.hpp"
 #include "galenalink/job_node/leader_elector.hpp"
 #include "galenalink/job_node/loop_delay.hpp"
 #include "galenalink/job_node/node_metrics.hpp"
@@ -58,6 +59,11 @@
   /** @return Whether the log of the operator was read so recently that the
    * rules are in force. Otherwise the leader decides on unknown keys. */
   [[nodiscard]] bool rulesAreCurrent() const;
+  /** @return Whether the leader has decided by a newer version than this node
+   * has read. A refusal by the older one would take the newer one back. */
+  [[nodiscard]] bool rulesAreOutdated() const noexcept {
+    return View.rules().Version < LeaderRulesVersion;
+  }
   /** @return Whether requests of callers can be served now. */
   [[nodiscard]] bool ready() const;
   [[nodiscard]] bool leads() const noexcept { return Controller != nullptr; }
@@ -83,8 +89,13 @@
                       time_point RespondBy,
                       std::function<void(forward_result)> Callback);
   forward_result parsePeerResponse(const http::answer &Answer);
+  /** @brief Sends requests to a newer leader, and tells the nodes that have
+   * sent theirs here. */
+  void followLeader();
+  void reportLeader(const std::string &Address);
   void startForwarderTimer();
   void handlePeerRequest(http::exchange Exchange);
+  void handleLeaderRequest(http::exchange &Exchange);
   /** @brief Serves a submission as far as that needs no body.
    * @return Whether it has replied, or will do so. */
   [[nodiscard]] bool serveSubmissionHead(const submission_head &Head,
@@ -114,6 +125,10 @@
   bool WasConfirmed{true};
   time_point NextVmListAt;
   time_point RulesAppliedAt{NoDeadline};
+  leader_directory Directory;
+  peer_table Peers;
+  /** Newest version of the rules by which a leader has replied. */
+  std::uint64_t LeaderRulesVersion{0};
   /** When a request to a peer last failed; `NoDeadline` after a success. */
   time_point ForwardFailedAt{NoDeadline};
   /** Retries recovery, then calls `tick()` while this node leads. */
--- a/src/galenalink/job_node/node_requests.cpp
+++ b/src/galenalink/job_node/node_requests.cpp
@@ -1,6 +1,7 @@
 #include "galenalink/job_node/node.hpp"
 #include "galenalink/job_node/peer_api.hpp"
 #include "galenalink/job_node/reply_deadline.hpp"
+#include "galenalink/telemetry/log.hpp"
 
 namespace galenalink::job_node {
 
@@ -8,11 +9,10 @@
 
 using verdict = job::caller_reply::verdict;
 
+constexpr telemetry::logger Log{"node"};
+
 /** Interval at which the forwarder retries and expires requests. */
 constexpr duration ForwarderTickInterval = std::chrono::milliseconds{25};
-/** The response has status 200 if the node is a healthy leader, otherwise 404.
- * Its body names the process that the node knows as the leader. */
-constexpr std::string_view LeaderPath = "/v1/leader";
 constexpr duration ProbeTimeout = std::chrono::milliseconds{400};
 /** Rules that were read longer ago may lack the newest version. Twice the time
  * for which a read of the operator's log waits. */
@@ -33,7 +33,8 @@
 
 bool node::rulesAreCurrent() const {
   const time_point ReadAt = OperatorReader.lastResponseAt();
-  return ReadAt != NoDeadline && boot_clock::now() < ReadAt + MaxRulesAge;
+  return ReadAt != NoDeadline && boot_clock::now() < ReadAt + MaxRulesAge &&
+         !rulesAreOutdated();
 }
 
 void node::handleRequest(const caller_request &Request,
@@ -103,7 +104,7 @@
       [&]() -> result<http::address> { return http::parseAddress(To.Address); },
       [](const error &) { return http::address{}; });
   PeerClient.send(
-      Address, toRequest(Request), RespondBy,
+      Address, toRequest(Request, peerAddress(Settings)), RespondBy,
       [this, Callback = std::move(Callback)](const http::answer &Answer) {
         Callback(parsePeerResponse(Answer));
       });
@@ -112,10 +113,13 @@
 forward_result node::parsePeerResponse(const http::answer &Answer) {
   if (const auto *Response = std::get_if<http::response>(&Answer)) {
     if (const auto Reply = parseReply(Response->Body)) {
-      if (Reply->Verdict == verdict::NotLeading)
+      LeaderRulesVersion = std::max(LeaderRulesVersion, Reply->RulesVersion);
+      if (Directory.applyReport(Reply->Leader))
+        followLeader();
+      if (Reply->Reply.Verdict == verdict::NotLeading)
         return forward_failure::NotAccepted;
       ForwardFailedAt = NoDeadline;
-      return *Reply;
+      return Reply->Reply;
     }
   }
   ForwardFailedAt = boot_clock::now();
@@ -125,6 +129,29 @@
   return NotSent ? forward_failure::NotAccepted : forward_failure::Unknown;
 }
 
+void node::followLeader() {
+  const forward_target &Leader = Directory.current();
+  Forwarder.setLeader(Leader);
+  if (Leader.Epoch == 0 || leads())
+    return;
+  for (const auto &Peer : Peers.recent(boot_clock::now())) {
+    if (Peer != Leader.Address)
+      reportLeader(Peer);
+  }
+}
+
+void node::reportLeader(const std::string &Address) {
+  http::request Report;
+  Report.Method = http::method::Post;
+  Report.Path = std::string{LeaderPath};
+  Report.Body = toBody(Directory.current());
+  PeerClient.send(tryOr([&] { return http::parseAddress(Address); },
+                        [](const error &) { return http::address{}; }),
+                  std::move(Report), boot_clock::now() + ProbeTimeout,
+                  // A node that misses the report asks the former leader again.
+                  [](const http::answer &) {});
+}
+
 void node::startForwarderTimer() {
   if (ForwarderTimer.pending())
     return;
@@ -185,15 +212,36 @@
   return Head.BodyWithheld;
 }
 
-void node::handlePeerRequest(http::exchange Exchange) {
-  if (Exchange.path() == LeaderPath) {
+void node::handleLeaderRequest(http::exchange &Exchange) {
+  if (Exchange.method() == http::method::Get) {
+    // The body names the process that the node knows as the leader.
     Exchange.reply(Elector.isHealthyLeader() ? 200 : 404, {},
                    Elector.current().Node);
     return;
   }
+  const auto Reported = parseLeader(Exchange.body());
+  Exchange.reply(Reported ? 200 : 400, {}, {});
+  if (!Reported || !Directory.applyReport(*Reported))
+    return;
+  Log.info("leader reported by another node",
+           {{"epoch", Reported->Epoch}, {"leader", Reported->Node}});
+  followLeader();
+}
+
+void node::handlePeerRequest(http::exchange Exchange) {
+  if (Exchange.path() == LeaderPath) {
+    handleLeaderRequest(Exchange);
+    return;
+  }
+  if (Controller)
+    Peers.recordRequest(peerOf(Exchange), boot_clock::now());
   auto Shared = std::make_shared<http::exchange>(std::move(Exchange));
-  const auto SendReply = [Shared](const job::caller_reply &Reply) {
-    Shared->reply(200, {}, toBody(Reply));
+  const auto SendReply = [this, Shared](const job::caller_reply &Reply) {
+    const bool NotLeading = Reply.Verdict == verdict::NotLeading;
+    Shared->reply(
+        200, {},
+        toBody({Reply, View.rules().Version,
+                NotLeading ? Directory.current() : forward_target{}}));
   };
   const auto Head = parseSubmissionHead(*Shared);
   if (Head && !Controller) {
--- a/src/galenalink/job_node/peer_api.cpp
+++ b/src/galenalink/job_node/peer_api.cpp
@@ -14,6 +14,8 @@
 constexpr std::string_view DeadlineHeader = "Galenalink-Deadline-Ms";
 /** Carries the version of the rules by which the queue was chosen. */
 constexpr std::string_view RulesVersionHeader = "Galenalink-Rules-Version";
+/** Carries the address at which the sending node serves other nodes. */
+constexpr std::string_view PeerHeader = "Galenalink-Peer";
 /** Carries the key that the caller sent. */
 constexpr std::string_view KeyHeader = "Galenalink-Key";
 /** Carries what the entry node decided on the key. */
@@ -125,8 +127,11 @@
   return Head;
 }
 
-http::request toRequest(const caller_request &Request) {
+http::request toRequest(const caller_request &Request,
+                        const std::string &Peer) {
   http::request HttpRequest;
+  if (!Peer.empty())
+    HttpRequest.Headers.push_back({std::string{PeerHeader}, Peer});
   HttpRequest.Method = methodOf(Request.Kind);
   const std::string Queue = http::encodeSegment(Request.Queue);
   HttpRequest.Path = Request.Kind == request_kind::Pending
@@ -191,29 +196,79 @@
   return Request;
 }
 
-std::string toBody(const job::caller_reply &Reply) {
-  const auto Bytes = nlohmann::json::to_cbor(
-      nlohmann::json::array({static_cast<std::uint32_t>(Reply.Verdict),
-                             static_cast<std::uint32_t>(Reply.State),
-                             Reply.Pending, Reply.RetryAfterMs, Reply.Reason}));
+namespace {
+
+nlohmann::json toJson(const forward_target &Leader) {
+  return nlohmann::json::array({Leader.Epoch, Leader.Node, Leader.Address});
+}
+
+forward_target toLeader(const nlohmann::json &Fields) {
+  return {job::boundedInteger<std::uint64_t>(Fields.at(0)), Fields.at(1),
+          Fields.at(2)};
+}
+
+std::string toText(const nlohmann::json &Json) {
+  const auto Bytes = nlohmann::json::to_cbor(Json);
   return {Bytes.begin(), Bytes.end()};
 }
 
-std::optional<job::caller_reply> parseReply(const std::string_view Body) {
+} // namespace
+
+std::string toBody(const peer_reply &Reply) {
+  const job::caller_reply &Caller = Reply.Reply;
+  nlohmann::json Fields = nlohmann::json::array(
+      {static_cast<std::uint32_t>(Caller.Verdict),
+       static_cast<std::uint32_t>(Caller.State), Caller.Pending,
+       Caller.RetryAfterMs, Caller.Reason, Reply.RulesVersion});
+  if (Reply.Leader.Epoch != 0)
+    Fields.push_back(toJson(Reply.Leader));
+  return toText(Fields);
+}
+
+std::optional<peer_reply> parseReply(const std::string_view Body) {
+  // Both are absent in replies of earlier versions.
+  constexpr std::size_t RulesVersionField = 5;
+  constexpr std::size_t LeaderField = 6;
   try {
     const auto Fields = job::parseCbor(Body);
     using verdict = job::caller_reply::verdict;
-    job::caller_reply Reply;
-    Reply.Verdict = parseEnumerator(Fields.at(0), verdict::Forbidden);
-    Reply.State = parseEnumerator(Fields.at(1), job::job_state::Cancelled);
-    Reply.Pending = job::boundedInteger<decltype(Reply.Pending)>(Fields.at(2));
-    Reply.RetryAfterMs =
-        job::boundedInteger<decltype(Reply.RetryAfterMs)>(Fields.at(3));
-    Reply.Reason = Fields.at(4);
+    peer_reply Reply;
+    job::caller_reply &Caller = Reply.Reply;
+    Caller.Verdict = parseEnumerator(Fields.at(0), verdict::Forbidden);
+    Caller.State = parseEnumerator(Fields.at(1), job::job_state::Cancelled);
+    Caller.Pending =
+        job::boundedInteger<decltype(Caller.Pending)>(Fields.at(2));
+    Caller.RetryAfterMs =
+        job::boundedInteger<decltype(Caller.RetryAfterMs)>(Fields.at(3));
+    Caller.Reason = Fields.at(4);
+    if (Fields.size() > RulesVersionField)
+      Reply.RulesVersion =
+          job::boundedInteger<std::uint64_t>(Fields.at(RulesVersionField));
+    if (Fields.size() > LeaderField)
+      Reply.Leader = toLeader(Fields.at(LeaderField));
     return Reply;
   } catch (const std::exception &) {
     return std::nullopt;
   }
 }
 
+std::string toBody(const forward_target &Leader) {
+  return toText(toJson(Leader));
+}
+
+std::optional<forward_target> parseLeader(const std::string_view Body) {
+  try {
+    forward_target Leader = toLeader(job::parseCbor(Body));
+    if (Leader.Epoch == 0 || Leader.Address.empty())
+      return std::nullopt;
+    return Leader;
+  } catch (const std::exception &) {
+    return std::nullopt;
+  }
+}
+
+std::string peerOf(const http::exchange &Exchange) {
+  return headerText(Exchange, PeerHeader);
+}
+
 } // namespace galenalink::job_node
--- a/test/galenalink/job_node/peer_api.cpp
+++ b/test/galenalink/job_node/peer_api.cpp
@@ -96,6 +96,28 @@
     BOOST_TEST(!parseReply(std::string(260000, Each)));
 }
 
+// A node that the store does not serve learns of the present leader and of
+// newer rules from replies. Those of an earlier version lack both.
+BOOST_AUTO_TEST_CASE(reply_names_leader_and_rules) {
+  peer_reply Reply;
+  Reply.Reply.Verdict = job::caller_reply::verdict::NotLeading;
+  Reply.RulesVersion = 7;
+  Reply.Leader = {12, "a@1", "127.0.0.1:1"};
+  const auto Received = parseReply(toBody(Reply));
+  BOOST_REQUIRE(Received);
+  BOOST_TEST(Received->RulesVersion == 7U);
+  BOOST_CHECK(Received->Leader == Reply.Leader);
+  const auto Earlier = parseReply(toBytes(json::array({5, 1, 2, 3, "why"})));
+  BOOST_REQUIRE(Earlier);
+  BOOST_TEST(Earlier->RulesVersion == 0U);
+  BOOST_TEST(Earlier->Leader.Epoch == 0U);
+  BOOST_CHECK(*parseLeader(toBody(Reply.Leader)) == Reply.Leader);
+  for (const json &Odd :
+       {json::array({0, "a", "b"}), json::array({-1, "a", "b"}),
+        json::array({1, "a", ""}), json::array({1, "a"}), json(7)})
+    BOOST_TEST(!parseLeader(toBytes(Odd)));
+}
+
 // The leader decides on the key with what the entry node found. A key that
 // contains characters with a meaning in headers must arrive unchanged.
 BOOST_AUTO_TEST_CASE(key_and_decision_reach_the_leader) {
--- a/test/platform/decoder_properties.cpp
+++ b/test/platform/decoder_properties.cpp
@@ -63,6 +63,7 @@
   static_cast<void>(parseHeartbeatResponse(Message, Result));
   static_cast<void>(parseLeader(Message));
   static_cast<void>(job_node::parseReply(Message));
+  static_cast<void>(job_node::parseLeader(Message));
   static_cast<void>(parseJob(Message, Message));
   static_cast<void>(parseEnded("a", Message));
   static_cast<void>(parseWave(Message));
@@ -88,11 +89,14 @@
   Spec.Steps[1].DependsOn = {0};
   galenalink::job::job Job{"a", "q", "p", Spec, wall_ms{1}};
   Job.setRule({}, 3);
+  Job.setCustomer("c");
   static_cast<void>(Job.openNext());
   static_cast<void>(Job.taskDone({"a", 0, 0, 1}));
   static_cast<void>(Job.taskFailed({{"a", 0, 0, 2}, 7}));
-  caller_reply Reply;
-  Reply.Reason = "why";
+  const job_node::forward_target Leader{3, "node", "10.0.0.1:80"};
+  job_node::peer_reply Reply;
+  Reply.Reply.Reason = "why";
+  Reply.Leader = Leader;
   wave_progress Wave;
   Wave.Done = {"m"};
   return {
@@ -100,7 +104,8 @@
        R"({"count":1,"dependsOn":[0],"gang":true}],"times":2,"startAtMs":5})"),
       (R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/",)"
        R"("service":"a","advice":{"decisionMs":3},"stretchFactor":1.6}],)"
-       R"("services":[{"name":"a","standby":true}]})"),
+       R"("services":[{"name":"a","standby":true}],"tenants":[{"name":"c",)"
+       R"("apiKeys":["k"],"weight":1.5,"cap":{"cpu":5,"memMb":6,"gpu":7}}]})"),
       R"({"wave":1,"machines":["m","n"],"withinS":20,"cap":2})",
       (R"({"service":"a","address":"10.0.0.1:80","zone":"z","state":"ready",)"
        R"("capacity":{"cpu":1000,"memMb":10},"labels":["a","r1"],"born":5})"),
@@ -115,6 +120,7 @@
       toRecord(Job),
       Job.progressRecord(),
       job_node::toBody(Reply),
+      job_node::toBody(Leader),
       toRecord(Wave),
       toRecord(std::map<std::string, std::size_t>{{"p", 3}}),
       toRecord(std::vector<demand_peak>{{"p", 1, 2, 1.5, 10, 3}})};
