Move the matching of requests to queues into the job module

Cause: the check of configurations has to know which queues can never match. The nodes' matching stood in job_node, which needs sockets, and the margin of tickets was private to tickets.cpp.

Change: matchQueue is in job/queue_match.hpp, TicketMargin in job/tickets.hpp; no change in behaviour.

--- a/src/galenalink/job/tickets.cpp
+++ b/src/galenalink/job/tickets.cpp
@@ -16,9 +16,6 @@
 constexpr std::size_t MinServersPerRequest = 8;
 constexpr std::size_t MaxServersPerRequest = 30;
 constexpr std::size_t ServersPerWaitingTask = 2;
-/** A ticket is not used this close to its expiry, so that the start request
- * arrives while it is valid. */
-constexpr duration TicketMargin = std::chrono::milliseconds{150};
 /** Time allowed for the response beyond twice the decision time. */
 constexpr duration ResponseMargin = std::chrono::milliseconds{700};
 constexpr duration RetryDelay = std::chrono::milliseconds{200};
--- a/src/galenalink/job/tickets.hpp
+++ b/src/galenalink/job/tickets.hpp
@@ -10,6 +10,10 @@
 struct leader;
 struct server;
 
+/** A ticket is not used this close to its expiry, so that the start request
+ * arrives while it is valid. */
+inline constexpr duration TicketMargin = std::chrono::milliseconds{150};
+
 /**
  * @brief Cache of the ticket service's decisions: which backend servers may run
  * a step of an advised queue, whose tasks start only with a ticket. A step is
--- a/src/galenalink/job_node/fleet_view.cpp
+++ b/src/galenalink/job_node/fleet_view.cpp
@@ -97,17 +97,4 @@
   return All;
 }
 
-const job::queue_rule *matchQueue(const job::fleet_rules &Rules,
-                                  const std::string_view Host,
-                                  const std::string_view Path) noexcept {
-  const job::queue_rule *Best = nullptr;
-  for (const auto &Queue : Rules.Queues) {
-    if (Queue.Host != Host || !Path.starts_with(Queue.PathPrefix))
-      continue;
-    if (Best == nullptr || Queue.PathPrefix.size() > Best->PathPrefix.size())
-      Best = &Queue;
-  }
-  return Best;
-}
-
 } // namespace galenalink::job_node
--- a/src/galenalink/job_node/fleet_view.hpp
+++ b/src/galenalink/job_node/fleet_view.hpp
@@ -43,12 +43,6 @@
   std::map<std::string, std::uint32_t> StaleRecords;
 };
 
-/** @return The queue of the host with the longest prefix of the path;
- * `nullptr` if none matches. */
-[[nodiscard]] const job::queue_rule *matchQueue(const job::fleet_rules &Rules,
-                                                std::string_view Host,
-                                                std::string_view Path) noexcept;
-
 } // namespace galenalink::job_node
 
 #endif
--- a/test/galenalink/job_node/fleet_view.cpp
+++ b/test/galenalink/job_node/fleet_view.cpp
@@ -1,4 +1,5 @@
 #include "galenalink/job_node/fleet_view.hpp"
+#include "galenalink/job/queue_match.hpp"
 #include "galenalink/job_node/settings.hpp"
 #include <boost/test/unit_test.hpp>
 
