Report repeated keys and oversized numbers in JSON files

Cause: a number beyond a double (1e999) made the JSON library throw out_of_range, which parseJson did not catch; a key given twice in an object was dropped silently, and there was no way to reject comments.

Change: parseJson reports such a number with its position and takes whether comments are allowed; findRepeatedKeys finds repeated keys; the hint for unknown members and a label for diagnostics can be used by others.

--- a/src/galenalink/config/detail/locate.cpp
+++ b/src/galenalink/config/detail/locate.cpp
@@ -1,5 +1,6 @@
 #include "galenalink/config/detail/locate.hpp"
 #include <charconv>
+#include <set>
 #include <string>
 
 namespace galenalink::config::detail {
@@ -156,4 +157,27 @@
   return positionOf(Text, Found);
 }
 
+std::vector<std::size_t> findRepeatedKeys(const std::string_view Text) {
+  std::vector<std::size_t> Found;
+  std::vector<std::set<std::string_view>> Open;
+  scanner Scanner{Text};
+  for (char Next = Scanner.peek(); Next != '\0'; Next = Scanner.peek()) {
+    if (Scanner.accept('{') || Scanner.accept('[')) {
+      Open.emplace_back();
+    } else if (Scanner.accept('}') || Scanner.accept(']')) {
+      if (!Open.empty())
+        Open.pop_back();
+    } else if (Next == '"') {
+      const std::size_t At = Scanner.offset();
+      const auto Name = Scanner.string();
+      const bool IsKey = Scanner.accept(':') && !Open.empty();
+      if (IsKey && !Open.back().insert(Name).second)
+        Found.push_back(At);
+    } else {
+      Scanner.skipValue();
+    }
+  }
+  return Found;
+}
+
 } // namespace galenalink::config::detail
--- a/src/galenalink/config/detail/locate.hpp
+++ b/src/galenalink/config/detail/locate.hpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string_view>
+#include <vector>
 
 namespace galenalink::config::detail {
 
@@ -29,6 +30,10 @@
  */
 [[nodiscard]] position locate(std::string_view Text, std::string_view Path);
 
+/** @return Offsets of the keys that an earlier key of the same object equals.
+ * @param Text Well-formed JSON with comments. */
+[[nodiscard]] std::vector<std::size_t> findRepeatedKeys(std::string_view Text);
+
 } // namespace galenalink::config::detail
 
 #endif
--- a/src/galenalink/config/detail/reader.cpp
+++ b/src/galenalink/config/detail/reader.cpp
@@ -25,6 +25,15 @@
   return Row.back();
 }
 
+/** @brief The library gives the number, but not where it stands. */
+diagnostic numberOverflow(const report &Report, const std::string &Error) {
+  const auto Open = Error.find('\'');
+  const auto Number = Error.substr(Open + 1, Error.rfind('\'') - Open - 1);
+  const auto Position = positionOf(Report.Text, Report.Text.find(Number));
+  return {Report.File, Position.Line, Position.Column, "",
+          "not valid JSON: a number is too large for a double"};
+}
+
 } // namespace
 
 void report::add(const std::string &Path, std::string Message) {
@@ -33,9 +42,11 @@
       {File, Position.Line, Position.Column, Path, std::move(Message)});
 }
 
-std::optional<nlohmann::json> parseJson(report &Report) {
+std::optional<nlohmann::json> parseJson(report &Report,
+                                        const comments Comments) {
   try {
-    return nlohmann::json::parse(Report.Text, nullptr, true, true);
+    return nlohmann::json::parse(Report.Text, nullptr, true,
+                                 Comments == comments::Skip);
   } catch (const nlohmann::json::parse_error &Error) {
     const std::size_t Byte = Error.byte == 0 ? 0 : Error.byte - 1;
     const auto Position = positionOf(Report.Text, Byte);
@@ -46,9 +57,23 @@
     Report.Diagnostics.push_back({Report.File, Position.Line, Position.Column,
                                   "", "not valid JSON: " + Cause});
     return std::nullopt;
+  } catch (const nlohmann::json::out_of_range &Error) {
+    Report.Diagnostics.push_back(numberOverflow(Report, Error.what()));
+    return std::nullopt;
   }
 }
 
+std::string describeUnknown(const std::string_view Name,
+                            const std::vector<std::string> &Known) {
+  const auto Nearest =
+      std::ranges::min_element(Known, {}, [&](const std::string &Each) {
+        return editDistance(Name, Each);
+      });
+  return Nearest == Known.end()
+             ? "is not known here"
+             : "is not known here; did you mean \"" + *Nearest + "\"?";
+}
+
 reader::reader(const nlohmann::json &Value, std::string ObjectPath,
                report &Target)
     : Object{Value}, Path{std::move(ObjectPath)}, Report{Target} {
@@ -185,14 +210,7 @@
   for (const auto &[Key, Unused] : Object.items()) {
     if (std::find(Known.begin(), Known.end(), Key) != Known.end())
       continue;
-    const auto Nearest = std::min_element(
-        Known.begin(), Known.end(),
-        [&Name = Key](const std::string &Left, const std::string &Right) {
-          return editDistance(Name, Left) < editDistance(Name, Right);
-        });
-    fail(Key, Nearest == Known.end()
-                  ? "is not known here"
-                  : "is not known here; did you mean \"" + *Nearest + "\"?");
+    fail(Key, describeUnknown(Key, Known));
   }
 }
 
--- a/src/galenalink/config/detail/reader.hpp
+++ b/src/galenalink/config/detail/reader.hpp
@@ -29,11 +29,19 @@
   std::string_view Unit;
 };
 
+/** @brief Whether comments in JSON are skipped or are an error. */
+enum class comments : std::uint8_t { Skip, Reject };
+
 /**
- * @brief Parses JSON with comments.
+ * @brief Parses JSON.
  * @return The value, or nothing after the error was added to the report.
  */
-[[nodiscard]] std::optional<nlohmann::json> parseJson(report &Report);
+[[nodiscard]] std::optional<nlohmann::json>
+parseJson(report &Report, comments Comments = comments::Skip);
+
+/** @brief Message on an unknown member, with the most similar known name. */
+[[nodiscard]] std::string
+describeUnknown(std::string_view Name, const std::vector<std::string> &Known);
 
 /**
  * @brief Reads the members of one JSON object into an aggregate, checks their
--- a/src/galenalink/config/diagnostic.hpp
+++ b/src/galenalink/config/diagnostic.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace galenalink::config {
 
@@ -18,8 +19,10 @@
   std::string Message;
 };
 
-/** @brief Formats as `file:line:column: path: message`. */
-[[nodiscard]] std::string toString(const diagnostic &Diagnostic);
+/** @brief Formats as `file:line:column: label: path: message`.
+ * @param Label Such as a severity; left out if empty. */
+[[nodiscard]] std::string toString(const diagnostic &Diagnostic,
+                                   std::string_view Label = {});
 
 } // namespace galenalink::config
 
