Add galenalink check-rules

Cause: a configuration of the users' platform could be checked only by sending it.

Change: the verb prints the findings as text or JSON and ends with 2 if there are errors, else with 0. The cli module has the two forms.

--- a/apps/galenalink.cpp
+++ b/apps/galenalink.cpp
@@ -1,11 +1,14 @@
 #include "galenalink/cli/actions.hpp"
+#include "galenalink/cli/findings.hpp"
 #include "galenalink/cli/publish.hpp"
+#include "rules_reader.hpp"
 #include <CLI/CLI.hpp>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 namespace {
 
@@ -18,6 +21,8 @@
   std::string Output{"text"};
   std::string Format;
   std::string Directory;
+  std::string File;
+  std::string InForce;
   std::string Author;
   std::string Subject;
   std::string Pool;
@@ -55,6 +60,21 @@
   return exit_code::Done;
 }
 
+[[nodiscard]] result<exit_code> checkRules(const arguments &Arguments) {
+  BOOST_LEAF_AUTO(Text, cli::readDocument(Arguments.File));
+  std::optional<users_platform::rules_source> InForce;
+  if (!Arguments.InForce.empty()) {
+    BOOST_LEAF_AUTO(Before, cli::readDocument(Arguments.InForce));
+    InForce =
+        users_platform::rules_source{Arguments.InForce, std::move(Before)};
+  }
+  const auto Findings = users_platform::checkRules(
+      users_platform::rules_source{Arguments.File, std::move(Text)},
+      InForce ? &*InForce : nullptr);
+  std::cout << cli::formatFindings(Findings, outputOf(Arguments));
+  return cli::codeOf(Findings);
+}
+
 [[nodiscard]] result<exit_code> changeVm(const arguments &Arguments,
                                          const std::string &Path) {
   BOOST_LEAF_AUTO(Node, connect(Arguments));
@@ -68,6 +88,8 @@
                                     const arguments &Arguments) {
   if (Command == "check")
     return check(Arguments);
+  if (Command == "check-rules")
+    return checkRules(Arguments);
   if (Command == "move")
     return changeVm(Arguments,
                     Arguments.Cancel ? "/v1/move-cancellations" : "/v1/moves");
@@ -120,6 +142,13 @@
         ->required();
   Publish->add_flag("--prune", Arguments.Prune,
                     "Remove published documents that are not in the directory");
+  auto *CheckRules = AddCommand(
+      "check-rules",
+      "Check a configuration of the users' platform without sending it");
+  CheckRules->add_option("file", Arguments.File, "Configuration (JSON)")
+      ->required();
+  CheckRules->add_option("--against", Arguments.InForce,
+                         "Configuration in force, to compare with");
   AddCommand("status", "Show node and log health, pools below budget and stuck "
                        "VMs");
   AddCommand("pools", "Show pools with their VMs and budgets");
@@ -149,6 +178,7 @@
   App.footer("Examples:\n"
              "  galenalink check services/\n"
              "  galenalink publish services/ --author ann\n"
+             "  galenalink check-rules next.json --against current.json\n"
              "  galenalink move vm-7 --to refunds\n"
              "  galenalink explain 0190a6c1-7b1e-7c3d-9a51-3f2b6f5f0a11\n"
              "Exit status: 0 done, 2 invalid input, 3 node unreachable, "
