Run jobs that will be late in the order of their work

Cause: in a demand peak, jobs that can't meet their objective ran in the order of their objectives, and a job with little work was refused because of a backlog of large ones. Change: load_shedding ranks these jobs by their work, and admission counts only deferred jobs with less work before a new one. An accepted job is never refused later. The log line admission has the objective of a customer's job.

--- a/src/galenalink/job/admission.hpp
+++ b/src/galenalink/job/admission.hpp
@@ -3,6 +3,7 @@
 
 #include "galenalink/core/enum_names.hpp"
 #include "galenalink/job/fair_share.hpp"
+#include "galenalink/job/load_shedding.hpp"
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
@@ -23,6 +24,14 @@
   double DeferredWork{0};
   /** `InTimeWork` and demand by customer; empty if no job has a customer. */
   std::vector<customer_claim> Claims{};
+  /** Jobs of `DeferredWork`; empty if they run in the order of their objectives
+   * instead of that of their work. */
+  std::vector<deferred_job> Deferred{};
+
+  /** @return Deferred work that is done before that of a new job. */
+  [[nodiscard]] double deferredAhead(const double Work) const noexcept {
+    return Deferred.empty() ? DeferredWork : deferredWorkAhead(Deferred, Work);
+  }
 };
 
 /** @brief A job to be admitted or refused. */
@@ -55,6 +64,10 @@
   admission_verdict Verdict{admission_verdict::Refused};
   /** Expected time to completion, ms from now. */
   double FinishMs{0};
+  /** Time within which it should complete, ms from now. */
+  double ObjectiveMs{0};
+  /** Work of all its tasks, thousandths of a core times ms. */
+  double Work{0};
   /** If refused: when the job is expected to fit, ms from now. */
   std::uint32_t RetryAfterMs{0};
 };
@@ -81,9 +94,10 @@
  * A job that can meet its objective after the jobs accepted before it is
  * admitted, as long as the customer keeps to its fair share of the pool. A job
  * that would complete late is deferred to capacity left after the peak, if it
- * still completes early enough to be useful. Any other job is refused
- * immediately. A job beyond its customer's rate is deferred if the pool has
- * room for it beside all others, and refused otherwise.
+ * still completes early enough to be useful; with load shedding, only deferred
+ * jobs with less work go before it. Any other job is refused immediately. A job
+ * beyond its customer's rate is deferred if the pool has room for it beside all
+ * others, and refused otherwise.
  */
 [[nodiscard]] inline admission admit(const pool_load &Load,
                                      const admission_request &Request) {
@@ -95,6 +109,8 @@
   constexpr double MinRetryMs = 1000;
 
   admission Result;
+  Result.ObjectiveMs = Request.ObjectiveMs;
+  Result.Work = Request.Work;
   if (Load.Capacity <= 0) {
     Result.RetryAfterMs = static_cast<std::uint32_t>(MinRetryMs);
     return Result;
@@ -109,9 +125,9 @@
     Result.Verdict = admission_verdict::InTime;
     return Result;
   }
-  Result.FinishMs =
-      std::max((Load.InTimeWork + Load.DeferredWork) / Rate + ExecutionMs,
-               Request.QuotaMs);
+  Result.FinishMs = std::max(
+      (Load.InTimeWork + Load.deferredAhead(Request.Work)) / Rate + ExecutionMs,
+      Request.QuotaMs);
   const double LatestMs = Request.WithinRate
                               ? Request.ObjectiveMs * MaxUsefulFactor
                               : Request.ObjectiveMs;
--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -101,6 +101,8 @@
 struct job_class {
   bool Deferred{false};
   bool BeyondRate{false};
+  /** Work of all its tasks, thousandths of a core times ms. */
+  double Work{0};
 };
 
 void acceptJob(leader &Leader, const queue_rule &Rule, submission Submission,
@@ -111,6 +113,7 @@
   Job.setCustomer(std::move(Submission.Customer));
   job_entry &Entry = addJob(Leader, std::move(Job));
   Entry.Deferred = Class.Deferred;
+  Entry.Work = Class.Work;
   Entry.BeyondRate = Class.BeyondRate;
   ++Leader.WaitingJobs;
   Entry.OnStored.push_back(std::move(Reply));
@@ -153,13 +156,15 @@
 
 /** @brief Adds the figures by which a customer's job was judged. */
 void addCustomer(const leader &Leader, const pool_load &Load,
-                 const submission &Submission, const bool WithinRate,
+                 const submission &Submission, const admission &Admission,
+                 const bool WithinRate,
                  std::vector<telemetry::attribute> &Line) {
   const std::string &Customer = Submission.Customer;
   const customer_claim *Claim = findClaim(Load.Claims, Customer);
   const resources InUse = Leader.Quotas.inUse(Customer);
   const resources Quota = Leader.Quotas.limit(Customer);
   Line.emplace_back("customer", Customer);
+  Line.emplace_back("objective_ms", toInteger(Admission.ObjectiveMs));
   Line.emplace_back("rate", std::string{WithinRate ? "within" : "beyond"});
   Line.emplace_back("own_work", toInteger(Claim == nullptr ? 0 : Claim->Work));
   Line.emplace_back("cpu_in_use", std::to_string(InUse.Cpu));
@@ -185,7 +190,7 @@
       {"traits", describeTraits(Rule, Spec)},
       {"rules", Leader.Rules.Version}};
   if (!Submission.Customer.empty())
-    addCustomer(Leader, Load, Submission, WithinRate, Line);
+    addCustomer(Leader, Load, Submission, Admission, WithinRate, Line);
   Log.write(telemetry::severity::Info, "admission", Line);
 }
 
@@ -218,10 +223,17 @@
 void addInTimeWork(const leader &Leader, const std::string &Customer,
                    const double Work, pool_load &Load) {
   Load.InTimeWork += Work;
-  if (Leader.Rules.Customers)
+  if (Leader.Rules.Customers && Leader.Settings.FairShares)
     claimOf(Leader, Customer, Load).Work += Work;
 }
 
+void addDeferredWork(const leader &Leader, const job_entry &Entry,
+                     const double Work, pool_load &Load) {
+  Load.DeferredWork += Work;
+  if (Leader.shedsLoad())
+    Load.Deferred.push_back({Entry.Work, Work});
+}
+
 void addDemand(const leader &Leader, const std::string_view Pool,
                pool_load &Load) {
   const auto Found = Leader.CustomerDemand.find(Pool);
@@ -253,9 +265,10 @@
     if (InTime)
       addInTimeWork(Leader, Entry->Job.customer(), Work, Load);
     else
-      Load.DeferredWork += Work;
+      addDeferredWork(Leader, *Entry, Work, Load);
   }
-  addDemand(Leader, Pool, Load);
+  if (Leader.Settings.FairShares)
+    addDemand(Leader, Pool, Load);
   return Load;
 }
 
@@ -437,8 +450,8 @@
   const bool Deferred = Admission.Verdict == admission_verdict::Deferred;
   ++(Deferred ? Leader.Counts->AdmittedDeferred
               : Leader.Counts->AdmittedInTime);
-  acceptJob(Leader, *Rule, std::move(Submission), {Deferred, !WithinRate},
-            std::move(Reply));
+  acceptJob(Leader, *Rule, std::move(Submission),
+            {Deferred, !WithinRate, Admission.Work}, std::move(Reply));
 }
 
 namespace {
--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -1,5 +1,6 @@
 #include "galenalink/job/dispatch.hpp"
 #include "galenalink/job/customers.hpp"
+#include "galenalink/job/load_shedding.hpp"
 #include "galenalink/job/placement.hpp"
 #include "galenalink/job/runs.hpp"
 #include "galenalink/job/server_watch.hpp"
@@ -57,10 +58,13 @@
   std::uint32_t Step{0};
   urgency Urgency{urgency::InTime};
   std::uint32_t Priority{0};
+  /** Position among candidates of the same urgency and priority, before the
+   * deadline. */
+  double Rank{0};
   time_point Deadline;
 
   [[nodiscard]] auto rank() const {
-    return std::tuple{Urgency, Priority, Deadline};
+    return std::tuple{Urgency, Priority, Rank, Deadline};
   }
 };
 
@@ -82,6 +86,14 @@
   return Leader.Now() < Occurrence.Expiry ? urgency::Late : urgency::Expired;
 }
 
+/** @brief Jobs within their objective run by their deadlines alone. */
+double rankOf(const leader &Leader, const job_entry &Entry,
+              const urgency Urgency) {
+  return Leader.shedsLoad() && Urgency > urgency::InTime
+             ? sheddingRank(Entry.Work)
+             : 0;
+}
+
 bool isWaiting(const leader &Leader, const job &Job, const step_spec &Step,
                const task &Task) {
   return !Task.Done && Task.Runs == 0 && Task.NotBefore <= Leader.Now() &&
@@ -124,9 +136,10 @@
                          });
       if (!Waits)
         continue;
-      Out.push_back(
-          {&Entry, &Occurrence, I, urgencyOf(Leader, Entry, Occurrence, Spec),
-           Rule == nullptr ? 0 : Rule->Priority, Occurrence.Objective});
+      const urgency Urgency = urgencyOf(Leader, Entry, Occurrence, Spec);
+      Out.push_back({&Entry, &Occurrence, I, Urgency,
+                     Rule == nullptr ? 0 : Rule->Priority,
+                     rankOf(Leader, Entry, Urgency), Occurrence.Objective});
     }
   }
 }
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -92,6 +92,21 @@
  * since it has seen a higher epoch. */
 using fenced_function = std::function<void(std::string_view RejectedBy)>;
 
+/** @brief When jobs that will miss their objective run in the order of their
+ * work instead of that of their objectives. */
+enum class load_shedding : std::uint8_t {
+  Off,
+  /** If the rules have customers. */
+  Customers,
+  Always,
+};
+
+inline constexpr enum_names<load_shedding, 3> LoadSheddingNames{{
+    {load_shedding::Off, "off"},
+    {load_shedding::Customers, "customers"},
+    {load_shedding::Always, "always"},
+}};
+
 /** @brief Time limits of the platform and of the leader. */
 struct leader_settings {
   /** Name of the node, which identifies the holder of VM orders. */
@@ -111,6 +126,9 @@
   duration MaintenanceTime{std::chrono::milliseconds{2000}};
   /** Minimum time between orders for one VM by two different leaders. */
   duration MinVmOrderGap{std::chrono::milliseconds{3000}};
+  /** Customers share a full pool by their weights. */
+  bool FairShares{true};
+  load_shedding LoadShedding{load_shedding::Customers};
   /** Span over which the rates of customers are counted. */
   duration RateWindow{std::chrono::seconds{5}};
   start_limits Starts;
@@ -202,6 +220,9 @@
   bool Deferred{false};
   /** Submitted beyond its customer's rate, so that it stays deferred. */
   bool BeyondRate{false};
+  /** Work of all its tasks, thousandths of a core times ms; 0 for a job that
+   * was not subject to admission control. */
+  double Work{0};
   /** The job has ended and only its state is kept. */
   bool Compacted{false};
   /** Callers to reply to once the job is stored. */
@@ -301,6 +322,11 @@
   /** Callbacks hold it weakly to detect that the leader no longer exists. */
   std::shared_ptr<bool> LifetimeToken{std::make_shared<bool>(true)};
 
+  [[nodiscard]] bool shedsLoad() const noexcept {
+    return Settings.LoadShedding == load_shedding::Always ||
+           (Settings.LoadShedding == load_shedding::Customers &&
+            Rules.Customers.has_value());
+  }
   [[nodiscard]] job_entry *findJob(const std::string &Id) const {
     const auto Found = Jobs.find(Id);
     return Found == Jobs.end() ? nullptr : Found->second.get();
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -107,6 +107,8 @@
   Leader.MinVmOrderGap = std::chrono::milliseconds{Settings.MinVmOrderGapMs};
   Leader.MoveTime = fromSeconds(Settings.MoveS);
   Leader.MaintenanceTime = fromSeconds(Settings.MaintenanceS);
+  Leader.FairShares = Settings.FairShares;
+  Leader.LoadShedding = Settings.LoadShedding;
   Leader.RateWindow = fromSeconds(Settings.RateWindowS);
   Leader.Starts = startLimits(Settings);
   Leader.MaxHeartbeatsPerPass = maxHeartbeatsPerPass(Settings);
--- a/src/galenalink/job_node/settings.cpp
+++ b/src/galenalink/job_node/settings.cpp
@@ -67,6 +67,8 @@
       .decimal("maintenance_s", Out.MaintenanceS, SecondsRange)
       .number("holder_pause_ms", Out.MinVmOrderGapMs, TimeRange)
       .decimal("rate_window_s", Out.RateWindowS, RateWindowRange)
+      .flag("fair_shares", Out.FairShares)
+      .choice("load_shedding", Out.LoadShedding, job::LoadSheddingNames)
       .object("log", [&](reader &Nested) {
         Nested.choice("level", Out.Level, config::LogLevelNames)
             .choice("format", Out.Format, config::LogFormatNames);
--- a/src/galenalink/job_node/settings.hpp
+++ b/src/galenalink/job_node/settings.hpp
@@ -3,6 +3,7 @@
 
 #include "galenalink/config/diagnostic.hpp"
 #include "galenalink/config/settings.hpp"
+#include "galenalink/job/leader.hpp"
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -48,6 +49,9 @@
   std::uint32_t MinVmOrderGapMs{3000};
   /** Span over which the rates of customers are counted, s. */
   double RateWindowS{5};
+  /** Customers share a full pool by their weights. */
+  bool FairShares{true};
+  job::load_shedding LoadShedding{job::load_shedding::Customers};
   config::log_level Level{config::log_level::Info};
   config::log_format Format{config::log_format::Json};
 };
