Rank recovered jobs by the work that they have left

Cause: a recovered job had no work recorded and went ahead of all others that will miss their objective. Change: recovery computes the remaining work.

--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -220,8 +220,8 @@
   bool Deferred{false};
   /** Submitted beyond its customer's rate, so that it stays deferred. */
   bool BeyondRate{false};
-  /** Work of all its tasks, thousandths of a core times ms; 0 for a job that
-   * was not subject to admission control. */
+  /** Work that was left when this leader accepted or recovered the job,
+   * thousandths of a core times ms. */
   double Work{0};
   /** The job has ended and only its state is kept. */
   bool Compacted{false};
--- a/src/galenalink/job/recovery.cpp
+++ b/src/galenalink/job/recovery.cpp
@@ -1,4 +1,5 @@
 #include "galenalink/job/recovery.hpp"
+#include "galenalink/job/callers.hpp"
 #include "galenalink/job/customers.hpp"
 #include "galenalink/job/job_limits.hpp"
 #include "galenalink/job/server_watch.hpp"
@@ -136,6 +137,7 @@
   for (auto &[Id, Entry] : Leader.OpenJobs) {
     setObjectives(Leader, *Entry);
     openDueOccurrences(Leader, *Entry);
+    Entry->Work = remainingWork(Leader, Entry->Job);
   }
   Log.info("recovered", {{"epoch", Leader.Epoch},
                          {"records", Records.Records.size()},
