Let customers above their share of a full pool give way

Cause: jobs of a flood that were accepted early ran before those of customers that came later, since their objectives were earlier. Change: every 200 ms the leader finds the customers whose backlog takes over 1.5 times as long at their fair rate as the whole backlog takes. Their tasks go after those of the others, and their work does not count when others are admitted.

--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint32_t BusyRetryMs = 1000;
 /** Only a new version of the rules can admit the job. */
 constexpr std::uint32_t QuotaRetryMs = 60000;
+/** A pool whose backlog takes longer than this to be done is full, ms. */
+constexpr double ShareHorizonMs = 600;
 /** Customers that are counted by name; further ones are counted together. */
 constexpr std::size_t MaxCountedCustomers = 1024;
 /** Time after which a new leader has contacted its backend servers. */
@@ -227,6 +229,12 @@
     claimOf(Leader, Customer, Load).Work += Work;
 }
 
+bool isAboveShare(const leader &Leader, const std::string &Pool,
+                  const std::string &Customer) {
+  const auto Found = Leader.AboveShare.find(Pool);
+  return Found != Leader.AboveShare.end() && Found->second.contains(Customer);
+}
+
 void addDeferredWork(const leader &Leader, const job_entry &Entry,
                      const double Work, pool_load &Load) {
   Load.DeferredWork += Work;
@@ -245,7 +253,8 @@
 
 } // namespace
 
-pool_load computePoolLoad(const leader &Leader, const std::string_view Pool) {
+pool_load computePoolLoad(const leader &Leader, const std::string_view Pool,
+                          const std::string_view Customer) {
   pool_load Load;
   for (const server *Server : Leader.ServersByPool.of(Pool)) {
     const bool AcceptsWork = Server->Registered && Server->Synced &&
@@ -259,6 +268,10 @@
   for (const auto &[Id, Entry] : Leader.OpenJobs) {
     if (Entry->Job.pool() != Pool || Entry->Job.openOccurrences().empty())
       continue;
+    // Its tasks go after those of the others.
+    if (Customer != Entry->Job.customer() &&
+        isAboveShare(Leader, Entry->Job.pool(), Entry->Job.customer()))
+      continue;
     const bool InTime = !Entry->Deferred &&
                         Now < Entry->Job.openOccurrences().front().Objective;
     const double Work = remainingWork(Leader, Entry->Job);
@@ -272,6 +285,46 @@
   return Load;
 }
 
+namespace {
+
+/** @brief Backlog of each customer in a pool, including deferred work. */
+std::vector<customer_claim> backlogClaims(const leader &Leader,
+                                          const std::string_view Pool) {
+  pool_load Load;
+  for (const auto &[Id, Entry] : Leader.OpenJobs) {
+    if (Entry->Job.pool() == Pool && !Entry->Job.customer().empty() &&
+        !Entry->Job.openOccurrences().empty())
+      claimOf(Leader, Entry->Job.customer(), Load).Work +=
+          remainingWork(Leader, Entry->Job);
+  }
+  addDemand(Leader, Pool, Load);
+  return std::move(Load.Claims);
+}
+
+} // namespace
+
+void updateShares(leader &Leader) {
+  Leader.AboveShare.clear();
+  if (!Leader.Rules.Customers || !Leader.Settings.FairShares)
+    return;
+  for (const auto &Rule : Leader.Rules.Pools) {
+    const double Capacity =
+        computePoolLoad(Leader, Rule.Name).Capacity * PackingEfficiency;
+    if (Rule.Standby || Capacity <= 0)
+      continue;
+    const auto Claims = backlogClaims(Leader, Rule.Name);
+    for (const auto &Each : Claims) {
+      if (!exceedsShare(Claims, Each, Capacity, ShareHorizonMs))
+        continue;
+      Leader.AboveShare[Rule.Name].insert(Each.Customer);
+      Log.info("customer above its share", {{"pool", Rule.Name},
+                                            {"customer", Each.Customer},
+                                            {"backlog", toInteger(Each.Work)},
+                                            {"capacity", toInteger(Capacity)}});
+    }
+  }
+}
+
 void promoteDeferredJobs(leader &Leader) {
   std::map<std::string, pool_load> Loads;
   const time_point Now = Leader.Now();
@@ -279,7 +332,8 @@
   for (auto &[Id, Entry] : Leader.OpenJobs) {
     Leader.WaitingJobs += Entry->Job.state() == job_state::Queued ? 1 : 0;
     if (!Entry->Deferred || Entry->BeyondRate ||
-        Entry->Job.openOccurrences().empty())
+        Entry->Job.openOccurrences().empty() ||
+        isAboveShare(Leader, Entry->Job.pool(), Entry->Job.customer()))
       continue;
     const auto [Load, Added] = Loads.try_emplace(Entry->Job.pool());
     if (Added)
@@ -430,7 +484,8 @@
     return;
   }
   const bool WithinRate = claimRate(Leader, Submission);
-  const pool_load Load = computePoolLoad(Leader, Rule->Pool);
+  const pool_load Load =
+      computePoolLoad(Leader, Rule->Pool, Submission.Customer);
   admission Admission;
   Admission.Verdict = admission_verdict::InTime;
   if (!Submission.Spec.isLongRunning() && Submission.Spec.Times == 0)
--- a/src/galenalink/job/controller.cpp
+++ b/src/galenalink/job/controller.cpp
@@ -92,6 +92,7 @@
     // triggers dispatch.
     requestDispatchOfAllPools(*Leader);
     handleStragglers(*Leader);
+    updateShares(*Leader);
     promoteDeferredJobs(*Leader);
     advanceMaintenance(*Leader);
     updatePaces(*Leader);
--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -58,13 +58,15 @@
   std::uint32_t Step{0};
   urgency Urgency{urgency::InTime};
   std::uint32_t Priority{0};
+  /** The customer holds more than its share of the pool. */
+  bool AboveShare{false};
   /** Position among candidates of the same urgency and priority, before the
    * deadline. */
   double Rank{0};
   time_point Deadline;
 
   [[nodiscard]] auto rank() const {
-    return std::tuple{Urgency, Priority, Rank, Deadline};
+    return std::tuple{AboveShare, Urgency, Priority, Rank, Deadline};
   }
 };
 
@@ -86,6 +88,13 @@
   return Leader.Now() < Occurrence.Expiry ? urgency::Late : urgency::Expired;
 }
 
+bool isAboveShare(const leader &Leader, const job_entry &Entry,
+                  const step_spec &Step) {
+  const auto Found = Leader.AboveShare.find(Entry.Job.pool());
+  return !Step.LongRunning && Found != Leader.AboveShare.end() &&
+         Found->second.contains(Entry.Job.customer());
+}
+
 /** @brief Jobs within their objective run by their deadlines alone. */
 double rankOf(const leader &Leader, const job_entry &Entry,
               const urgency Urgency) {
@@ -139,6 +148,7 @@
       const urgency Urgency = urgencyOf(Leader, Entry, Occurrence, Spec);
       Out.push_back({&Entry, &Occurrence, I, Urgency,
                      Rule == nullptr ? 0 : Rule->Priority,
+                     isAboveShare(Leader, Entry, Spec),
                      rankOf(Leader, Entry, Urgency), Occurrence.Objective});
     }
   }
--- a/src/galenalink/job/fair_share.hpp
+++ b/src/galenalink/job/fair_share.hpp
@@ -70,6 +70,26 @@
   return Left * Weight / Weights;
 }
 
+/** @return Whether a customer holds so much more of a full pool's backlog than
+ * its share that the jobs of the others go first.
+ * @param Capacity Rate at which the pool works; above 0.
+ * @param HorizonMs Time over which accepted work counts as demand; above 0. */
+[[nodiscard]] inline bool
+exceedsShare(const std::vector<customer_claim> &Claims,
+             const customer_claim &Own, const double Capacity,
+             const double HorizonMs) {
+  /** The backlog of a customer may take this many times as long at its fair
+   * rate as the whole backlog takes. */
+  constexpr double MaxBacklogRatio = 1.5;
+  double Total = 0;
+  for (const auto &Each : Claims)
+    Total += Each.Work;
+  const bool Full = Total > Capacity * HorizonMs;
+  const double OwnRate =
+      fairRate(Claims, Own.Customer, Own.Weight, Capacity, HorizonMs);
+  return Full && Own.Work / OwnRate > MaxBacklogRatio * Total / Capacity;
+}
+
 } // namespace galenalink::job
 
 #endif
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -289,6 +289,8 @@
   /** Arrival rate of work by pool and customer. */
   std::map<std::string, std::map<std::string, demand_meter>, std::less<>>
       CustomerDemand;
+  /** Customers above their share of a full pool, by pool. */
+  std::map<std::string, std::set<std::string>> AboveShare;
   recent_jobs RecentJobs;
   peak_forecast Forecast;
   /** Number of VMs of each pool before any was moved. */
--- a/test/galenalink/job/fair_share.cpp
+++ b/test/galenalink/job/fair_share.cpp
@@ -66,6 +66,26 @@
   BOOST_CHECK(admit(Load, Calm).Verdict == admission_verdict::InTime);
 }
 
+// Accepted jobs of a flood ran before those of other customers that came later
+// with later objectives. Only a customer far above its share of a full pool
+// gives way.
+BOOST_AUTO_TEST_CASE(customer_above_its_share_is_found) {
+  const std::vector<customer_claim> Flooded{{"flood", 1, 200 * HorizonMs, 400},
+                                            {"calm", 1, 60 * HorizonMs, 60}};
+  BOOST_TEST(exceedsShare(Flooded, Flooded[0], Capacity, HorizonMs));
+  BOOST_TEST(!exceedsShare(Flooded, Flooded[1], Capacity, HorizonMs));
+  const std::vector<customer_claim> Even{{"a", 1, 200 * HorizonMs, 400},
+                                         {"b", 3, 500 * HorizonMs, 900}};
+  for (const auto &Each : Even)
+    BOOST_TEST(!exceedsShare(Even, Each, Capacity, HorizonMs));
+  // One customer alone, or a pool with room, is no reason to give way.
+  const std::vector<customer_claim> Alone{{"flood", 1, 200 * HorizonMs, 400}};
+  BOOST_TEST(!exceedsShare(Alone, Alone[0], Capacity, HorizonMs));
+  const std::vector<customer_claim> Calm{{"flood", 1, 50 * HorizonMs, 400},
+                                         {"calm", 1, 0, 1}};
+  BOOST_TEST(!exceedsShare(Calm, Calm[0], Capacity, HorizonMs));
+}
+
 // A job beyond its customer's rate takes only capacity that nobody waits for.
 BOOST_AUTO_TEST_CASE(job_beyond_the_rate_waits_for_all_others) {
   pool_load Load;
