--- a/test/soak/node_group.cpp
+++ b/test/soak/node_group.cpp
@@ -80,6 +80,22 @@
   return Nodes.at(Node).CallersLink->address();
 }
 
+http::address node_group::callersListener(const std::size_t Node) {
+  return {hostOf(Node), CallersPort};
+}
+
+http::address node_group::readinessListener(const std::size_t Node) {
+  return {hostOf(Node), ReadinessPort};
+}
+
+http::address node_group::peersListener(const std::size_t Node) {
+  return {hostOf(Node), PeersPort};
+}
+
+system_test::process &node_group::processOf(const std::size_t Node) {
+  return *Nodes.at(Node).Process;
+}
+
 tcp_proxy &node_group::callersLink(const std::size_t Node) {
   return *Nodes.at(Node).CallersLink;
 }
--- a/test/soak/node_group.hpp
+++ b/test/soak/node_group.hpp
@@ -27,6 +27,11 @@
   [[nodiscard]] std::size_t size() const noexcept { return Nodes.size(); }
   /** @return Address of the link from callers to the node. */
   [[nodiscard]] http::address callersAddress(std::size_t Node) const;
+  /** @return Addresses on which the node itself listens, without a link. */
+  [[nodiscard]] static http::address callersListener(std::size_t Node);
+  [[nodiscard]] static http::address readinessListener(std::size_t Node);
+  [[nodiscard]] static http::address peersListener(std::size_t Node);
+  [[nodiscard]] system_test::process &processOf(std::size_t Node);
   [[nodiscard]] tcp_proxy &callersLink(std::size_t Node);
   [[nodiscard]] tcp_proxy &storeLink(std::size_t Node);
   [[nodiscard]] tcp_proxy &vmListLink(std::size_t Node);
--- a/test/soak/single_node_run.hpp
+++ b/test/soak/single_node_run.hpp
@@ -21,8 +21,8 @@
 
   /** @param VmCount Number of VMs of the pool, named by it and an index. */
   single_node_run(std::string Pool, const std::size_t VmCount)
-      : Store{Loop}, Fleet{Loop, Store, FleetSeed}, Pool{std::move(Pool)},
-        Disruptions{}, Nodes{Loop, Disruptions}, Client{Loop, {}} {
+      : Store{Loop}, Fleet{Loop, Store, FleetSeed}, Disruptions{},
+        Nodes{Loop, Disruptions}, Pool{std::move(Pool)}, Client{Loop, {}} {
     publishConfig();
     for (std::size_t I = 0; I < VmCount; ++I)
       addVm();
@@ -78,6 +78,8 @@
   http::loop Loop;
   store_standin Store;
   fleet_standin Fleet;
+  disruption_log Disruptions;
+  node_group Nodes;
 
 private:
   static constexpr std::uint64_t FleetSeed = 1;
@@ -118,8 +120,6 @@
   }
 
   std::string Pool;
-  disruption_log Disruptions;
-  node_group Nodes;
   http::client Client;
 };
 
