Do not read from a connection whose reply is not written

Cause: evhttp keeps reading while it writes a reply, so input was buffered without bound when the client pipelined and did not read.

Change: reading is disabled from the reply until evhttp has written it.

The new unit test fails without the change (64 MiB taken).

--- a/src/galenalink/http/exchange.cpp
+++ b/src/galenalink/http/exchange.cpp
@@ -126,7 +126,12 @@
     evbuffer_add(Buffer, Body.data(), Body.size());
   if (State->BeforeReply)
     State->BeforeReply(Request);
+  evhttp_connection *Connection = evhttp_request_get_connection(Request);
   evhttp_send_reply(Request, Status, nullptr, Buffer);
+  // evhttp would read and buffer further requests without bound while the
+  // reply can't be written. It enables reading again once it is.
+  if (Connection != nullptr)
+    bufferevent_disable(evhttp_connection_get_bufferevent(Connection), EV_READ);
   if (Buffer != nullptr)
     evbuffer_free(Buffer);
 }
--- a/test/galenalink/http/server.cpp
+++ b/test/galenalink/http/server.cpp
@@ -103,6 +103,39 @@
   BOOST_TEST(Test.waitText(*Socket, "answer2"));
 }
 
+// Requests that a client pipelined while it did not read the responses were
+// buffered without bound.
+BOOST_AUTO_TEST_CASE(input_is_not_read_while_a_reply_is_unread) {
+  constexpr std::size_t MaxTaken = 64U << 20U; // more than kernel buffers hold
+  loop Loop;
+  std::size_t Received = 0;
+  http::server Server{Loop, {}, [&](exchange Exchange) {
+                        ++Received;
+                        Exchange.reply(200, {}, std::string(65536, 'r'));
+                      }};
+  raw_socket Socket{raw_socket::connectTo(listenOrFail(Server))};
+  std::string Requests;
+  while (Requests.size() < 65536)
+    Requests += Get;
+  std::size_t Taken = 0;
+  time_point LastTaken = boot_clock::now();
+  BOOST_TEST(wait(Loop, [&] {
+    const std::size_t Sent =
+        Socket.writeSome(Requests.substr(Taken % Requests.size()));
+    Taken += Sent;
+    if (Sent > 0)
+      LastTaken = boot_clock::now();
+    return Taken >= MaxTaken || boot_clock::now() >= LastTaken + 200ms;
+  }));
+  BOOST_TEST(Taken < MaxTaken);
+  const std::size_t BeforeReading = Received;
+  BOOST_TEST(wait(Loop, [&] {
+    Socket.poll();
+    Socket.Read.clear();
+    return Received > BeforeReading + 100;
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(peer_that_closes_is_reported_once) {
   for (const bool Reset : {false, true}) {
     served Test;
