Bound connections and memory of an HTTP server

Cause: one connection could hold a largest body for 10 s, and all of them together hundreds of MB; header lines cost about 40 times their bytes; a full connection table kept callers out until the receive timeout.

Change, each with a unit test in test/galenalink/http/server.cpp: - Input beyond the headers and one page is read only after evhttp has asked for more; the limit of a request is doubled step by step, and all steps together are bounded (MaxLargeRequestBytes). Requests beyond that wait unread, the first one is always completed, and one that is complete while others hold the memory is refused with 503 before it reaches the handler. - The rest (initial parts, header lines, unread replies) is bounded by MaxBufferedBytes; above it the connections that hold most are closed. - A full server closes the connection that has waited for its client for longest, after MinWaitForRoom, in place of accepting nothing. - Deadlines are kept in lists ordered by time with one timer, not one timer for each phase of each connection. - A connection is closed through evhttp's own error path; a shutdown was not noticed while a connection was not read from. - Each limit at work is logged, at most once a second for each listener.

--- a/src/galenalink/http/detail/exchange_state.hpp
+++ b/src/galenalink/http/detail/exchange_state.hpp
@@ -1,6 +1,7 @@
 #ifndef GALENALINK_HTTP_DETAIL_EXCHANGE_STATE_HPP
 #define GALENALINK_HTTP_DETAIL_EXCHANGE_STATE_HPP
 
+#include "galenalink/http/detail/memory_use.hpp"
 #include "galenalink/http/exchange.hpp"
 
 struct evhttp_request;
@@ -15,8 +16,10 @@
   evhttp_request *Request{nullptr};
   event *CloseWatch{nullptr};
   std::function<void()> PeerClosed;
-  /** Called with the request before its reply is written. */
-  std::function<void(evhttp_request *)> BeforeReply;
+  /** Called with the request and the size of the body before its reply is
+   * written. */
+  std::function<void(evhttp_request *, std::size_t)> BeforeReply;
+  detail::exchange_charge Charge;
 
   state() = default;
   state(const state &) = delete;
--- a/src/galenalink/http/exchange.cpp
+++ b/src/galenalink/http/exchange.cpp
@@ -125,7 +125,7 @@
   if (Buffer != nullptr)
     evbuffer_add(Buffer, Body.data(), Body.size());
   if (State->BeforeReply)
-    State->BeforeReply(Request);
+    State->BeforeReply(Request, Body.size());
   evhttp_connection *Connection = evhttp_request_get_connection(Request);
   evhttp_send_reply(Request, Status, nullptr, Buffer);
   // evhttp would read and buffer further requests without bound while the
--- a/src/galenalink/http/server.cpp
+++ b/src/galenalink/http/server.cpp
@@ -1,6 +1,6 @@
 #include "galenalink/http/server.hpp"
 #include "galenalink/core/assert.hpp"
-#include "galenalink/http/detail/exchange_state.hpp"
+#include "galenalink/http/detail/server_impl.hpp"
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -8,47 +8,22 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
-#include <event2/listener.h>
 #include <sys/socket.h>
-#include <unordered_map>
 #include <utility>
 
 namespace galenalink::http {
 
+using detail::phase;
+
 namespace {
 
 /** Interval of the search for new connections that were closed early. */
 constexpr duration SweepInterval = std::chrono::milliseconds{100};
-
-enum class phase : std::uint8_t { Idle, Receiving, Handling, Replying };
-
-/** @brief One accepted connection. */
-struct connection {
-  server::impl *Server{nullptr};
-  bufferevent *Stream{nullptr};
-  /** Null until the first request was received; then `Stream` is owned by it
-   * alone, before that this object holds a reference to it. */
-  evhttp_connection *Http{nullptr};
-  evbuffer_cb_entry *InputHook{nullptr};
-  phase Phase{phase::Receiving};
-  timer Deadline;
-  std::weak_ptr<exchange::state> Current;
-
-  connection() = default;
-  connection(const connection &) = delete;
-  connection &operator=(const connection &) = delete;
-  ~connection() {
-    if (InputHook != nullptr)
-      evbuffer_remove_cb_entry(bufferevent_get_input(Stream), InputHook);
-    if (Http == nullptr)
-      bufferevent_decref(Stream);
-  }
-
-  /** @brief Makes evhttp see the end of the stream, so that it frees it. */
-  void shutDown() const noexcept {
-    shutdown(bufferevent_getfd(Stream), SHUT_RDWR);
-  }
-};
+/** Bytes that may be read beyond the headers before the limit is raised. evhttp
+ * finds headers that are too long only if it gets more than it allows. */
+constexpr std::size_t InitialBodyBytes = 4096;
+constexpr duration LogInterval = std::chrono::seconds{1};
+constexpr const char *RefusedRetryAfterSeconds = "1";
 
 std::optional<method> toMethod(const evhttp_cmd_type Command) noexcept {
   switch (Command) {
@@ -73,43 +48,53 @@
 
 } // namespace
 
-struct server::impl {
-  loop &Loop;
-  server_options Options;
-  handler Handler;
-  evhttp *Http{nullptr};
-  evhttp_bound_socket *Socket{nullptr};
-  std::uint16_t Port{0};
-  bool Stopping{false};
-  std::unordered_map<bufferevent *, std::unique_ptr<connection>> Connections;
-  timer Sweep;
+detail::server_connection::server_connection(server::impl &Server,
+                                             bufferevent *Stream)
+    : Server{Server}, Stream{Stream}, Since{boot_clock::now()},
+      Receive{Server.Options.MaxHeaderBytes + InitialBodyBytes,
+              Server.Options.MaxHeaderBytes + InitialBodyBytes +
+                  Server.Options.MaxBodyBytes,
+              Server.Options.MaxHeaderBytes},
+      Order{&Server.Receiving}, Position{Order->insert(Order->end(), this)} {
+  bufferevent_incref(Stream);
+  bufferevent_setwatermark(Stream, EV_READ, 0, Receive.limit());
+  InputHook = evbuffer_add_cb(
+      bufferevent_get_input(Stream),
+      [](evbuffer *, const evbuffer_cb_info *Info, void *Arg) {
+        auto *Self = static_cast<server_connection *>(Arg);
+        Self->Server.inputChanged(*Self, Info->n_added, Info->n_deleted);
+      },
+      this);
+}
 
-  impl(loop &Loop, server_options Options, handler Handler)
-      : Loop{Loop}, Options{Options}, Handler{std::move(Handler)} {}
+detail::server_connection::~server_connection() {
+  if (InputHook != nullptr)
+    evbuffer_remove_cb_entry(bufferevent_get_input(Stream), InputHook);
+  if (Http == nullptr)
+    bufferevent_decref(Stream);
+}
 
-  void accept(bufferevent *Stream);
-  void sweep();
-  void drop(bufferevent *Stream);
-  void setPhase(connection &Connection, phase Phase);
-  void received(evhttp_request *Request);
-  void closed(evhttp_connection *Closed);
-  connection &firstRequest(evhttp_connection *From);
-  std::shared_ptr<exchange::state> open(connection &Connection, method Method,
-                                        evhttp_request *Request);
-};
+server::impl::impl(loop &Loop, server_options Options, handler Handler)
+    : Loop{Loop}, Options{std::move(Options)}, Handler{std::move(Handler)},
+      LogRate{LogInterval} {
+  Memory->Released = [this] {
+    if (WaitingForLimit == 0)
+      return;
+    this->Loop.post([this, Weak = std::weak_ptr{Alive}] {
+      if (!Weak.expired())
+        raiseWaiting();
+    });
+  };
+}
 
 // evhttp frees a connection that never sent a complete request without a
 // notice. A reference keeps the stream valid, and the sweep finds it when
 // evhttp has removed its callbacks.
 void server::impl::accept(bufferevent *Stream) {
-  bufferevent_incref(Stream);
-  auto Connection = std::make_unique<connection>();
-  Connection->Server = this;
-  Connection->Stream = Stream;
-  setPhase(*Connection, phase::Receiving);
-  Connections.emplace(Stream, std::move(Connection));
-  if (Connections.size() >= Options.MaxConnections && Socket != nullptr)
-    evconnlistener_disable(evhttp_bound_socket_get_listener(Socket));
+  Connections.emplace(Stream, std::make_unique<connection>(*this, Stream));
+  armDeadline(boot_clock::now() + Options.ReceiveTimeout);
+  makeRoom();
+  pauseAcceptingIfFull();
   if (!Sweep.pending())
     Sweep = Loop.every(SweepInterval, [this] { sweep(); });
 }
@@ -136,20 +121,28 @@
 }
 
 void server::impl::drop(bufferevent *Stream) {
-  Connections.erase(Stream);
-  if (Connections.size() < Options.MaxConnections && Socket != nullptr)
-    evconnlistener_enable(evhttp_bound_socket_get_listener(Socket));
+  const auto Found = Connections.find(Stream);
+  if (Found == Connections.end())
+    return;
+  connection &Dropped = *Found->second;
+  leaveLarge(Dropped);
+  Memory->Connections.Buffered -= Dropped.Charged.Buffered;
+  Memory->Connections.Large -= Dropped.Charged.Large;
+  Dropped.Order->erase(Dropped.Position);
+  Connections.erase(Found);
+  resumeAccepting();
 }
 
 void server::impl::setPhase(connection &Connection, const phase Phase) {
   Connection.Phase = Phase;
-  Connection.Deadline.cancel();
-  if (Phase == phase::Handling)
-    return;
-  const duration Limit =
-      Phase == phase::Receiving ? Options.ReceiveTimeout : Options.IdleTimeout;
-  Connection.Deadline = Loop.at(boot_clock::now() + Limit,
-                                [&Connection] { Connection.shutDown(); });
+  Connection.Since = boot_clock::now();
+  detail::connection_list &To = Phase == phase::Handling    ? Handling
+                                : Phase == phase::Receiving ? Receiving
+                                                            : Unused;
+  To.splice(To.end(), *Connection.Order, Connection.Position);
+  Connection.Order = &To;
+  if (Phase != phase::Handling)
+    armDeadline(Connection.Since + limitOf(To));
 }
 
 void server::impl::closed(evhttp_connection *Closed) {
@@ -168,7 +161,7 @@
   drop(Stream);
 }
 
-connection &server::impl::firstRequest(evhttp_connection *From) {
+server::impl::connection &server::impl::firstRequest(evhttp_connection *From) {
   bufferevent *Stream = evhttp_connection_get_bufferevent(From);
   const auto Found = Connections.find(Stream);
   GALENALINK_ASSERT(Found != Connections.end(), "unknown connection");
@@ -183,14 +176,6 @@
         static_cast<impl *>(Self)->closed(Closed);
       },
       this);
-  Connection.InputHook = evbuffer_add_cb(
-      bufferevent_get_input(Stream),
-      [](evbuffer *, const evbuffer_cb_info *Info, void *Arg) {
-        auto *Self = static_cast<connection *>(Arg);
-        if (Info->n_added > 0 && Self->Phase == phase::Idle)
-          Self->Server->setPhase(*Self, phase::Receiving);
-      },
-      &Connection);
   return Connection;
 }
 
@@ -206,28 +191,38 @@
        Each = Each->next.tqe_next)
     State->Received.Headers.push_back({Each->key, Each->value});
   State->Received.Body = takeBody(evhttp_request_get_input_buffer(Request));
-  State->BeforeReply = [this, &Connection](evhttp_request *Replied) {
-    if (evhttp_request_get_connection(Replied) == nullptr)
-      return;
-    if (Stopping)
-      evhttp_add_header(evhttp_request_get_output_headers(Replied),
-                        "Connection", "close");
-    setPhase(Connection, phase::Replying);
-    evhttp_request_set_on_complete_cb(
-        Replied,
-        [](evhttp_request *, void *Arg) {
-          auto *Self = static_cast<connection *>(Arg);
-          const bool Pipelined =
-              evbuffer_get_length(bufferevent_get_input(Self->Stream)) > 0;
-          Self->Server->setPhase(*Self,
-                                 Pipelined ? phase::Receiving : phase::Idle);
-        },
-        &Connection);
+  State->Charge = takeCharge(Connection, State->Received.Body.size());
+  State->BeforeReply = [this, &Connection](evhttp_request *Replied,
+                                           const std::size_t Bytes) {
+    if (evhttp_request_get_connection(Replied) != nullptr)
+      replying(Connection, Replied, Bytes);
   };
   Connection.Current = State;
   return State;
 }
 
+void server::impl::replying(connection &Connection, evhttp_request *Request,
+                            const std::size_t Bytes) {
+  if (Stopping)
+    evhttp_add_header(evhttp_request_get_output_headers(Request), "Connection",
+                      "close");
+  setPhase(Connection, phase::Replying);
+  Connection.ReplyBytes = Bytes;
+  charge(Connection);
+  evhttp_request_set_on_complete_cb(
+      Request,
+      [](evhttp_request *, void *Arg) {
+        auto *Self = static_cast<connection *>(Arg);
+        Self->ReplyBytes = 0;
+        Self->Server.charge(*Self);
+        const bool Pipelined =
+            evbuffer_get_length(bufferevent_get_input(Self->Stream)) > 0;
+        Self->Server.setPhase(*Self,
+                              Pipelined ? phase::Receiving : phase::Idle);
+      },
+      &Connection);
+}
+
 void server::impl::received(evhttp_request *Request) {
   connection &Connection = firstRequest(evhttp_request_get_connection(Request));
   setPhase(Connection, phase::Handling);
@@ -237,6 +232,14 @@
     Exchange.reply(501, {}, {});
     return;
   }
+  if (Memory->buffered() > Options.MaxBufferedBytes)
+    releaseMemory();
+  if (!admits()) {
+    ++Counters.Refused;
+    logLimit("request refused for lack of memory");
+    Exchange.reply(503, {{"Retry-After", RefusedRetryAfterSeconds}}, {});
+    return;
+  }
   // evhttp reads a body without a length until the end of the stream, so a
   // truncated one would look complete.
   const bool HasBody = *Method == method::Post || *Method == method::Put;
@@ -248,9 +251,11 @@
   Handler(std::move(Exchange));
 }
 
-server::server(loop &Loop, const server_options Options, handler Handler)
-    : Impl{std::make_unique<impl>(Loop, Options, std::move(Handler))} {
+server::server(loop &Loop, server_options OptionsIn, handler Handler)
+    : Impl{std::make_unique<impl>(Loop, std::move(OptionsIn),
+                                  std::move(Handler))} {
   impl *Self = Impl.get();
+  const server_options &Options = Self->Options;
   Self->Http = evhttp_new(Loop.native());
   GALENALINK_ASSERT(Self->Http != nullptr, "no HTTP server");
   evhttp_set_max_headers_size(Self->Http,
@@ -290,6 +295,7 @@
     }
   }
   Impl->Socket = nullptr;
+  Impl->Memory->Released = nullptr;
   evhttp_free(Impl->Http);
 }
 
@@ -321,7 +327,7 @@
     char Byte = 0;
     if (Connection->Phase == phase::Idle &&
         recv(bufferevent_getfd(Stream), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0)
-      Connection->shutDown();
+      shutdown(bufferevent_getfd(Stream), SHUT_RDWR);
   }
 }
 
@@ -339,4 +345,14 @@
   return Impl->Connections.size();
 }
 
+std::size_t server::heldBytes() const noexcept {
+  return Impl->Memory->buffered() + Impl->Memory->large();
+}
+
+const server_counters &server::counters() const noexcept {
+  return Impl->Counters;
+}
+
+const std::string &server::name() const noexcept { return Impl->Options.Name; }
+
 } // namespace galenalink::http
--- a/src/galenalink/http/server.hpp
+++ b/src/galenalink/http/server.hpp
@@ -10,16 +10,48 @@
 namespace galenalink::http {
 
 struct server_options {
+  /** Name of the listener in log lines and metrics. */
+  std::string Name{"http"};
   std::size_t MaxHeaderBytes{16U << 10U};
   std::size_t MaxBodyBytes{8U << 20U};
-  /** Connections beyond this are closed when they are accepted. */
+  /** When one more is accepted, the connection that has waited for its client
+   * for longest is closed, if that is at least `MinWaitForRoom`. Otherwise no
+   * connection is accepted meanwhile. */
   std::size_t MaxConnections{1024};
+  duration MinWaitForRoom{std::chrono::milliseconds{200}};
+  /**
+   * Memory of all connections and open requests: the first part of each request
+   * (`MaxHeaderBytes` and a page), its header lines, and replies that are not
+   * read. Above this, the connections that hold most are closed, and requests
+   * are refused with status 503 if that is not enough.
+   */
+  std::size_t MaxBufferedBytes{32U << 20U};
+  /**
+   * Memory of requests beyond that part. Further large requests wait unread;
+   * the first one is always received, whatever its size. If requests that were
+   * received hold it all, others are refused with status 503.
+   */
+  std::size_t MaxLargeRequestBytes{32U << 20U};
   /** From the first byte of a request to its last. */
   duration ReceiveTimeout{std::chrono::seconds{10}};
   /** Between requests on one connection, and for a stalled reply. */
   duration IdleTimeout{std::chrono::seconds{60}};
 };
 
+/** @brief Effects of a server's limits since its start. */
+struct server_counters {
+  /** Connections closed because there were too many. */
+  std::uint64_t ClosedForRoom{0};
+  /** Connections closed because of the memory that they held. */
+  std::uint64_t ClosedForMemory{0};
+  /** Connections closed by `ReceiveTimeout` or `IdleTimeout`. */
+  std::uint64_t TimedOut{0};
+  /** Times that a large request had to wait. */
+  std::uint64_t LargeDelayed{0};
+  /** Requests refused for lack of memory; they were not handled. */
+  std::uint64_t Refused{0};
+};
+
 /** @brief HTTP/1.1 server on one listening socket. */
 class server {
 public:
@@ -47,6 +79,10 @@
   /** @return Requests that were received but whose reply is not written yet. */
   [[nodiscard]] std::size_t openExchanges() const noexcept;
   [[nodiscard]] std::size_t connections() const noexcept;
+  /** @return Memory of requests and unread replies by the server's count. */
+  [[nodiscard]] std::size_t heldBytes() const noexcept;
+  [[nodiscard]] const server_counters &counters() const noexcept;
+  [[nodiscard]] const std::string &name() const noexcept;
 
   struct impl;
 
--- a/test/galenalink/http/server.cpp
+++ b/test/galenalink/http/server.cpp
@@ -248,6 +248,200 @@
   BOOST_TEST(Test.waitHeld(2));
 }
 
+// Connections that are only opened kept new callers out until their timeout.
+BOOST_AUTO_TEST_CASE(full_server_closes_the_connection_that_waited_longest) {
+  server_options Options;
+  Options.MaxConnections = 3;
+  Options.MinWaitForRoom = 20ms;
+  served Test{Options};
+  const auto Handled = Test.connect(Post);
+  BOOST_REQUIRE(Test.waitHeld(1));
+  const auto Opened = Test.connect("");
+  BOOST_TEST(wait(Test.Loop, [&] { return Test.Server->connections() == 2; }));
+  const auto Begun = Test.connect("P");
+  const auto New = Test.connect(Post);
+  BOOST_TEST(Test.waitHeld(2));
+  BOOST_TEST(Test.waitEnd(*Opened));
+  const auto Newest = Test.connect(Post);
+  BOOST_TEST(Test.waitHeld(3));
+  BOOST_TEST(Test.waitEnd(*Begun));
+  BOOST_TEST(Test.Server->connections() == 3U);
+  BOOST_TEST(Test.Server->counters().ClosedForRoom == 2U);
+  for (auto &Each : Test.Held)
+    Each.reply(200, {}, "answer");
+  BOOST_TEST(Test.waitText(*Handled, "answer"));
+  BOOST_TEST(Test.waitText(*New, "answer"));
+  BOOST_TEST(Test.waitText(*Newest, "answer"));
+}
+
+// A client that reads the responses, but sends faster than they are written,
+// had all its requests buffered.
+BOOST_AUTO_TEST_CASE(pipelined_input_is_bounded) {
+  constexpr std::size_t Count = 20000;
+  loop Loop;
+  std::size_t Received = 0;
+  std::size_t MaxHeld = 0;
+  std::optional<http::server> Server;
+  Server.emplace(Loop, server_options{}, [&](exchange Exchange) {
+    ++Received;
+    MaxHeld = std::max(MaxHeld, Server->heldBytes());
+    Exchange.reply(200, {}, "r");
+  });
+  raw_socket Socket{raw_socket::connectTo(listenOrFail(*Server))};
+  std::string Requests;
+  for (std::size_t I = 0; I < Count; ++I)
+    Requests += Get;
+  std::size_t Sent = 0;
+  BOOST_TEST(wait(Loop, [&] {
+    Sent += Socket.writeSome(Requests.substr(Sent, 1U << 20U));
+    Socket.poll();
+    return Received == Count;
+  }));
+  BOOST_TEST(MaxHeld < 64U << 10U);
+}
+
+namespace {
+
+std::string largePost(const std::size_t Bytes) {
+  return "POST /run HTTP/1.1\r\nContent-Length: " + std::to_string(Bytes) +
+         "\r\n\r\n" + std::string(Bytes, 'b');
+}
+
+/** @brief Writes to all sockets in turn until the condition holds. */
+bool writeUntil(served &Test, const std::vector<raw_socket *> &Sockets,
+                const std::string &Text,
+                const std::function<bool()> &Condition) {
+  std::vector<std::size_t> Sent(Sockets.size());
+  return wait(Test.Loop, [&] {
+    for (std::size_t I = 0; I < Sockets.size(); ++I)
+      Sent[I] += Sockets[I]->writeSome(Text.substr(Sent[I], 8192));
+    return Condition();
+  });
+}
+
+} // namespace
+
+// Bodies of the largest size on many connections at the same time exhausted the
+// memory. Those that wait must be served once there is room.
+BOOST_AUTO_TEST_CASE(large_requests_take_turns) {
+  constexpr std::size_t Body = 200000;
+  server_options Options;
+  Options.MaxBodyBytes = Body;
+  Options.MaxLargeRequestBytes = Body;
+  served Test{Options};
+  std::vector<std::unique_ptr<raw_socket>> Clients;
+  std::vector<raw_socket *> Sockets;
+  for (int I = 0; I < 8; ++I) {
+    Clients.push_back(Test.connect(""));
+    Sockets.push_back(Clients.back().get());
+  }
+  std::size_t MaxHeld = 0;
+  std::size_t Served = 0;
+  BOOST_TEST(writeUntil(Test, Sockets, largePost(Body), [&] {
+    MaxHeld = std::max(MaxHeld, Test.Server->heldBytes());
+    for (auto &Each : Test.Held) {
+      Served += Each.body().size() == Body ? 1 : 0;
+      Each.reply(200, {}, "answer");
+    }
+    Test.Held.clear();
+    return Served == Clients.size();
+  }));
+  BOOST_TEST(MaxHeld < 3 * Body);
+  BOOST_TEST(Test.Server->counters().LargeDelayed > 0U);
+  BOOST_TEST(Test.Server->counters().Refused == 0U);
+}
+
+// A refused request must not have been handled.
+BOOST_AUTO_TEST_CASE(large_requests_are_refused_while_others_hold_the_memory) {
+  constexpr std::size_t Body = 200000;
+  server_options Options;
+  Options.MaxBodyBytes = Body;
+  Options.MaxLargeRequestBytes = Body;
+  served Test{Options};
+  const auto First = Test.connect("");
+  BOOST_TEST(writeUntil(Test, {First.get()}, largePost(Body),
+                        [&] { return Test.Held.size() == 1; }));
+  const auto Second = Test.connect("");
+  BOOST_TEST(writeUntil(Test, {Second.get()}, largePost(Body), [&] {
+    Second->poll();
+    return !Second->Read.empty();
+  }));
+  BOOST_TEST(Second->Read.starts_with("HTTP/1.1 503"));
+  BOOST_TEST(Second->Read.find("Retry-After: 1") != std::string::npos);
+  BOOST_TEST(Test.Received == 1U);
+  const auto Small = Test.connect(Post);
+  BOOST_TEST(Test.waitHeld(2));
+  Test.Held.clear();
+  BOOST_TEST(writeUntil(Test, {Second.get()}, largePost(Body),
+                        [&] { return Test.Held.size() == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(largest_body_exceeds_the_memory_for_large_requests) {
+  constexpr std::size_t Body = 500000;
+  server_options Options;
+  Options.MaxBodyBytes = Body;
+  Options.MaxLargeRequestBytes = 1000;
+  served Test{Options};
+  const auto Client = Test.connect("");
+  BOOST_TEST(writeUntil(Test, {Client.get()}, largePost(Body),
+                        [&] { return Test.Held.size() == 1; }));
+  BOOST_TEST(Test.Held.front().body().size() == Body);
+}
+
+BOOST_AUTO_TEST_CASE(large_chunked_body_is_received) {
+  constexpr std::size_t Chunks = 64;
+  server_options Options;
+  Options.MaxBodyBytes = Chunks * 4096;
+  served Test{Options};
+  std::string Text = "POST /run HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t I = 0; I < Chunks; ++I)
+    Text += "1000\r\n" + std::string(4096, 'c') + "\r\n";
+  Text += "0\r\n\r\n";
+  const auto Client = Test.connect("");
+  BOOST_TEST(writeUntil(Test, {Client.get()}, Text,
+                        [&] { return Test.Held.size() == 1; }));
+  BOOST_TEST(Test.Held.front().body().size() == Chunks * 4096);
+}
+
+// Each header line costs far more memory than its bytes.
+BOOST_AUTO_TEST_CASE(connections_with_most_header_lines_are_closed) {
+  server_options Options;
+  Options.MaxBufferedBytes = 1U << 20U;
+  served Test{Options};
+  std::string Lines = "GET / HTTP/1.1\r\n";
+  for (int I = 0; I < 2000; ++I)
+    Lines += "a:\n";
+  std::vector<std::unique_ptr<raw_socket>> Clients;
+  const auto Ordinary = Test.connect(Post.substr(0, Post.size() - 1));
+  for (int I = 0; I < 8; ++I)
+    Clients.push_back(Test.connect(Lines));
+  BOOST_TEST(wait(
+      Test.Loop, [&] { return Test.Server->counters().ClosedForMemory >= 6; }));
+  BOOST_TEST(Test.Server->heldBytes() <= Options.MaxBufferedBytes);
+  Ordinary->write(Post.substr(Post.size() - 1));
+  BOOST_TEST(Test.waitHeld(1));
+}
+
+// Replies that are not read count as well.
+BOOST_AUTO_TEST_CASE(connections_with_unread_replies_are_closed) {
+  constexpr std::size_t Reply = 8U << 20U; // more than kernel buffers hold
+  server_options Options;
+  Options.MaxBufferedBytes = 2 * Reply + Reply / 2;
+  served Test{Options};
+  std::vector<std::unique_ptr<raw_socket>> Clients;
+  for (std::size_t I = 0; I < 4; ++I) {
+    Clients.push_back(Test.connect(Get));
+    BOOST_REQUIRE(Test.waitHeld(1));
+    Test.Held.front().reply(200, {}, std::string(Reply, 'r'));
+    Test.Held.clear();
+  }
+  BOOST_TEST(wait(
+      Test.Loop, [&] { return Test.Server->counters().ClosedForMemory >= 2; }));
+  BOOST_TEST(Test.Server->heldBytes() <= Options.MaxBufferedBytes);
+  const auto Ordinary = Test.connect(Post);
+  BOOST_TEST(Test.waitHeld(1));
+}
+
 BOOST_AUTO_TEST_CASE(open_exchanges_finish_after_the_listener_closed) {
   served Test;
   const auto Idle = Test.connect(Get);
