Derive the limits of the listeners from memory and descriptors

Cause: the listeners of a node on the platform could accept more connections than the process has descriptors (1,024 + 1,024 + 4,096 of 4,100), and hold more memory than the machine has.

Change: job_node/listener_limits.hpp derives the limits of callers, peers and readiness from max_descriptors and the new setting memory_mb; the embedded node's listeners stay within the process's descriptor limit. The counters of each listener are metrics.

--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -1,6 +1,7 @@
 #include "galenalink/job_node/node.hpp"
 #include "galenalink/core/hash.hpp"
 #include "galenalink/job/customers.hpp"
+#include "galenalink/job_node/listener_limits.hpp"
 #include "galenalink/telemetry/log.hpp"
 
 namespace galenalink::job_node {
@@ -125,16 +126,6 @@
              {"open_jobs_without_rule", countOpenJobsWithoutRule(Leader)}});
 }
 
-/** Nodes of the largest deployment times the connections that each may open to
- * the leader, with room for probes. */
-constexpr std::size_t MaxPeerConnections = 4096;
-
-http::server_options peerServerOptions() {
-  http::server_options Options;
-  Options.MaxConnections = MaxPeerConnections;
-  return Options;
-}
-
 http::client_options peerOptions() {
   http::client_options Options;
   Options.MaxConnections = 8;
@@ -185,7 +176,7 @@
                       std::function<void(probe_result)> Callback) {
                  probeLeader(Leader, std::move(Callback));
                }}},
-      PeerServer{Loop, peerServerOptions(),
+      PeerServer{Loop, peersLimits(this->Settings),
                  [this](http::exchange Exchange) {
                    handlePeerRequest(std::move(Exchange));
                  }},
@@ -433,7 +424,8 @@
 
 } // namespace
 
-std::string node::metrics() {
+std::string
+node::metrics(const std::initializer_list<const http::server *> Servers) {
   node_gauges Gauges;
   Gauges.Ready = ready();
   Gauges.Leads = leads();
@@ -460,6 +452,9 @@
     if (State.StartsHeldSince != NoDeadline)
       Gauges.StartsHeldS = toSeconds(Now - State.StartsHeldSince);
   }
+  for (const http::server *Each : Servers)
+    Metrics.updateServer(*Each);
+  Metrics.updateServer(PeerServer);
   return Metrics.render(*Counts, Gauges);
 }
 
--- a/src/galenalink/job_node/node.hpp
+++ b/src/galenalink/job_node/node.hpp
@@ -67,8 +67,10 @@
   /** @return Whether requests of callers can be served now. */
   [[nodiscard]] bool ready() const;
   [[nodiscard]] bool leads() const noexcept { return Controller != nullptr; }
-  /** @brief Metrics in Prometheus' text format. */
-  [[nodiscard]] std::string metrics();
+  /** @brief Metrics in Prometheus' text format, with those of the given
+   * servers. */
+  [[nodiscard]] std::string
+  metrics(std::initializer_list<const http::server *> Servers);
 
 private:
   void applyOperatorRecords(const std::vector<job::keyed_record> &Records);
--- a/src/galenalink/job_node/node_metrics.hpp
+++ b/src/galenalink/job_node/node_metrics.hpp
@@ -1,6 +1,7 @@
 #ifndef GALENALINK_JOB_NODE_NODE_METRICS_HPP
 #define GALENALINK_JOB_NODE_NODE_METRICS_HPP
 
+#include "galenalink/http/server_metrics.hpp"
 #include "galenalink/job_node/caller_request.hpp"
 #include "galenalink/telemetry/metrics.hpp"
 
@@ -52,6 +53,9 @@
 public:
   void recordReply(request_kind Kind, job::caller_reply::verdict Verdict,
                    duration Duration);
+  void updateServer(const http::server &Server) {
+    Servers.update(Metrics, Server);
+  }
   /** @return All metrics in Prometheus' text format. */
   [[nodiscard]] std::string render(const job::counters &Counts,
                                    const node_gauges &Gauges);
@@ -65,6 +69,7 @@
                        const std::vector<customer_gauges> &Gauges);
 
   telemetry::metrics Metrics;
+  http::server_metrics Servers;
   /** Last exported total by metric name and labels. */
   std::map<std::pair<std::string, telemetry::labels>, std::uint64_t> LastTotals;
 };
--- a/src/galenalink/job_node/settings.cpp
+++ b/src/galenalink/job_node/settings.cpp
@@ -15,6 +15,7 @@
 constexpr range RateWindowRange{1, 60, "s"};
 constexpr range ProcessorShareRange{0, 1, ""};
 constexpr range DescriptorRange{256, 1000000, ""};
+constexpr range MemoryRange{64, 1000000, "MB"};
 constexpr range LinkRange{0, 1000000, "Mbit/s"};
 constexpr range ProcessorSpeedRange{1, 1000, ""};
 
@@ -62,6 +63,7 @@
       .decimal("processor_share", Out.ProcessorShare, ProcessorShareRange)
       .decimal("processor_speed", Out.ProcessorSpeed, ProcessorSpeedRange)
       .number("max_descriptors", Out.MaxDescriptors, DescriptorRange)
+      .number("memory_mb", Out.MemoryMb, MemoryRange)
       .decimal("link_mbit", Out.LinkMbit, LinkRange)
       .decimal("move_s", Out.MoveS, SecondsRange)
       .decimal("maintenance_s", Out.MaintenanceS, SecondsRange)
--- a/src/galenalink/job_node/settings.hpp
+++ b/src/galenalink/job_node/settings.hpp
@@ -39,6 +39,8 @@
   double ProcessorSpeed{1};
   /** Descriptors that the process may open. */
   std::uint32_t MaxDescriptors{4096};
+  /** Memory of the machine, MB. */
+  std::uint32_t MemoryMb{256};
   /** Bandwidth of the node's link, Mbit/s. */
   double LinkMbit{1000};
   /** Duration of a VM's move to another pool and of its maintenance, s. */
--- a/src/galenalink/node/application.cpp
+++ b/src/galenalink/node/application.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <fstream>
 #include <sstream>
+#include <sys/resource.h>
 
 namespace galenalink::node {
 
@@ -13,6 +14,7 @@
 
 constexpr telemetry::logger Log{"node"};
 
+constexpr duration ConnectionMetricsPeriod = std::chrono::seconds{1};
 constexpr duration SupervisionPeriod = std::chrono::milliseconds{50};
 /** Health answers "stopping" this long before the listener closes, so that
  * the balancer sends no request to a closed port. */
@@ -28,6 +30,22 @@
   return Token;
 }
 
+/** Parts of the process's descriptors that listeners may use. The others are
+ * for calls to backend servers, peers and the platform. */
+constexpr std::size_t CallersDivisor = 2;
+constexpr std::size_t OperatorsDivisor = 8;
+
+[[nodiscard]] http::server_options listenerOptions(std::string Name,
+                                                   const std::size_t Divisor) {
+  http::server_options Options;
+  Options.Name = std::move(Name);
+  rlimit Descriptors{};
+  if (getrlimit(RLIMIT_NOFILE, &Descriptors) == 0)
+    Options.MaxConnections = std::min<std::size_t>(
+        Options.MaxConnections, Descriptors.rlim_cur / Divisor);
+  return Options;
+}
+
 } // namespace
 
 result<secrets> readSecrets(const config::settings &Settings) {
@@ -69,16 +87,20 @@
     return Opened.error();
   makeIncarnation(Self);
   Supervisor = Loop.every(SupervisionPeriod, [this] { supervise(); });
+  ConnectionCounter =
+      Loop.every(ConnectionMetricsPeriod, [this] { countConnections(); });
   return {};
 }
 
 result<void> application::openListeners() {
   CallerServer = std::make_unique<http::server>(
-      Loop, http::server_options{}, [this](http::exchange Exchange) {
+      Loop, listenerOptions("callers", CallersDivisor),
+      [this](http::exchange Exchange) {
         Callers->handle(std::move(Exchange));
       });
   OperatorServer = std::make_unique<http::server>(
-      Loop, http::server_options{}, [this](http::exchange Exchange) {
+      Loop, listenerOptions("operators", OperatorsDivisor),
+      [this](http::exchange Exchange) {
         Operators->handle(std::move(Exchange));
       });
   BOOST_LEAF_ASSIGN(CallerPort, CallerServer->listen(Settings.Callers.Host,
@@ -161,6 +183,11 @@
       .set(static_cast<double>(Counters.Sent));
 }
 
+void application::countConnections() {
+  ServerMetrics.update(Metrics, *CallerServer);
+  ServerMetrics.update(Metrics, *OperatorServer);
+}
+
 void application::makeIncarnation(const node_id Id) {
   const auto Address = [](const std::string &Host, const std::uint16_t Port) {
     return http::toString({Host, Port});
--- a/src/galenalink/node/application.hpp
+++ b/src/galenalink/node/application.hpp
@@ -5,6 +5,7 @@
 #include "galenalink/core/result.hpp"
 #include "galenalink/http/client.hpp"
 #include "galenalink/http/server.hpp"
+#include "galenalink/http/server_metrics.hpp"
 #include "galenalink/node/caller_api.hpp"
 #include "galenalink/node/incarnation.hpp"
 #include "galenalink/node/operator_api.hpp"
@@ -48,6 +49,7 @@
   /** @brief Dials the roster, and the seeds while it is not known. */
   void updateTargets();
   void countTraffic();
+  void countConnections();
   void route(call Call, reply_hook Done);
   [[nodiscard]] std::optional<duration> defaultTimeout(const call &Call) const;
   void supervise();
@@ -74,7 +76,9 @@
   std::uint16_t PeerPort{0};
   /** Roster version whose nodes are dialed. */
   log_offset DialedVersion{0};
+  http::server_metrics ServerMetrics;
   http::timer Supervisor;
+  http::timer ConnectionCounter;
   time_point StopDeadline{NoDeadline};
   time_point CloseAt{NoDeadline};
   bool Stopping{false};
