Split pool load, stragglers and shares off large files

Cause: callers.cpp, dispatch.cpp and leader.hpp held several concepts. Change: pool_load has the load of a pool and the customers above their share, stragglers the copies and stalled runs, customer_shares the state of demand and shares, caller_reply and counters the messages and counts.

--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -2,6 +2,7 @@
 #include "galenalink/job/access.hpp"
 #include "galenalink/job/customers.hpp"
 #include "galenalink/job/job_limits.hpp"
+#include "galenalink/job/pool_load.hpp"
 #include "galenalink/telemetry/log.hpp"
 #include <algorithm>
 
@@ -19,8 +20,6 @@
 constexpr std::uint32_t BusyRetryMs = 1000;
 /** Only a new version of the rules can admit the job. */
 constexpr std::uint32_t QuotaRetryMs = 60000;
-/** A pool whose backlog takes longer than this to be done is full, ms. */
-constexpr double ShareHorizonMs = 600;
 /** Customers that are counted by name; further ones are counted together. */
 constexpr std::size_t MaxCountedCustomers = 1024;
 /** Time after which a new leader has contacted its backend servers. */
@@ -41,14 +40,6 @@
   return Reply;
 }
 
-double estimateStepWork(const leader &Leader, const std::string &Queue,
-                        const step_spec &Step, const std::size_t Tasks) {
-  return Step.LongRunning || Step.BestEffort
-             ? 0
-             : static_cast<double>(Tasks) * static_cast<double>(Step.Size.Cpu) *
-                   Leader.Durations.predictMs(Queue, Step.EstimateMs);
-}
-
 /** @return Time that the customer's quota takes for its open jobs and the given
  * work, ms; 0 without a limit of CPU. */
 double quotaMs(const leader &Leader, const std::string &Customer,
@@ -84,8 +75,8 @@
   if (WithinRate && Leader.RecentJobs.add(Submission.Id, Leader.Now())) {
     Leader.Demand[Rule.Pool].recordArrival(Leader.Now(), Request.Work);
     if (!Submission.Customer.empty())
-      Leader.CustomerDemand[Rule.Pool][Submission.Customer].recordArrival(
-          Leader.Now(), Request.Work);
+      Leader.Shares.recordArrival(Rule.Pool, Submission.Customer, Request.Work,
+                                  Leader.Now());
     Leader.Forecast.recordArrival(Rule.Pool, Request.Work, Leader.Wall());
   }
   // Zero capacity means nothing before a new leader has contacted its backend
@@ -198,133 +189,6 @@
 
 } // namespace
 
-double remainingWork(const leader &Leader, const job &Job) {
-  double Work = 0;
-  for (const auto &Occurrence : Job.openOccurrences()) {
-    for (std::size_t I = 0; I < Occurrence.Steps.size(); ++I) {
-      const step &Step = Occurrence.Steps[I];
-      Work += estimateStepWork(Leader, Job.queue(), Job.spec().Steps[I],
-                               Step.Tasks.size() - Step.Done);
-    }
-  }
-  return Work;
-}
-
-namespace {
-
-customer_claim &claimOf(const leader &Leader, const std::string &Customer,
-                        pool_load &Load) {
-  const auto Found =
-      std::ranges::find(Load.Claims, Customer, &customer_claim::Customer);
-  if (Found != Load.Claims.end())
-    return *Found;
-  return Load.Claims.emplace_back(
-      customer_claim{Customer, shareWeight(Leader, Customer), 0, 0});
-}
-
-void addInTimeWork(const leader &Leader, const std::string &Customer,
-                   const double Work, pool_load &Load) {
-  Load.InTimeWork += Work;
-  if (Leader.Rules.Customers && Leader.Settings.FairShares)
-    claimOf(Leader, Customer, Load).Work += Work;
-}
-
-bool isAboveShare(const leader &Leader, const std::string &Pool,
-                  const std::string &Customer) {
-  const auto Found = Leader.AboveShare.find(Pool);
-  return Found != Leader.AboveShare.end() && Found->second.contains(Customer);
-}
-
-void addDeferredWork(const leader &Leader, const job_entry &Entry,
-                     const double Work, pool_load &Load) {
-  Load.DeferredWork += Work;
-  if (Leader.shedsLoad())
-    Load.Deferred.push_back({Entry.Work, Work});
-}
-
-void addDemand(const leader &Leader, const std::string_view Pool,
-               pool_load &Load) {
-  const auto Found = Leader.CustomerDemand.find(Pool);
-  if (Found == Leader.CustomerDemand.end())
-    return;
-  for (const auto &[Customer, Meter] : Found->second)
-    claimOf(Leader, Customer, Load).Demand = Meter.rate(Leader.Now());
-}
-
-} // namespace
-
-pool_load computePoolLoad(const leader &Leader, const std::string_view Pool,
-                          const std::string_view Customer) {
-  pool_load Load;
-  for (const server *Server : Leader.ServersByPool.of(Pool)) {
-    const bool AcceptsWork = Server->Registered && Server->Synced &&
-                             !Server->Entry.Draining && !Server->Cordoned;
-    if (!AcceptsWork)
-      continue;
-    Load.Capacity += static_cast<double>(Server->Entry.Capacity.Cpu);
-    Load.Capacity -= static_cast<double>(Server->Totals.LongRunningCpu);
-  }
-  const time_point Now = Leader.Now();
-  for (const auto &[Id, Entry] : Leader.OpenJobs) {
-    if (Entry->Job.pool() != Pool || Entry->Job.openOccurrences().empty())
-      continue;
-    // Its tasks go after those of the others.
-    if (Customer != Entry->Job.customer() &&
-        isAboveShare(Leader, Entry->Job.pool(), Entry->Job.customer()))
-      continue;
-    const bool InTime = !Entry->Deferred &&
-                        Now < Entry->Job.openOccurrences().front().Objective;
-    const double Work = remainingWork(Leader, Entry->Job);
-    if (InTime)
-      addInTimeWork(Leader, Entry->Job.customer(), Work, Load);
-    else
-      addDeferredWork(Leader, *Entry, Work, Load);
-  }
-  if (Leader.Settings.FairShares)
-    addDemand(Leader, Pool, Load);
-  return Load;
-}
-
-namespace {
-
-/** @brief Backlog of each customer in a pool, including deferred work. */
-std::vector<customer_claim> backlogClaims(const leader &Leader,
-                                          const std::string_view Pool) {
-  pool_load Load;
-  for (const auto &[Id, Entry] : Leader.OpenJobs) {
-    if (Entry->Job.pool() == Pool && !Entry->Job.customer().empty() &&
-        !Entry->Job.openOccurrences().empty())
-      claimOf(Leader, Entry->Job.customer(), Load).Work +=
-          remainingWork(Leader, Entry->Job);
-  }
-  addDemand(Leader, Pool, Load);
-  return std::move(Load.Claims);
-}
-
-} // namespace
-
-void updateShares(leader &Leader) {
-  Leader.AboveShare.clear();
-  if (!Leader.Rules.Customers || !Leader.Settings.FairShares)
-    return;
-  for (const auto &Rule : Leader.Rules.Pools) {
-    const double Capacity =
-        computePoolLoad(Leader, Rule.Name).Capacity * PackingEfficiency;
-    if (Rule.Standby || Capacity <= 0)
-      continue;
-    const auto Claims = backlogClaims(Leader, Rule.Name);
-    for (const auto &Each : Claims) {
-      if (!exceedsShare(Claims, Each, Capacity, ShareHorizonMs))
-        continue;
-      Leader.AboveShare[Rule.Name].insert(Each.Customer);
-      Log.info("customer above its share", {{"pool", Rule.Name},
-                                            {"customer", Each.Customer},
-                                            {"backlog", toInteger(Each.Work)},
-                                            {"capacity", toInteger(Capacity)}});
-    }
-  }
-}
-
 void promoteDeferredJobs(leader &Leader) {
   std::map<std::string, pool_load> Loads;
   const time_point Now = Leader.Now();
@@ -333,7 +197,7 @@
     Leader.WaitingJobs += Entry->Job.state() == job_state::Queued ? 1 : 0;
     if (!Entry->Deferred || Entry->BeyondRate ||
         Entry->Job.openOccurrences().empty() ||
-        isAboveShare(Leader, Entry->Job.pool(), Entry->Job.customer()))
+        Leader.Shares.isAbove(Entry->Job.pool(), Entry->Job.customer()))
       continue;
     const auto [Load, Added] = Loads.try_emplace(Entry->Job.pool());
     if (Added)
--- a/src/galenalink/job/callers.hpp
+++ b/src/galenalink/job/callers.hpp
@@ -21,21 +21,10 @@
 [[nodiscard]] caller_reply countPendingJobs(const leader &Leader,
                                             const std::string &Queue);
 
-/** @brief Finds the customers that hold more than their share of a full pool.
- */
-void updateShares(leader &Leader);
 /** @brief Promotes deferred jobs that can now meet their objective because
  * capacity has become available. */
 void promoteDeferredJobs(leader &Leader);
 
-/** @brief Available capacity of a pool, and accepted work that goes before new
- * jobs of a customer: that of other customers above their share does not. */
-[[nodiscard]] pool_load computePoolLoad(const leader &Leader,
-                                        std::string_view Pool,
-                                        std::string_view Customer = {});
-/** @return Remaining work of a job, thousandths of a core times ms. */
-[[nodiscard]] double remainingWork(const leader &Leader, const job &Job);
-
 } // namespace galenalink::job
 
 #endif
--- a/src/galenalink/job/controller.cpp
+++ b/src/galenalink/job/controller.cpp
@@ -3,9 +3,11 @@
 #include "galenalink/job/dispatch.hpp"
 #include "galenalink/job/maintenance.hpp"
 #include "galenalink/job/pacing.hpp"
+#include "galenalink/job/pool_load.hpp"
 #include "galenalink/job/pool_sizes.hpp"
 #include "galenalink/job/recovery.hpp"
 #include "galenalink/job/server_watch.hpp"
+#include "galenalink/job/stragglers.hpp"
 #include "galenalink/job/vm_orders.hpp"
 
 namespace galenalink::job {
--- a/src/galenalink/job/dispatch.hpp
+++ b/src/galenalink/job/dispatch.hpp
@@ -8,10 +8,6 @@
 /** @brief Starts the tasks that can run now, in order of urgency. */
 void dispatch(leader &Leader);
 
-/** @brief Stops stalled runs, and starts a speculative copy of each task that
- * takes far longer than expected, if its step allows copies. */
-void handleStragglers(leader &Leader);
-
 /** @brief Backend servers of a pool that accept new work. */
 [[nodiscard]] std::vector<server *> availableServers(leader &Leader,
                                                      std::string_view Pool);
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -1,13 +1,17 @@
 #ifndef GALENALINK_JOB_LEADER_HPP
 #define GALENALINK_JOB_LEADER_HPP
 
+#include "galenalink/job/caller_reply.hpp"
+#include "galenalink/job/counters.hpp"
 #include "galenalink/job/customer_quotas.hpp"
 #include "galenalink/job/customer_rates.hpp"
+#include "galenalink/job/customer_shares.hpp"
 #include "galenalink/job/demand.hpp"
 #include "galenalink/job/duration_estimator.hpp"
 #include "galenalink/job/job.hpp"
 #include "galenalink/job/journal.hpp"
 #include "galenalink/job/leadership_limits.hpp"
+#include "galenalink/job/load_shedding.hpp"
 #include "galenalink/job/overload_gate.hpp"
 #include "galenalink/job/peak_forecast.hpp"
 #include "galenalink/job/server.hpp"
@@ -21,92 +25,10 @@
 
 namespace galenalink::job {
 
-/** @brief Reply to a caller. */
-struct caller_reply {
-  enum class verdict : std::uint8_t {
-    /** The job was accepted and stored, or cancelled, or the query was
-     * answered. */
-    Ok,
-    /** The job was not accepted and will not run. */
-    Refused,
-    NoQueue,
-    NoJob,
-    /** The request may or may not have taken effect. */
-    Unknown,
-    /** Between nodes only: the addressed node is not the leader. */
-    NotLeading,
-    /** Between nodes only: the job is not known yet, so that its submission
-     * must be sent with its body. */
-    BodyNeeded,
-    /** The request has no key of a customer and the queue requires one. */
-    Unauthorized,
-    /** The job belongs to another customer. */
-    Forbidden,
-  };
-  verdict Verdict{verdict::Unknown};
-  job_state State{job_state::Queued};
-  /** For a query of a queue: number of its jobs without a started task. */
-  std::uint64_t Pending{0};
-  /** With a refusal: delay after which the job would fit, ms. */
-  std::uint32_t RetryAfterMs{0};
-  /** Reason, for the log. */
-  std::string Reason;
-};
-
-inline constexpr enum_names<caller_reply::verdict, 9> VerdictNames{{
-    {caller_reply::verdict::Ok, "ok"},
-    {caller_reply::verdict::Refused, "refused"},
-    {caller_reply::verdict::NoQueue, "no-queue"},
-    {caller_reply::verdict::NoJob, "no-job"},
-    {caller_reply::verdict::Unknown, "unknown"},
-    {caller_reply::verdict::NotLeading, "not-leading"},
-    {caller_reply::verdict::BodyNeeded, "body-needed"},
-    {caller_reply::verdict::Unauthorized, "unauthorized"},
-    {caller_reply::verdict::Forbidden, "forbidden"},
-}};
-
-using reply_function = std::function<void(const caller_reply &)>;
-
-/** @brief A job that a caller submits. */
-struct submission {
-  std::string Queue;
-  /** A version of the rules that has the queue; 0 for unknown. A leader whose
-   * rules are older refuses a queue that they lack. */
-  std::uint64_t KnownSince{0};
-  std::string Id;
-  job_spec Spec;
-  /** Customer that submits it; empty for none. */
-  std::string Customer{};
-};
-
-/** @brief A caller's query or cancellation of a job. */
-struct job_request {
-  std::string Id;
-  /** Queue that the request's path maps to; empty for unknown. */
-  std::string Queue{};
-  /** Customer that sends it; empty for none. */
-  std::string Customer{};
-};
-
 /** @brief Called when an outside system has rejected a request of the leader,
  * since it has seen a higher epoch. */
 using fenced_function = std::function<void(std::string_view RejectedBy)>;
 
-/** @brief When jobs that will miss their objective run in the order of their
- * work instead of that of their objectives. */
-enum class load_shedding : std::uint8_t {
-  Off,
-  /** If the rules have customers. */
-  Customers,
-  Always,
-};
-
-inline constexpr enum_names<load_shedding, 3> LoadSheddingNames{{
-    {load_shedding::Off, "off"},
-    {load_shedding::Customers, "customers"},
-    {load_shedding::Always, "always"},
-}};
-
 /** @brief Time limits of the platform and of the leader. */
 struct leader_settings {
   /** Name of the node, which identifies the holder of VM orders. */
@@ -136,38 +58,6 @@
   std::size_t MaxHeartbeatsPerPass{256};
 };
 
-/** @brief Decisions on the jobs of one customer. */
-struct customer_counts {
-  std::uint64_t Admitted{0};
-  /** Jobs refused because the pool was full. */
-  std::uint64_t RefusedFull{0};
-  /** Jobs refused because they were beyond the customer's rate. */
-  std::uint64_t RefusedRate{0};
-};
-
-/** @brief Counters of a node since its start, for metrics. */
-struct counters {
-  std::uint64_t AdmittedInTime{0};
-  std::uint64_t AdmittedDeferred{0};
-  std::uint64_t Refused{0};
-  /** Jobs refused because the leader was overloaded. */
-  std::uint64_t RefusedOverloaded{0};
-  std::uint64_t Starts{0};
-  std::uint64_t StartsRefused{0};
-  std::uint64_t StartsUnknown{0};
-  /** Ended runs by outcome. */
-  std::map<run_outcome, std::uint64_t> Ends;
-  /** Jobs that failed because a task reached its attempt limit. */
-  std::uint64_t JobsFailed{0};
-  /** Failed runs of jobs whose attempt limit was not known. */
-  std::uint64_t FailuresWithoutRule{0};
-  std::uint64_t ServersLost{0};
-  std::uint64_t Moves{0};
-  std::uint64_t Maintenances{0};
-  /** By name of the customer. */
-  std::map<std::string, customer_counts> Customers;
-};
-
 /** @brief A VM order that is not yet known to be complete. */
 struct pending_vm_order {
   /** Pool to move to; empty for maintenance. */
@@ -286,11 +176,7 @@
   std::map<std::uint64_t, wave_progress> Waves;
   /** Arrival rate of work by pool. */
   std::map<std::string, demand_meter> Demand;
-  /** Arrival rate of work by pool and customer. */
-  std::map<std::string, std::map<std::string, demand_meter>, std::less<>>
-      CustomerDemand;
-  /** Customers above their share of a full pool, by pool. */
-  std::map<std::string, std::set<std::string>> AboveShare;
+  customer_shares Shares;
   recent_jobs RecentJobs;
   peak_forecast Forecast;
   /** Number of VMs of each pool before any was moved. */
--- a/src/galenalink/job/load_shedding.hpp
+++ b/src/galenalink/job/load_shedding.hpp
@@ -1,10 +1,27 @@
 #ifndef GALENALINK_JOB_LOAD_SHEDDING_HPP
 #define GALENALINK_JOB_LOAD_SHEDDING_HPP
 
+#include "galenalink/core/enum_names.hpp"
+#include <cstdint>
 #include <vector>
 
 namespace galenalink::job {
 
+/** @brief When jobs that will miss their objective run in the order of their
+ * work instead of that of their objectives. */
+enum class load_shedding : std::uint8_t {
+  Off,
+  /** If the rules have customers. */
+  Customers,
+  Always,
+};
+
+inline constexpr enum_names<load_shedding, 3> LoadSheddingNames{{
+    {load_shedding::Off, "off"},
+    {load_shedding::Customers, "customers"},
+    {load_shedding::Always, "always"},
+}};
+
 /** @brief Accepted work that runs only in capacity that jobs within their
  * objective leave free. Amounts are in thousandths of a core times ms. */
 struct deferred_job {
--- a/src/galenalink/job/maintenance.cpp
+++ b/src/galenalink/job/maintenance.cpp
@@ -1,6 +1,7 @@
 #include "galenalink/job/maintenance.hpp"
 #include "galenalink/job/callers.hpp"
 #include "galenalink/job/disruption_budget.hpp"
+#include "galenalink/job/pool_load.hpp"
 #include "galenalink/job/runs.hpp"
 #include "galenalink/job/vm_orders.hpp"
 #include "galenalink/telemetry/log.hpp"
--- a/src/galenalink/job/pool_sizes.cpp
+++ b/src/galenalink/job/pool_sizes.cpp
@@ -1,5 +1,6 @@
 #include "galenalink/job/pool_sizes.hpp"
 #include "galenalink/job/callers.hpp"
+#include "galenalink/job/pool_load.hpp"
 #include "galenalink/job/pool_plan.hpp"
 #include "galenalink/job/vm_orders.hpp"
 #include "galenalink/telemetry/log.hpp"
