--- a/test/system/crowd.cpp
+++ b/test/system/crowd.cpp
@@ -133,31 +133,103 @@
   return Total;
 }
 
-int statusOf(http::loop &Loop, const http::address &Address,
-             const std::string &Request, const duration Limit) {
-  constexpr std::size_t StatusOffset = 9; // after "HTTP/1.1 "
-  const int Socket = connectTo(Address, 0);
-  std::size_t Sent = 0;
-  std::string Response;
-  bool Ended = false;
-  const auto Step = Loop.every(StepInterval, [&] {
-    const ssize_t Written =
-        ::send(Socket, Request.data() + Sent, Request.size() - Sent,
-               MSG_NOSIGNAL | MSG_DONTWAIT);
+/** @brief One connection that sends a request and reads what comes. */
+class single_connection {
+public:
+  single_connection(const http::address &Address, std::string Request)
+      : Socket{connectTo(Address, 0)}, Request{std::move(Request)},
+        Unsent{this->Request} {}
+  ~single_connection() { close(Socket); }
+  single_connection(const single_connection &) = delete;
+  single_connection &operator=(const single_connection &) = delete;
+
+  void step() {
+    const ssize_t Written = ::send(Socket, Unsent.data(), Unsent.size(),
+                                   MSG_NOSIGNAL | MSG_DONTWAIT);
     if (Written > 0)
-      Sent += static_cast<std::size_t>(Written);
+      Unsent.remove_prefix(static_cast<std::size_t>(Written));
     std::array<char, 4096> Buffer;
     const ssize_t Read =
         recv(Socket, Buffer.data(), Buffer.size(), MSG_DONTWAIT);
     if (Read > 0)
       Response.append(Buffer.data(), static_cast<std::size_t>(Read));
-    Ended = Ended || Read == 0 || (Read < 0 && !blocked());
-  });
-  const auto Complete = [&] { return Response.size() >= StatusOffset + 3; };
-  static_cast<void>(Loop.runUntil([&] { return Ended || Complete(); },
+    Closed = Closed || Read == 0 || (Read < 0 && !blocked());
+  }
+  [[nodiscard]] bool closed() const noexcept { return Closed; }
+  /** @return Status of the response; 0 before it has arrived. */
+  [[nodiscard]] int status() const {
+    constexpr std::size_t StatusOffset = 9; // after "HTTP/1.1 "
+    constexpr std::size_t StatusDigits = 3;
+    return Response.size() < StatusOffset + StatusDigits
+               ? 0
+               : std::atoi(Response.c_str() + StatusOffset);
+  }
+
+private:
+  int Socket;
+  std::string Request;
+  std::string_view Unsent;
+  std::string Response;
+  bool Closed{false};
+};
+
+repeating_clients::repeating_clients(http::loop &Loop, http::address Address,
+                                     const std::size_t Count,
+                                     std::function<std::string()> NextRequest)
+    : Loop{Loop}, Address{std::move(Address)}, NextRequest{std::move(
+                                                   NextRequest)},
+      Connections(Count), Timer{Loop.every(StepInterval, [this] { step(); })} {
+  raiseDescriptorLimit();
+}
+
+repeating_clients::~repeating_clients() = default;
+
+void repeating_clients::step() {
+  std::size_t Opened = 0;
+  for (auto &Each : Connections) {
+    if (!Each && Opened++ < ConnectsPerStep)
+      Each = std::make_unique<single_connection>(Address, NextRequest());
+    if (!Each)
+      continue;
+    Each->step();
+    if (!Each->closed())
+      continue;
+    ++Ended[Each->status()];
+    Each.reset();
+  }
+}
+
+bool repeating_clients::awaitEnded(const std::size_t Count,
+                                   const duration Limit) {
+  return Loop.runUntil(
+      [&] {
+        std::size_t Sum = 0;
+        for (const auto &[Status, Each] : Ended)
+          Sum += Each;
+        return Sum >= Count;
+      },
+      boot_clock::now() + Limit);
+}
+
+connection_result sendUntilClosed(http::loop &Loop,
+                                  const http::address &Address,
+                                  const std::string &Request,
+                                  const duration Limit) {
+  single_connection Connection{Address, Request};
+  const auto Step = Loop.every(StepInterval, [&] { Connection.step(); });
+  static_cast<void>(Loop.runUntil([&] { return Connection.closed(); },
                                   boot_clock::now() + Limit));
-  close(Socket);
-  return Complete() ? std::atoi(Response.c_str() + StatusOffset) : 0;
+  return {Connection.status(), Connection.closed()};
+}
+
+int statusOf(http::loop &Loop, const http::address &Address,
+             const std::string &Request, const duration Limit) {
+  single_connection Connection{Address, Request};
+  const auto Step = Loop.every(StepInterval, [&] { Connection.step(); });
+  static_cast<void>(Loop.runUntil(
+      [&] { return Connection.closed() || Connection.status() != 0; },
+      boot_clock::now() + Limit));
+  return Connection.status();
 }
 
 std::size_t peakMemoryMb(const pid_t Process) {
--- a/test/system/crowd.hpp
+++ b/test/system/crowd.hpp
@@ -4,6 +4,9 @@
 #include "galenalink/http/address.hpp"
 #include "galenalink/http/loop.hpp"
 #include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -57,6 +60,55 @@
   std::vector<connection> Connections;
 };
 
+class single_connection;
+
+/** @brief Clients that each send a request on a new connection, read until it
+ * is closed, and begin again, until the object is destroyed. The event loop
+ * runs them while the test does something else. */
+class repeating_clients {
+public:
+  /** @param NextRequest Returns the next request to send. Its answer must end
+   * the connection. */
+  repeating_clients(http::loop &Loop, http::address Address, std::size_t Count,
+                    std::function<std::string()> NextRequest);
+  ~repeating_clients();
+  repeating_clients(const repeating_clients &) = delete;
+  repeating_clients &operator=(const repeating_clients &) = delete;
+
+  /** @return Connections that have ended, by the status of their response; 0
+   * for those without one. */
+  [[nodiscard]] const std::map<int, std::size_t> &ended() const noexcept {
+    return Ended;
+  }
+  /** @brief Runs the loop until so many connections have ended.
+   * @return Whether they have within the limit. */
+  [[nodiscard]] bool awaitEnded(std::size_t Count, duration Limit);
+
+private:
+  void step();
+
+  http::loop &Loop;
+  http::address Address;
+  std::function<std::string()> NextRequest;
+  std::vector<std::unique_ptr<single_connection>> Connections;
+  std::map<int, std::size_t> Ended;
+  http::timer Timer;
+};
+
+/** @brief What a client has seen of one connection. */
+struct connection_result {
+  /** Status of the first response; 0 without one. */
+  int Status{0};
+  /** The far side has closed the connection. */
+  bool Closed{false};
+};
+
+/** @brief Sends a request on a new connection and reads until it is closed or
+ * the limit has passed. */
+[[nodiscard]] connection_result sendUntilClosed(http::loop &Loop,
+                                                const http::address &Address,
+                                                const std::string &Request,
+                                                duration Limit);
 /** @brief Sends a request on a new connection.
  * @return Status of the response; 0 if there is none within the limit. */
 [[nodiscard]] int statusOf(http::loop &Loop, const http::address &Address,
