--- a/src/galenalink/http/server.cpp
+++ b/src/galenalink/http/server.cpp
@@ -87,8 +87,8 @@
 }
 
 // evhttp frees a connection that never sent a complete request without a
-// notice. A reference keeps the stream valid, and the sweep finds it when
-// evhttp has removed its callbacks.
+// notice. A reference keeps the stream valid and its descriptor open, and the
+// sweep finds it when evhttp has removed its callbacks.
 void server::impl::accept(bufferevent *Stream) {
   Connections.emplace(Stream, std::make_unique<connection>(*this, Stream));
   armDeadline(boot_clock::now() + Options.ReceiveTimeout);
@@ -272,7 +272,11 @@
   evhttp_set_bevcb(
       Self->Http,
       [](event_base *Base, void *Arg) {
-        bufferevent *Stream = bufferevent_socket_new(Base, -1, 0);
+        // The descriptor stays open as long as the stream: a descriptor that
+        // is closed while the stream's events are registered gives no events
+        // to the next connection that gets its number.
+        bufferevent *Stream =
+            bufferevent_socket_new(Base, -1, BEV_OPT_CLOSE_ON_FREE);
         GALENALINK_ASSERT(Stream != nullptr, "no stream");
         static_cast<impl *>(Arg)->accept(Stream);
         return Stream;
