--- a/src/galenalink/http/client.cpp
+++ b/src/galenalink/http/client.cpp
@@ -157,6 +157,24 @@
   return failure{Delivery, {Code, std::move(Message)}};
 }
 
+/** Bodies from this size on are written from the caller's memory. */
+constexpr std::size_t MinReferencedBytes = 4096;
+
+void addBody(evbuffer *Output, const shared_text &Body) {
+  const std::string &Text = Body.str();
+  if (Text.size() < MinReferencedBytes) {
+    evbuffer_add(Output, Text.data(), Text.size());
+    return;
+  }
+  auto Owner = std::make_unique<shared_text>(Body);
+  const auto Release = [](const void *, std::size_t, void *Arg) {
+    delete static_cast<shared_text *>(Arg);
+  };
+  if (evbuffer_add_reference(Output, Text.data(), Text.size(), Release,
+                             Owner.get()) == 0)
+    static_cast<void>(Owner.release());
+}
+
 /** @brief Makes evhttp's request; null if a header is not valid.
  * @param From A `request` or a `connection_check`. */
 template <typename Type>
@@ -179,8 +197,7 @@
       return nullptr;
     }
   }
-  evbuffer_add(evhttp_request_get_output_buffer(Request), From.Body.data(),
-               From.Body.size());
+  addBody(evhttp_request_get_output_buffer(Request), From.Body);
   return Request;
 }
 
--- a/src/galenalink/http/exchange.cpp
+++ b/src/galenalink/http/exchange.cpp
@@ -92,7 +92,11 @@
 }
 
 const std::string &exchange::body() const noexcept {
-  return State->Received.Body;
+  return State->Received.Body.str();
+}
+
+shared_text exchange::takeBody() noexcept {
+  return std::exchange(State->Received.Body, {});
 }
 
 void exchange::onPeerClosed(std::function<void()> Function) {
--- a/src/galenalink/http/exchange.hpp
+++ b/src/galenalink/http/exchange.hpp
@@ -30,6 +30,8 @@
   [[nodiscard]] std::optional<std::string_view>
   header(std::string_view Name) const noexcept;
   [[nodiscard]] const std::string &body() const noexcept;
+  /** @brief Takes the body, which is empty afterwards. */
+  [[nodiscard]] shared_text takeBody() noexcept;
 
   /**
    * @brief Sets the function that is called once if the peer closes the
--- a/src/galenalink/http/message.hpp
+++ b/src/galenalink/http/message.hpp
@@ -3,6 +3,7 @@
 
 #include "galenalink/core/enum_names.hpp"
 #include "galenalink/core/error.hpp"
+#include "galenalink/core/shared_text.hpp"
 #include "galenalink/core/time.hpp"
 #include <cstdint>
 #include <functional>
@@ -55,7 +56,7 @@
   /** Path and query, percent-encoded. */
   std::string Path;
   headers Headers;
-  std::string Body;
+  shared_text Body;
   /** Whether the response is that of the expected process. If not, the
    * connection is closed. */
   std::function<bool(const response &)> Accepts;
@@ -69,7 +70,7 @@
   /** Path and query, percent-encoded. */
   std::string Path;
   headers Headers;
-  std::string Body;
+  shared_text Body;
   /** The client sends no first byte at or after this time. */
   time_point WriteBy{time_point::max()};
   /** If set, the request is written only to a connection that has passed the
--- a/src/galenalink/http/server_limits.cpp
+++ b/src/galenalink/http/server_limits.cpp
@@ -187,6 +187,8 @@
     return false;
   Receive.raiseLimit();
   charge(Connection);
+  // One block instead of many small ones, which would leave holes in the heap.
+  evbuffer_expand(bufferevent_get_input(Connection.Stream), More);
   limitInput(Connection);
   return true;
 }
--- a/src/galenalink/node/backend.hpp
+++ b/src/galenalink/node/backend.hpp
@@ -3,6 +3,7 @@
 
 #include "galenalink/core/attempt.hpp"
 #include "galenalink/core/result.hpp"
+#include "galenalink/core/shared_text.hpp"
 #include "galenalink/core/time.hpp"
 #include "galenalink/http/client.hpp"
 #include <functional>
@@ -18,7 +19,7 @@
   std::uint64_t Epoch{0};
   std::string Queue;
   std::string Key;
-  std::string Body;
+  shared_text Body;
 };
 
 /** @brief How one attempt ended, as far as the node can tell. */
--- a/src/galenalink/node/call.hpp
+++ b/src/galenalink/node/call.hpp
@@ -2,6 +2,7 @@
 #define GALENALINK_NODE_CALL_HPP
 
 #include "galenalink/core/outcome.hpp"
+#include "galenalink/core/shared_text.hpp"
 #include "galenalink/core/time.hpp"
 #include <functional>
 #include <string>
@@ -25,7 +26,7 @@
   std::string Queue;
   std::string Team;
   std::string Key;
-  std::string Body;
+  shared_text Body;
   time_point Deadline;
 };
 
@@ -35,7 +36,7 @@
   refusal Refusal{refusal::None};
   duration RetryAfter{};
   /** Result, or a sentence about the failure. */
-  std::string Body;
+  shared_text Body;
   /** State of the request in the ledger; set for queries and cancels. */
   std::string State;
 };
--- a/src/galenalink/node/caller_api.cpp
+++ b/src/galenalink/node/caller_api.cpp
@@ -68,13 +68,13 @@
     Headers.push_back({"Location", "/v1/" + Call.Customer + '/' + Call.Service +
                                        "/requests/" + Call.Key});
   Headers.push_back({"Content-Type", "application/octet-stream"});
-  std::string Body = Reply.Body;
+  shared_text Body = Reply.Body;
   if (Body.empty() && Reply.Outcome == outcome::NotRun)
     Body =
         "not run: " + std::string{nameOf(RefusalNames, Reply.Refusal)} + '\n';
   else if (Body.empty() && Reply.Outcome == outcome::Unknown)
     Body = "outcome unknown: the request may have run\n";
-  Exchange.reply(Status, Headers, Body);
+  Exchange.reply(Status, Headers, Body.str());
 }
 
 } // namespace
@@ -142,7 +142,8 @@
   }
   Call.Deadline = boot_clock::now() + *Timeout;
   const auto Shared = std::make_shared<http::exchange>(std::move(Exchange));
-  const auto About = Call;
+  auto About = Call;
+  About.Body = {};
   Hooks.Call(std::move(Call), [Shared, About](const reply &Reply) {
     send(*Shared, About, Reply);
   });
@@ -171,7 +172,7 @@
     Call.Queue = Parts[3];
     Call.Key = Exchange.header("Idempotency-Key").value_or("");
     Call.Team = Exchange.header("Galenalink-Team").value_or("");
-    Call.Body = Exchange.body();
+    Call.Body = Exchange.takeBody();
   } else {
     Call.Operation = Exchange.method() == http::method::Get ? operation::Query
                                                             : operation::Cancel;
--- a/src/galenalink/node/shard.cpp
+++ b/src/galenalink/node/shard.cpp
@@ -114,7 +114,7 @@
   return Result;
 }
 
-void shard::answered(const attempt_id Attempt, std::string Result,
+void shard::answered(const attempt_id Attempt, shared_text Result,
                      const time_point Now) {
   Scheduler.finished(Attempt, Now);
   request::effects Effects;
@@ -135,11 +135,11 @@
   pump(Now);
 }
 
-void shard::failed(const attempt_id Attempt, std::string Message,
+void shard::failed(const attempt_id Attempt, shared_text Message,
                    const time_point Now) {
   const auto End = Scheduler.failed(Attempt, Now);
   if (End.Disposition == schedule::attempt_disposition::NeverRuns)
-    Message = "failed on several VMs that run other work: " + Message;
+    Message = "failed on several VMs that run other work: " + Message.str();
   request::effects Effects;
   Ledger.failed(Attempt, std::move(Message),
                 End.Disposition == schedule::attempt_disposition::Requeued, Now,
--- a/src/galenalink/node/shard.hpp
+++ b/src/galenalink/node/shard.hpp
@@ -83,9 +83,9 @@
                                 request::waiter Waiter, request::instant At);
 
   // Answers of backend servers.
-  void answered(attempt_id Attempt, std::string Result, time_point Now);
+  void answered(attempt_id Attempt, shared_text Result, time_point Now);
   void refusedByServer(attempt_id Attempt, time_point Now);
-  void failed(attempt_id Attempt, std::string Message, time_point Now);
+  void failed(attempt_id Attempt, shared_text Message, time_point Now);
   void lost(attempt_id Attempt, time_point Now);
   /** @brief Compares the slots of a VM with what it reports as running. */
   void reconcile(const std::string &Vm, const std::vector<attempt_id> &Running,
--- a/src/galenalink/request/detail/entry_table.cpp
+++ b/src/galenalink/request/detail/entry_table.cpp
@@ -75,7 +75,7 @@
   Entry.AttemptKnown = false;
 }
 
-void entry_table::setPayload(entry &Entry, std::string Payload) {
+void entry_table::setPayload(entry &Entry, shared_text Payload) {
   Bytes -= Entry.Payload.size();
   // Assigning a short result would keep the memory of the long body.
   std::swap(Entry.Payload, Payload);
--- a/src/galenalink/request/detail/entry_table.hpp
+++ b/src/galenalink/request/detail/entry_table.hpp
@@ -38,7 +38,7 @@
   std::string Team;
   std::string Vm;
   /** The body until the state is final, then the result. */
-  std::string Payload;
+  shared_text Payload;
   std::vector<waiter> Waiters;
   std::uint64_t BodyHash{};
   std::uint64_t Epoch{};
@@ -90,7 +90,7 @@
   /** @brief Makes the entry's attempt findable, in place of the last one. */
   void bindAttempt(entry &Entry, attempt_id Attempt);
   void unbindAttempt(entry &Entry);
-  void setPayload(entry &Entry, std::string Payload);
+  void setPayload(entry &Entry, shared_text Payload);
 
   /** @brief Appends to the expiry order; deadlines must not decrease. */
   void scheduleExpiry(entry &Entry, time_point At);
--- a/src/galenalink/request/effects.hpp
+++ b/src/galenalink/request/effects.hpp
@@ -21,7 +21,7 @@
   outcome Outcome{};
   refusal Refusal{};
   duration RetryAfter{};
-  std::string Body;
+  shared_text Body;
 };
 
 /** @brief The entry waits for a slot; `ledger::find` describes it. */
@@ -41,7 +41,7 @@
   std::string Vm;
   std::uint64_t Epoch{};
   std::string Queue;
-  std::string Body;
+  shared_text Body;
 };
 
 /** @brief Asks a backend server to stop an attempt. */
--- a/src/galenalink/request/entry.hpp
+++ b/src/galenalink/request/entry.hpp
@@ -4,6 +4,7 @@
 #include "galenalink/core/attempt.hpp"
 #include "galenalink/core/enum_names.hpp"
 #include "galenalink/core/outcome.hpp"
+#include "galenalink/core/shared_text.hpp"
 #include "galenalink/core/time.hpp"
 #include "galenalink/request/fwd.hpp"
 #include <string>
@@ -98,8 +99,8 @@
   std::string Queue;
   std::string Team;
   /** Empty unless a new home may have to run the work. */
-  std::string Body;
-  std::string Result;
+  shared_text Body;
+  shared_text Result;
   /** Time left before a final entry is forgotten. */
   duration ExpiresIn{};
   refusal Refusal{};
--- a/src/galenalink/request/ledger.cpp
+++ b/src/galenalink/request/ledger.cpp
@@ -49,7 +49,7 @@
   if (Retired)
     return Refuse(refusal::NotHome, {});
   if (entry *const Entry = Table.find(Submission.Key)) {
-    if (Entry->BodyHash != bodyHash(Submission.Queue, Submission.Body))
+    if (Entry->BodyHash != bodyHash(Submission.Queue, Submission.Body.str()))
       return Refuse(refusal::KeyReused, {});
     const bool Ended = Entry->State == entry_state::Completed ||
                        Entry->State == entry_state::Failed;
@@ -99,7 +99,7 @@
 void ledger::addEntry(submission Submission, const bool Ran,
                       const time_point Now, effects &Out) {
   entry &Entry = Table.create(std::move(Submission.Key));
-  Entry.BodyHash = bodyHash(Submission.Queue, Submission.Body);
+  Entry.BodyHash = bodyHash(Submission.Queue, Submission.Body.str());
   Entry.Queue = std::move(Submission.Queue);
   Entry.Team = std::move(Submission.Team);
   Entry.Idempotent = Submission.Idempotent;
@@ -185,8 +185,9 @@
   const entry *const Entry = Table.find(Key);
   if (Entry != nullptr)
     return query_result{Entry->State, outcomeOf(Entry->State), Entry->Refusal,
-                        isFinal(Entry->State) ? Entry->Payload
-                                              : std::string_view{}};
+                        isFinal(Entry->State)
+                            ? std::string_view{Entry->Payload.str()}
+                            : std::string_view{}};
   if (mayHaveRun(Key, false, At))
     return query_result{
         entry_state::Unknown, outcome::Unknown, refusal::None, {}};
@@ -205,7 +206,7 @@
   const bool WithResult = isFinal(Entry.State);
   for (const waiter Waiter : Entry.Waiters)
     Out.emplace_back(answer{Waiter, Outcome, Entry.Refusal, Entry.RetryAfter,
-                            WithResult ? Entry.Payload : std::string{}});
+                            WithResult ? Entry.Payload : shared_text{}});
   // A finished entry is kept for long, so its list gives up its memory.
   Entry.Waiters = std::vector<waiter>{};
 }
--- a/src/galenalink/request/ledger.hpp
+++ b/src/galenalink/request/ledger.hpp
@@ -27,7 +27,7 @@
   request_key Key;
   std::string Queue;
   std::string Team;
-  std::string Body;
+  shared_text Body;
   bool Idempotent{};
   bool LongWork{};
   time_point Deadline;
@@ -132,12 +132,12 @@
               instant At, effects &Out);
 
   // Reports about attempts; false if the attempt is not awaited.
-  bool answered(attempt_id Attempt, std::string Result, time_point Now,
+  bool answered(attempt_id Attempt, shared_text Result, time_point Now,
                 effects &Out);
   /** @brief The backend server refused before the start. */
   bool refusedByServer(attempt_id Attempt, effects &Out);
   /** @param MayRetry Whether the retry budget allows another attempt. */
-  bool failed(attempt_id Attempt, std::string Message, bool MayRetry,
+  bool failed(attempt_id Attempt, shared_text Message, bool MayRetry,
               time_point Now, effects &Out);
   /** @brief The answer will not come; the attempt may have run. */
   bool lost(attempt_id Attempt, bool MayRetry, time_point Now, effects &Out);
@@ -194,7 +194,7 @@
                                 instant At) const;
 
   void requeue(detail::entry &Entry, effects &Out);
-  void finish(detail::entry &Entry, entry_state State, std::string Result,
+  void finish(detail::entry &Entry, entry_state State, shared_text Result,
               time_point Now, effects &Out);
   void withdraw(detail::entry &Entry, refusal Reason, instant At, effects &Out);
   void finishWithdrawal(detail::entry &Entry, time_point Now, effects &Out);
--- a/src/galenalink/request/ledger_attempts.cpp
+++ b/src/galenalink/request/ledger_attempts.cpp
@@ -106,7 +106,7 @@
     erase(Entry);
 }
 
-void ledger::finish(entry &Entry, const entry_state State, std::string Result,
+void ledger::finish(entry &Entry, const entry_state State, shared_text Result,
                     const time_point Now, effects &Out) {
   Entry.State = State;
   Entry.Phase = phase::Done;
@@ -127,7 +127,7 @@
     push(Entry, Out);
 }
 
-bool ledger::answered(const attempt_id Attempt, std::string Result,
+bool ledger::answered(const attempt_id Attempt, shared_text Result,
                       const time_point Now, effects &Out) {
   LastNow = Now;
   entry *const Entry = Table.find(Attempt);
@@ -154,7 +154,7 @@
   return true;
 }
 
-bool ledger::failed(const attempt_id Attempt, std::string Message,
+bool ledger::failed(const attempt_id Attempt, shared_text Message,
                     const bool MayRetry, const time_point Now, effects &Out) {
   LastNow = Now;
   entry *const Entry = Table.find(Attempt);
--- a/test/system/client_limits_test.cpp
+++ b/test/system/client_limits_test.cpp
@@ -46,6 +46,21 @@
   return Traffic;
 }
 
+/** @brief A complete request of the largest size, with a key of its own on each
+ * connection. */
+crowd_traffic completeBody(const std::string &Path,
+                           const std::size_t BodyBytes) {
+  crowd_traffic Traffic;
+  Traffic.HeadOf = [=](const std::size_t Connection) {
+    return post(Path, BodyBytes,
+                "Idempotency-Key: " + std::to_string(1000 + Connection) +
+                    "\r\n");
+  };
+  Traffic.Repeated = std::string(64 * Kilobyte, 'x');
+  Traffic.MaxBytesPerConnection = Traffic.HeadOf(0).size() + BodyBytes;
+  return Traffic;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(embedded_node_limits)
@@ -83,6 +98,14 @@
                             embedded_node::MaxBodyBytes));
 }
 
+// The node held bodies of requests that it had refused.
+BOOST_AUTO_TEST_CASE(complete_large_bodies) {
+  embedded_node Node;
+  Node.check(Node.Callers, 60,
+             completeBody("/v1/halloran/newsletters/mailing",
+                          embedded_node::MaxBodyBytes));
+}
+
 BOOST_AUTO_TEST_CASE(short_header_lines) {
   embedded_node Node;
   Node.check(Node.Callers, 500, shortHeaderLines());
--- a/test/system/crowd.cpp
+++ b/test/system/crowd.cpp
@@ -55,16 +55,15 @@
 /** @return Whether the last call on a socket may succeed later. */
 bool blocked() { return errno == EAGAIN || errno == ENOTCONN; }
 
-/** @brief The bytes that follow the first `Sent` ones of the traffic. */
-std::string_view remaining(const crowd_traffic &Traffic,
+/** @brief The bytes that follow the first `Sent` ones of a connection. */
+std::string_view remaining(const std::string_view Head,
+                           const std::string_view Repeated,
                            const std::size_t Sent) {
-  if (Sent < Traffic.Head.size())
-    return std::string_view{Traffic.Head}.substr(Sent);
-  if (Traffic.Repeated.empty())
+  if (Sent < Head.size())
+    return Head.substr(Sent);
+  if (Repeated.empty())
     return {};
-  const std::size_t Offset =
-      (Sent - Traffic.Head.size()) % Traffic.Repeated.size();
-  return std::string_view{Traffic.Repeated}.substr(Offset);
+  return Repeated.substr((Sent - Head.size()) % Repeated.size());
 }
 
 } // namespace
@@ -76,7 +75,7 @@
   const auto Step = Loop.every(StepInterval, [&] {
     for (std::size_t I = 0; I < ConnectsPerStep; ++I) {
       if (Connections.size() < Count)
-        Connections.push_back({connectTo(Address, SocketBufferBytes), 0});
+        Connections.push_back({connectTo(Address, SocketBufferBytes), {}, 0});
     }
   });
   static_cast<void>(Loop.runUntil([&] { return Connections.size() == Count; },
@@ -98,7 +97,9 @@
                    std::min(Traffic.MaxBytesPerConnection, Connection.Sent));
   std::size_t Total = 0;
   while (Budget > 0 && Connection.Socket >= 0) {
-    const auto Text = remaining(Traffic, Connection.Sent).substr(0, Budget);
+    const auto Text =
+        remaining(Connection.Head, Traffic.Repeated, Connection.Sent)
+            .substr(0, Budget);
     if (Text.empty())
       break;
     const ssize_t Sent = ::send(Connection.Socket, Text.data(), Text.size(),
@@ -117,6 +118,8 @@
 }
 
 std::size_t crowd::send(const crowd_traffic &Traffic) {
+  for (std::size_t I = 0; I < Connections.size(); ++I)
+    Connections[I].Head = Traffic.HeadOf ? Traffic.HeadOf(I) : Traffic.Head;
   std::size_t Total = 0;
   const time_point End = boot_clock::now() + MaxTime;
   time_point LastProgress = boot_clock::now();
--- a/test/system/crowd.hpp
+++ b/test/system/crowd.hpp
@@ -16,6 +16,8 @@
 struct crowd_traffic {
   /** Sent once, first. */
   std::string Head;
+  /** Returns the head of one connection by its index, in place of `Head`. */
+  std::function<std::string(std::size_t)> HeadOf{};
   /** Sent over and over after the head; may be empty. */
   std::string Repeated;
   /** Each connection sends no more than this. */
@@ -49,6 +51,7 @@
 private:
   struct connection {
     int Socket{-1};
+    std::string Head;
     std::size_t Sent{0};
   };
 
