--- a/bench/leader_pass.cpp
+++ b/bench/leader_pass.cpp
@@ -436,7 +436,7 @@
   double report(const duration Time) {
     const double Seconds = std::chrono::duration<double>(Time).count();
     std::size_t Waiting = 0;
-    for (const auto &[Id, Entry] : Controller->state().OpenJobs)
+    for (const auto &[Id, Entry] : Controller->state().OpenJobs.all())
       Waiting += Entry->Job.spec().Steps.front().Count;
     std::printf("VMs %zu, jobs submitted %zu, accepted %zu, refused %zu, open "
                 "tasks %zu, maintenances %zu, starts a minute %.0f\n",
--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -50,7 +50,7 @@
   if (Customer.empty() || Limit <= 0 || InUse < Limit / 2)
     return 0;
   double Sum = Work;
-  for (const auto &[Id, Entry] : Leader.OpenJobs) {
+  for (const auto &[Id, Entry] : Leader.OpenJobs.active()) {
     if (Entry->Job.customer() == Customer)
       Sum += remainingWork(Leader, Entry->Job);
   }
@@ -108,9 +108,9 @@
   Entry.Deferred = Class.Deferred;
   Entry.Work = Class.Work;
   Entry.BeyondRate = Class.BeyondRate;
-  ++Leader.WaitingJobs;
   Entry.OnStored.push_back(std::move(Reply));
   openDueOccurrences(Leader, Entry);
+  Leader.WaitingJobs += Entry.Position.Active ? 1 : 0;
   storeJob(Leader, Id);
   Leader.Journal.whenStored([&Leader, Id] {
     job_entry *Found = Leader.findJob(Id);
@@ -193,7 +193,7 @@
   std::map<std::string, pool_load> Loads;
   const time_point Now = Leader.Now();
   Leader.WaitingJobs = 0;
-  for (auto &[Id, Entry] : Leader.OpenJobs) {
+  for (const auto &[Id, Entry] : Leader.OpenJobs.active()) {
     Leader.WaitingJobs += Entry->Job.state() == job_state::Queued ? 1 : 0;
     if (!Entry->Deferred || Entry->BeyondRate ||
         Entry->Job.openOccurrences().empty() ||
@@ -419,10 +419,7 @@
 
 caller_reply countPendingJobs(const leader &Leader, const std::string &Queue) {
   caller_reply Reply = makeOkReply(job_state::Queued);
-  for (const auto &[Id, Entry] : Leader.OpenJobs) {
-    if (Entry->Job.queue() == Queue && Entry->Job.state() == job_state::Queued)
-      ++Reply.Pending;
-  }
+  Reply.Pending = Leader.OpenJobs.queued(Queue);
   return Reply;
 }
 
--- a/src/galenalink/job/controller.cpp
+++ b/src/galenalink/job/controller.cpp
@@ -76,10 +76,8 @@
 }
 
 void controller::openScheduledOccurrences() {
-  for (auto &[Id, Entry] : Leader->OpenJobs) {
-    if (Entry->Job.spec().Times > 0)
-      openDueOccurrences(*Leader, *Entry);
-  }
+  for (job_entry *Entry : Leader->OpenJobs.due(Leader->Wall()))
+    openDueOccurrences(*Leader, *Entry);
 }
 
 void controller::tick(const duration LoopDelay, const duration CallbackDelay) {
--- a/src/galenalink/job/customers.cpp
+++ b/src/galenalink/job/customers.cpp
@@ -45,7 +45,7 @@
 
 void applyCustomerRules(leader &Leader) {
   std::set<std::string> WithOpenJobs;
-  for (const auto &[Id, Entry] : Leader.OpenJobs)
+  for (const auto &[Id, Entry] : Leader.OpenJobs.all())
     WithOpenJobs.insert(Entry->Job.customer());
   Leader.Quotas.setRules(Leader.Rules, WithOpenJobs);
 }
@@ -86,7 +86,7 @@
 void countUnknownRuns(leader &Leader) {
   std::map<std::string, resources> Sizes;
   if (Leader.Now() < Leader.AllRunsKnownAt) {
-    for (const auto &[Id, Entry] : Leader.OpenJobs) {
+    for (const auto &[Id, Entry] : Leader.OpenJobs.active()) {
       const job &Job = Entry->Job;
       if (Entry->Recovered && !Job.customer().empty() &&
           runsUnknown(Leader, Job))
--- a/src/galenalink/job/dispatch.cpp
+++ b/src/galenalink/job/dispatch.cpp
@@ -151,7 +151,7 @@
                                     const resources &MaxFree) {
   std::vector<candidate> Candidates;
   const bool Unknown = runsUnknown(Leader, Pool);
-  for (auto &[Id, Entry] : Leader.OpenJobs) {
+  for (const auto &[Id, Entry] : Leader.OpenJobs.active()) {
     if (Entry->Job.pool() != Pool || !Entry->Stored || !Entry->PoolStored)
       continue;
     // Whether its tasks need tickets is not known before rules are applied.
--- /dev/null
+++ b/src/galenalink/job/job_entry.hpp
@@ -0,0 +1,54 @@
+#ifndef GALENALINK_JOB_JOB_ENTRY_HPP
+#define GALENALINK_JOB_JOB_ENTRY_HPP
+
+#include "galenalink/job/caller_reply.hpp"
+#include "galenalink/job/job.hpp"
+#include <optional>
+#include <vector>
+
+namespace galenalink::job {
+
+/** @brief Indexes of `open_jobs` that have a job. */
+struct open_jobs_position {
+  bool Active{false};
+  bool Queued{false};
+  /** Due time of its next occurrence, if it has times. */
+  std::optional<wall_ms> DueMs;
+};
+
+/** @brief A job with the leader's state about it. */
+struct job_entry {
+  explicit job_entry(job Job) : Job{std::move(Job)} {}
+
+  job Job;
+  /** The job is in the store; its tasks must not start before. */
+  bool Stored{false};
+  /** Latest state that is in the store. Callers see this one, so that a change
+   * of leader never takes back a reported state. */
+  job_state StoredState{job_state::Queued};
+  /** Accepted by an earlier leader: its runs may exist on any backend server of
+   * the pool that has not responded to this leader yet. */
+  bool Recovered{false};
+  /** The record in the store names the job's present pool. No task must start
+   * before: a successor would not look for its run in that pool. */
+  bool PoolStored{true};
+  time_point EndedAt;
+  /** Admitted although it may miss its objective, to run on capacity that jobs
+   * within their objective leave free. */
+  bool Deferred{false};
+  /** Submitted beyond its customer's rate, so that it stays deferred. */
+  bool BeyondRate{false};
+  /** Work that was left when this leader accepted or recovered the job,
+   * thousandths of a core times ms. */
+  double Work{0};
+  /** The job has ended and only its state is kept. */
+  bool Compacted{false};
+  /** Callers to reply to once the job is stored. */
+  std::vector<reply_function> OnStored;
+  /** Where `open_jobs` has it. */
+  open_jobs_position Position;
+};
+
+} // namespace galenalink::job
+
+#endif
--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -54,7 +54,7 @@
 
 void requestDispatchOfAllPools(leader &Leader) {
   // The current rules may lack a pool that has accepted jobs.
-  for (const auto &[Id, Entry] : Leader.OpenJobs)
+  for (const auto &[Id, Entry] : Leader.OpenJobs.active())
     requestDispatch(Leader, Entry->Job.pool());
 }
 
@@ -93,7 +93,7 @@
   const std::string Id = Job.id();
   auto &Slot = Leader.Jobs[Id];
   Slot = std::make_unique<job_entry>(std::move(Job));
-  Leader.OpenJobs[Id] = Slot.get();
+  Leader.OpenJobs.insert(*Slot);
   return *Slot;
 }
 
@@ -106,6 +106,7 @@
 }
 
 void recordProgress(leader &Leader, job_entry &Entry) {
+  Leader.OpenJobs.update(Entry);
   const std::string Id = Entry.Job.id();
   Leader.Journal.put("p" + Id, [&Leader, Id]() -> std::optional<std::string> {
     const job_entry *Found = Leader.findJob(Id);
@@ -120,9 +121,16 @@
   });
 }
 
-void endJob(leader &Leader, job_entry &Entry) {
+void addEndedJob(leader &Leader, job_entry &Entry) {
   Entry.EndedAt = Leader.Now();
-  Leader.OpenJobs.erase(Entry.Job.id());
+  Leader.OpenJobs.erase(Entry);
+  Leader.EndedJobs.push_back(Entry.Job.id());
+  if (!Entry.Compacted)
+    Leader.UncompactedJobs.push_back(Entry.Job.id());
+}
+
+void endJob(leader &Leader, job_entry &Entry) {
+  addEndedJob(Leader, Entry);
   Leader.Tickets.eraseJob(Entry.Job.id());
   requestDispatch(Leader, Entry.Job.pool());
   stopJobRuns(Leader, Entry.Job.id());
@@ -144,6 +152,7 @@
 
 occurrence &openNextOccurrence(leader &Leader, job_entry &Entry) {
   occurrence &Opened = Entry.Job.openNext();
+  Leader.OpenJobs.update(Entry);
   setObjective(Leader, Entry, Opened);
   requestDispatch(Leader, Entry.Job.pool());
   return Opened;
@@ -220,7 +229,7 @@
 
 std::size_t countOpenJobsWithoutRule(const leader &Leader) {
   return static_cast<std::size_t>(
-      std::ranges::count_if(Leader.OpenJobs, [&](const auto &Each) {
+      std::ranges::count_if(Leader.OpenJobs.all(), [&](const auto &Each) {
         return Each.second->Job.rule() == nullptr;
       }));
 }
@@ -256,7 +265,7 @@
   }
   applyCustomerRules(Leader);
   std::vector<job_entry *> Failed;
-  for (auto &[Id, Entry] : Leader.OpenJobs) {
+  for (const auto &[Id, Entry] : Leader.OpenJobs.all()) {
     const queue_rule *Rule = Leader.Rules.queue(Entry->Job.queue());
     const std::string Pool = Entry->Job.pool();
     if (Rule == nullptr || !Entry->Job.adoptRule(*Rule, Leader.Rules.Version))
@@ -280,13 +289,18 @@
 }
 
 void compactEndedJobs(leader &Leader) {
+  std::vector<std::string> Ids = std::exchange(Leader.UncompactedJobs, {});
+  std::ranges::sort(Ids);
   bool AnyCompacted = false;
-  for (auto &[Id, Entry] : Leader.Jobs) {
+  for (auto &Id : Ids) {
+    job_entry *Entry = Leader.findJob(Id);
+    if (Entry == nullptr || Entry->Compacted)
+      continue;
     // The final state must be stored before the job record is removed.
-    const bool Compactable = Entry->Job.ended() && !Entry->Compacted &&
-                             Entry->StoredState == Entry->Job.state();
-    if (!Compactable)
+    if (Entry->StoredState != Entry->Job.state()) {
+      Leader.UncompactedJobs.push_back(std::move(Id));
       continue;
+    }
     AnyCompacted = true;
     Entry->Compacted = true;
     Entry->Job.dropWork();
@@ -297,18 +311,34 @@
         "l", [&Leader] { return std::optional{toRecord(Leader.Durations)}; });
 }
 
+namespace {
+
+/** @brief Takes the ids of the jobs that ended at or before the given time. */
+std::vector<std::string> takeEndedUntil(leader &Leader, const time_point Time) {
+  std::vector<std::string> Ids;
+  while (!Leader.EndedJobs.empty()) {
+    const job_entry *Entry = Leader.findJob(Leader.EndedJobs.front());
+    if (Entry != nullptr && Entry->EndedAt > Time)
+      break;
+    if (Entry != nullptr)
+      Ids.push_back(std::move(Leader.EndedJobs.front()));
+    Leader.EndedJobs.pop_front();
+  }
+  std::ranges::sort(Ids);
+  return Ids;
+}
+
+} // namespace
+
 void removeExpiredJobs(leader &Leader) {
   const time_point Oldest = Leader.Now() - Leader.Settings.EndedJobRetention;
-  std::erase_if(Leader.Jobs, [&](const auto &Each) {
-    const job_entry &Entry = *Each.second;
-    if (!Entry.Job.ended() || Entry.EndedAt > Oldest)
-      return false;
-    const auto Remove = [] { return std::optional<std::string>{}; };
-    if (!Entry.Compacted)
-      Leader.Journal.put("j" + Each.first, Remove);
-    Leader.Journal.put("p" + Each.first, Remove);
-    return true;
-  });
+  const auto Remove = [] { return std::optional<std::string>{}; };
+  for (const auto &Id : takeEndedUntil(Leader, Oldest)) {
+    if (!Leader.findJob(Id)->Compacted)
+      Leader.Journal.put("j" + Id, Remove);
+    Leader.Journal.put("p" + Id, Remove);
+    Leader.Jobs.erase(Id);
+  }
 }
 
 } // namespace galenalink::job
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -1,17 +1,16 @@
 #ifndef GALENALINK_JOB_LEADER_HPP
 #define GALENALINK_JOB_LEADER_HPP
 
-#include "galenalink/job/caller_reply.hpp"
 #include "galenalink/job/counters.hpp"
 #include "galenalink/job/customer_quotas.hpp"
 #include "galenalink/job/customer_rates.hpp"
 #include "galenalink/job/customer_shares.hpp"
 #include "galenalink/job/demand.hpp"
 #include "galenalink/job/duration_estimator.hpp"
-#include "galenalink/job/job.hpp"
 #include "galenalink/job/journal.hpp"
 #include "galenalink/job/leadership_limits.hpp"
 #include "galenalink/job/load_shedding.hpp"
+#include "galenalink/job/open_jobs.hpp"
 #include "galenalink/job/overload_gate.hpp"
 #include "galenalink/job/peak_forecast.hpp"
 #include "galenalink/job/server.hpp"
@@ -19,6 +18,7 @@
 #include "galenalink/job/start_revocations.hpp"
 #include "galenalink/job/start_window.hpp"
 #include "galenalink/job/tickets.hpp"
+#include <deque>
 #include <memory>
 #include <set>
 #include <unordered_map>
@@ -88,37 +88,6 @@
   bool Publishing{false};
 };
 
-/** @brief A job with the leader's state about it. */
-struct job_entry {
-  explicit job_entry(job Job) : Job{std::move(Job)} {}
-
-  job Job;
-  /** The job is in the store; its tasks must not start before. */
-  bool Stored{false};
-  /** Latest state that is in the store. Callers see this one, so that a change
-   * of leader never takes back a reported state. */
-  job_state StoredState{job_state::Queued};
-  /** Accepted by an earlier leader: its runs may exist on any backend server of
-   * the pool that has not responded to this leader yet. */
-  bool Recovered{false};
-  /** The record in the store names the job's present pool. No task must start
-   * before: a successor would not look for its run in that pool. */
-  bool PoolStored{true};
-  time_point EndedAt;
-  /** Admitted although it may miss its objective, to run on capacity that jobs
-   * within their objective leave free. */
-  bool Deferred{false};
-  /** Submitted beyond its customer's rate, so that it stays deferred. */
-  bool BeyondRate{false};
-  /** Work that was left when this leader accepted or recovered the job,
-   * thousandths of a core times ms. */
-  double Work{0};
-  /** The job has ended and only its state is kept. */
-  bool Compacted{false};
-  /** Callers to reply to once the job is stored. */
-  std::vector<reply_function> OnStored;
-};
-
 /**
  * @brief State of the leading node for one epoch. Owned by the controller; the
  * other modules of this folder are free functions that operate on it.
@@ -142,8 +111,11 @@
   std::uint64_t AppliedRulesVersion{0};
   /** By job id. */
   std::map<std::string, std::unique_ptr<job_entry>> Jobs;
-  /** Jobs that have not ended. */
-  std::map<std::string, job_entry *> OpenJobs;
+  open_jobs OpenJobs;
+  /** Ids of ended jobs in the order of their ends. */
+  std::deque<std::string> EndedJobs;
+  /** Ids of ended jobs that are not compacted yet. */
+  std::vector<std::string> UncompactedJobs;
   run_locations RunLocations;
   start_revocations StartRevocations;
   /** By id of the backend server's incarnation. Change it by `addServer` and
@@ -205,7 +177,7 @@
   duration LoopDelay{0};
   /** For how long responses to calls wait in the event loop. */
   duration CallbackDelay{0};
-  /** Open jobs of which no task has started; counted anew every 200 ms. */
+  /** Active jobs of which no task has started; counted anew every 200 ms. */
   std::size_t WaitingJobs{0};
   /** Callbacks hold it weakly to detect that the leader no longer exists. */
   std::shared_ptr<bool> LifetimeToken{std::make_shared<bool>(true)};
@@ -304,6 +276,8 @@
 /** @brief Stores the job's progress; callers see the new state once it is
  * stored. */
 void recordProgress(leader &Leader, job_entry &Entry);
+/** @brief Adds an ended job to those that are compacted and later removed. */
+void addEndedJob(leader &Leader, job_entry &Entry);
 /** @brief Removes an ended job from the open jobs and stops its runs. The
  * progress is stored by the caller. */
 void endJob(leader &Leader, job_entry &Entry);
--- a/src/galenalink/job/pool_load.cpp
+++ b/src/galenalink/job/pool_load.cpp
@@ -99,7 +99,7 @@
   pool_load Load;
   Load.Capacity = availableCapacity(Leader, Pool);
   const time_point Now = Leader.Now();
-  for (const auto &[Id, Entry] : Leader.OpenJobs) {
+  for (const auto &[Id, Entry] : Leader.OpenJobs.active()) {
     if (Entry->Job.pool() != Pool || Entry->Job.openOccurrences().empty())
       continue;
     // Its tasks go after those of the others.
@@ -125,7 +125,7 @@
 std::vector<customer_claim> backlogClaims(const leader &Leader,
                                           const std::string_view Pool) {
   pool_load Load;
-  for (const auto &[Id, Entry] : Leader.OpenJobs) {
+  for (const auto &[Id, Entry] : Leader.OpenJobs.active()) {
     if (Entry->Job.pool() == Pool && !Entry->Job.customer().empty() &&
         !Entry->Job.openOccurrences().empty())
       claimOf(Leader, Entry->Job.customer(), Load).Work +=
--- a/src/galenalink/job/pool_sizes.cpp
+++ b/src/galenalink/job/pool_sizes.cpp
@@ -38,7 +38,7 @@
 
 double longRunningCapacity(const leader &Leader, const std::string &Pool) {
   double Capacity = 0;
-  for (const auto &[Id, Entry] : Leader.OpenJobs) {
+  for (const auto &[Id, Entry] : Leader.OpenJobs.active()) {
     if (Entry->Job.pool() != Pool)
       continue;
     for (const auto &Step : Entry->Job.spec().Steps) {
@@ -63,7 +63,7 @@
 double backlogCapacity(const leader &Leader, const std::string &Pool) {
   double Capacity = 0;
   const time_point Now = Leader.Now();
-  for (const auto &[Id, Entry] : Leader.OpenJobs) {
+  for (const auto &[Id, Entry] : Leader.OpenJobs.active()) {
     if (Entry->Job.pool() != Pool || Entry->Job.openOccurrences().empty() ||
         Entry->Deferred)
       continue;
--- a/src/galenalink/job/recovery.cpp
+++ b/src/galenalink/job/recovery.cpp
@@ -109,10 +109,10 @@
     return;
   }
   Entry->StoredState = Entry->Job.state();
-  if (Entry->Job.ended()) {
-    Entry->EndedAt = Leader.Now();
-    Leader.OpenJobs.erase(Id);
-  }
+  if (Entry->Job.ended())
+    addEndedJob(Leader, *Entry);
+  else
+    Leader.OpenJobs.update(*Entry);
 }
 
 } // namespace
@@ -134,7 +134,7 @@
   ForEachRecord(VmOrderKey, recoverVmOrder);
   ForEachRecord(AppliedRulesKey, recoverAppliedRules);
   restoreClaims(Leader);
-  for (auto &[Id, Entry] : Leader.OpenJobs) {
+  for (const auto &[Id, Entry] : Leader.OpenJobs.all()) {
     setObjectives(Leader, *Entry);
     openDueOccurrences(Leader, *Entry);
     Entry->Work = remainingWork(Leader, Entry->Job);
--- a/test/galenalink/job/dispatch.cpp
+++ b/test/galenalink/job/dispatch.cpp
@@ -49,7 +49,7 @@
  * scan of all open jobs and backend servers. */
 std::size_t countStartableTasks(leader &Leader) {
   std::size_t Startable = 0;
-  for (auto &[Id, Entry] : Leader.OpenJobs) {
+  for (const auto &[Id, Entry] : Leader.OpenJobs.all()) {
     const auto Servers = availableServers(Leader, Entry->Job.pool());
     if (!Entry->Stored)
       continue;
