--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -14,10 +14,9 @@
 
 constexpr telemetry::logger Log{"callers"};
 
-/** Limit of jobs kept in memory; further ones are refused until ended jobs are
- * removed. */
-constexpr std::size_t MaxJobs = 200000;
 constexpr std::uint32_t BusyRetryMs = 1000;
+/** Jobs that have ended are compacted within this time. */
+constexpr std::uint32_t MinMemoryRetryMs = 2000;
 /** Only a new version of the rules can admit the job. */
 constexpr std::uint32_t QuotaRetryMs = 60000;
 /** Customers that are counted by name; further ones are counted together. */
@@ -281,6 +280,34 @@
   });
 }
 
+/** @return When a job fits again, ms. That is known only for ended jobs. */
+std::uint32_t memoryRetryMs(const leader &Leader,
+                            const job_memory_limit Limit) {
+  if (Limit != job_memory_limit::Ended || Leader.EndedJobs.empty())
+    return MinMemoryRetryMs;
+  const job_entry *Oldest = Leader.findJob(Leader.EndedJobs.front());
+  if (Oldest == nullptr)
+    return MinMemoryRetryMs;
+  const duration Left =
+      Oldest->EndedAt + Leader.Settings.EndedJobRetention - Leader.Now();
+  return std::max(MinMemoryRetryMs, static_cast<std::uint32_t>(
+                                        wholeMs(std::max(Left, duration{0}))));
+}
+
+caller_reply refuseForMemory(leader &Leader, const job_memory_limit Limit) {
+  ++Leader.Counts->RefusedForMemory;
+  const std::uint32_t RetryMs = memoryRetryMs(Leader, Limit);
+  if (const auto Dropped = Leader.JobMemoryLogRate.admit(Leader.Now()))
+    Log.warning("jobs take too much memory, refusing new ones",
+                {{"limit", std::string{nameOf(JobMemoryLimitNames, Limit)}},
+                 {"open_bytes", Leader.JobMemory.open()},
+                 {"background_bytes", Leader.JobMemory.background()},
+                 {"ended_bytes", Leader.JobMemory.ended()},
+                 {"retry_ms", RetryMs},
+                 {"lines_dropped", *Dropped}});
+  return makeRefusal("too many jobs", RetryMs);
+}
+
 /** @return Why a job can't be accepted whatever its pool has free; `nullopt` if
  * that depends on the pool. */
 std::optional<caller_reply> refuseWithoutAdmission(leader &Leader,
@@ -299,8 +326,10 @@
   }
   if (Rule == nullptr)
     return replyOf(verdict::NoQueue);
-  if (taskCount(Job.Spec) > limits::MaxTasks || Leader.Jobs.size() >= MaxJobs)
-    return makeRefusal("too many tasks or jobs", BusyRetryMs);
+  if (taskCount(Job.Spec) > limits::MaxTasks)
+    return makeRefusal("too many tasks", BusyRetryMs);
+  if (const auto Limit = Leader.JobMemory.exceededBy(Job.Spec))
+    return refuseForMemory(Leader, *Limit);
   if (exceedsQuota(Leader, Job))
     return makeRefusal("a gang exceeds the customer's quota", QuotaRetryMs);
   if (auto Refusal = refuseIfOverloaded(Leader))
--- a/src/galenalink/job/counters.hpp
+++ b/src/galenalink/job/counters.hpp
@@ -24,6 +24,8 @@
   std::uint64_t Refused{0};
   /** Jobs refused because the leader was overloaded. */
   std::uint64_t RefusedOverloaded{0};
+  /** Jobs refused because the leader's jobs take too much memory. */
+  std::uint64_t RefusedForMemory{0};
   std::uint64_t Starts{0};
   std::uint64_t StartsRefused{0};
   std::uint64_t StartsUnknown{0};
--- a/src/galenalink/job/heartbeats.cpp
+++ b/src/galenalink/job/heartbeats.cpp
@@ -71,7 +71,7 @@
   ++Task->Runs;
   Task->LastRun = std::max(Task->LastRun, Listed.Run.Number);
   Entry->Job.markStarted();
-  Leader.OpenJobs.update(*Entry);
+  updateIndexes(Leader, *Entry);
   return Adopted;
 }
 
--- a/src/galenalink/job/job_entry.hpp
+++ b/src/galenalink/job/job_entry.hpp
@@ -3,6 +3,7 @@
 
 #include "galenalink/job/caller_reply.hpp"
 #include "galenalink/job/job.hpp"
+#include <cstddef>
 #include <optional>
 #include <vector>
 
@@ -16,6 +17,13 @@
   std::optional<wall_ms> DueMs;
 };
 
+/** @brief Memory that `job_memory` counts for a job, bytes. */
+struct job_charge {
+  std::size_t OpenBytes{0};
+  std::size_t EndedBytes{0};
+  bool Background{false};
+};
+
 /** @brief A job with the leader's state about it. */
 struct job_entry {
   explicit job_entry(job Job) : Job{std::move(Job)} {}
@@ -47,6 +55,7 @@
   std::vector<reply_function> OnStored;
   /** Where `open_jobs` has it. */
   open_jobs_position Position;
+  job_charge Charge;
 };
 
 } // namespace galenalink::job
--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -43,8 +43,9 @@
       Journal{{Ports.Append, this->Now,
                [OnFenced = this->OnFenced] { OnFenced("store"); }},
               Epoch},
-      Rates{this->Settings.RateWindow}, LeadingSince{this->Now()},
-      PredecessorSeenAt{LeadingSince}, StartWindow{this->Settings.Starts} {}
+      JobMemory{this->Settings.JobMemory}, Rates{this->Settings.RateWindow},
+      LeadingSince{this->Now()}, PredecessorSeenAt{LeadingSince},
+      StartWindow{this->Settings.Starts} {}
 
 void requestDispatch(leader &Leader, const std::string &Pool,
                      const time_point Due) {
@@ -94,6 +95,7 @@
   auto &Slot = Leader.Jobs[Id];
   Slot = std::make_unique<job_entry>(std::move(Job));
   Leader.OpenJobs.insert(*Slot);
+  Leader.JobMemory.update(*Slot);
   return *Slot;
 }
 
@@ -105,8 +107,13 @@
   });
 }
 
-void recordProgress(leader &Leader, job_entry &Entry) {
+void updateIndexes(leader &Leader, job_entry &Entry) {
   Leader.OpenJobs.update(Entry);
+  Leader.JobMemory.update(Entry);
+}
+
+void recordProgress(leader &Leader, job_entry &Entry) {
+  updateIndexes(Leader, Entry);
   const std::string Id = Entry.Job.id();
   Leader.Journal.put("p" + Id, [&Leader, Id]() -> std::optional<std::string> {
     const job_entry *Found = Leader.findJob(Id);
@@ -124,6 +131,7 @@
 void addEndedJob(leader &Leader, job_entry &Entry) {
   Entry.EndedAt = Leader.Now();
   Leader.OpenJobs.erase(Entry);
+  Leader.JobMemory.update(Entry);
   Leader.EndedJobs.push_back(Entry.Job.id());
   if (!Entry.Compacted)
     Leader.UncompactedJobs.push_back(Entry.Job.id());
@@ -145,14 +153,17 @@
 
 /** @brief Whether one more occurrence may be open; otherwise it is opened once
  * earlier ones are done. */
-bool hasRoomForOccurrence(const job &Job) {
-  const std::size_t Open = Job.openOccurrences().size();
-  return Open == 0 || (Open + 1) * taskCount(Job.spec()) <= limits::MaxTasks;
+bool hasRoomForOccurrence(const leader &Leader, const job_entry &Entry) {
+  const std::size_t Open = Entry.Job.openOccurrences().size();
+  if (Open == 0)
+    return true;
+  return (Open + 1) * taskCount(Entry.Job.spec()) <= limits::MaxTasks &&
+         Leader.JobMemory.fitsOccurrence(Entry);
 }
 
 occurrence &openNextOccurrence(leader &Leader, job_entry &Entry) {
   occurrence &Opened = Entry.Job.openNext();
-  Leader.OpenJobs.update(Entry);
+  updateIndexes(Leader, Entry);
   setObjective(Leader, Entry, Opened);
   requestDispatch(Leader, Entry.Job.pool());
   return Opened;
@@ -161,14 +172,15 @@
 } // namespace
 
 void openDueOccurrences(leader &Leader, job_entry &Entry) {
-  while (Entry.Job.isNextDue(Leader.Wall()) && hasRoomForOccurrence(Entry.Job))
+  while (Entry.Job.isNextDue(Leader.Wall()) &&
+         hasRoomForOccurrence(Leader, Entry))
     openNextOccurrence(Leader, Entry);
 }
 
 void openReportedOccurrence(leader &Leader, job_entry &Entry,
                             const std::uint32_t Number) {
   while (Entry.Job.openedCount() <= Number && Entry.Job.nextDue() &&
-         hasRoomForOccurrence(Entry.Job)) {
+         hasRoomForOccurrence(Leader, Entry)) {
     occurrence &Opened = openNextOccurrence(Leader, Entry);
     const std::chrono::milliseconds UntilDue{Opened.DueMs - Leader.Wall()};
     for (auto &Step : Opened.Steps) {
@@ -304,6 +316,7 @@
     AnyCompacted = true;
     Entry->Compacted = true;
     Entry->Job.dropWork();
+    Leader.JobMemory.update(*Entry);
     Leader.Journal.put("j" + Id, [] { return std::optional<std::string>{}; });
   }
   if (AnyCompacted)
@@ -334,7 +347,9 @@
   const time_point Oldest = Leader.Now() - Leader.Settings.EndedJobRetention;
   const auto Remove = [] { return std::optional<std::string>{}; };
   for (const auto &Id : takeEndedUntil(Leader, Oldest)) {
-    if (!Leader.findJob(Id)->Compacted)
+    job_entry &Entry = *Leader.findJob(Id);
+    Leader.JobMemory.release(Entry);
+    if (!Entry.Compacted)
       Leader.Journal.put("j" + Id, Remove);
     Leader.Journal.put("p" + Id, Remove);
     Leader.Jobs.erase(Id);
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -7,6 +7,7 @@
 #include "galenalink/job/customer_shares.hpp"
 #include "galenalink/job/demand.hpp"
 #include "galenalink/job/duration_estimator.hpp"
+#include "galenalink/job/job_memory.hpp"
 #include "galenalink/job/journal.hpp"
 #include "galenalink/job/leadership_limits.hpp"
 #include "galenalink/job/load_shedding.hpp"
@@ -18,6 +19,7 @@
 #include "galenalink/job/start_revocations.hpp"
 #include "galenalink/job/start_window.hpp"
 #include "galenalink/job/tickets.hpp"
+#include "galenalink/telemetry/rate_limit.hpp"
 #include <deque>
 #include <memory>
 #include <set>
@@ -54,6 +56,7 @@
   /** Span over which the rates of customers are counted. */
   duration RateWindow{std::chrono::seconds{5}};
   start_limits Starts;
+  job_memory_limits JobMemory;
   /** Heartbeats sent in one pass of the control loop, every 20 ms. */
   std::size_t MaxHeartbeatsPerPass{256};
 };
@@ -112,6 +115,7 @@
   /** By job id. */
   std::map<std::string, std::unique_ptr<job_entry>> Jobs;
   open_jobs OpenJobs;
+  job_memory JobMemory;
   /** Ids of ended jobs in the order of their ends. */
   std::deque<std::string> EndedJobs;
   /** Ids of ended jobs that are not compacted yet. */
@@ -173,6 +177,7 @@
    */
   time_point StartsHeldSince{NoDeadline};
   overload_gate OverloadGate;
+  telemetry::rate_limit JobMemoryLogRate{std::chrono::seconds{1}};
   /** By how much the last pass of the control loop was late. */
   duration LoopDelay{0};
   /** For how long responses to calls wait in the event loop. */
@@ -276,6 +281,9 @@
 /** @brief Stores the job's progress; callers see the new state once it is
  * stored. */
 void recordProgress(leader &Leader, job_entry &Entry);
+/** @brief Makes the indexes and the counted memory current after a change of a
+ * job's occurrences or its state. */
+void updateIndexes(leader &Leader, job_entry &Entry);
 /** @brief Adds an ended job to those that are compacted and later removed. */
 void addEndedJob(leader &Leader, job_entry &Entry);
 /** @brief Removes an ended job from the open jobs and stops its runs. The
--- a/src/galenalink/job/open_jobs.cpp
+++ b/src/galenalink/job/open_jobs.cpp
@@ -16,7 +16,7 @@
 
 void open_jobs::update(job_entry &Entry) {
   const job &Job = Entry.Job;
-  setActive(Entry, !Job.openOccurrences().empty());
+  setActive(Entry, !Job.ended() && !Job.openOccurrences().empty());
   setQueued(Entry, Job.state() == job_state::Queued);
   setDue(Entry, Job.spec().Times > 0 ? Job.nextDue() : std::nullopt);
 }
--- a/src/galenalink/job/recovery.cpp
+++ b/src/galenalink/job/recovery.cpp
@@ -112,7 +112,7 @@
   if (Entry->Job.ended())
     addEndedJob(Leader, *Entry);
   else
-    Leader.OpenJobs.update(*Entry);
+    updateIndexes(Leader, *Entry);
 }
 
 } // namespace
--- a/src/galenalink/job/runs.cpp
+++ b/src/galenalink/job/runs.cpp
@@ -301,7 +301,7 @@
     Leader.WaitingJobs -= std::min<std::size_t>(Leader.WaitingJobs, 1);
   }
   Entry.Job.markStarted();
-  Leader.OpenJobs.update(Entry);
+  updateIndexes(Leader, Entry);
   sendStart(Leader, Server, RunId);
 }
 
--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -99,6 +99,16 @@
   return Limits;
 }
 
+/** A successor reads the records of all open jobs at once and holds each twice
+ * for that time. */
+job::job_memory_limits jobMemoryLimits(const settings &Settings) {
+  job::job_memory_limits Limits;
+  Limits.Open = memoryFraction(Settings, 4);
+  Limits.Background = memoryFraction(Settings, 8);
+  Limits.Ended = memoryFraction(Settings, 4);
+  return Limits;
+}
+
 job::leader_settings leaderSettings(const settings &Settings) {
   job::leader_settings Leader;
   Leader.Node = Settings.Name;
@@ -112,6 +122,7 @@
   Leader.LoadShedding = Settings.LoadShedding;
   Leader.RateWindow = fromSeconds(Settings.RateWindowS);
   Leader.Starts = startLimits(Settings);
+  Leader.JobMemory = jobMemoryLimits(Settings);
   Leader.MaxHeartbeatsPerPass = maxHeartbeatsPerPass(Settings);
   return Leader;
 }
@@ -439,6 +450,8 @@
     Gauges.ConfirmationAgeS =
         toSeconds(boot_clock::now() - Elector.confirmedAt());
     Gauges.OpenJobs = State.OpenJobs.size();
+    Gauges.OpenJobBytes = State.JobMemory.open();
+    Gauges.EndedJobBytes = State.JobMemory.ended();
     Gauges.Servers = State.Servers.size();
     const auto Journal = State.Journal.currentLoad();
     const time_point Now = boot_clock::now();
--- a/src/galenalink/job_node/node_metrics.cpp
+++ b/src/galenalink/job_node/node_metrics.cpp
@@ -43,6 +43,8 @@
                  {{"verdict", "refused"}}, Counts.Refused);
   advanceCounter("galenalink_admissions_total", Admissions,
                  {{"verdict", "overloaded"}}, Counts.RefusedOverloaded);
+  advanceCounter("galenalink_admissions_total", Admissions,
+                 {{"verdict", "memory"}}, Counts.RefusedForMemory);
   advanceCounter("galenalink_starts_total", "Runs ordered.", {}, Counts.Starts);
   advanceCounter("galenalink_starts_failed_total",
                  "Orders of runs that failed.", {{"outcome", "refused"}},
@@ -130,6 +132,12 @@
       Gauges.ConfirmationAgeS);
   Set("galenalink_open_jobs", "Jobs that have not ended; leader only.",
       Gauges.OpenJobs);
+  Set("galenalink_open_job_bytes",
+      "Estimated memory of jobs that have not ended; leader only.",
+      Gauges.OpenJobBytes);
+  Set("galenalink_ended_job_bytes",
+      "Estimated memory of ended jobs that can be queried; leader only.",
+      Gauges.EndedJobBytes);
   Set("galenalink_servers", "Backend servers known; leader only.",
       Gauges.Servers);
   Set("galenalink_loop_delay_seconds",
--- a/src/galenalink/job_node/node_metrics.hpp
+++ b/src/galenalink/job_node/node_metrics.hpp
@@ -30,6 +30,9 @@
    * s; 0 on other nodes. */
   double ConfirmationAgeS{0};
   std::size_t OpenJobs{0};
+  /** Estimated memory of open and of ended jobs. */
+  std::size_t OpenJobBytes{0};
+  std::size_t EndedJobBytes{0};
   std::size_t Servers{0};
   /** Longest delay of the leader's periodic work in the last second, s. */
   double LoopDelayS{0};
--- a/test/galenalink/job/simulated_platform.cpp
+++ b/test/galenalink/job/simulated_platform.cpp
@@ -220,6 +220,7 @@
   leader_settings Settings;
   Settings.Node = "node-" + std::to_string(Epoch);
   Settings.Starts = StartLimits;
+  Settings.JobMemory = JobMemory;
   auto State = std::make_unique<leader>(
       Ports, Settings, Epoch, [this] { return Now; },
       [this] { return wallNow() + ClockOffsetMs; },
--- a/test/galenalink/job/simulated_platform.hpp
+++ b/test/galenalink/job/simulated_platform.hpp
@@ -140,6 +140,7 @@
   /** Longest delay of the leader's periodic work. */
   duration LongestLoopDelay{0};
   job::start_limits StartLimits;
+  job::job_memory_limits JobMemory;
 
   /** @brief Calls a function as an event of the leader's loop. */
   void schedule(duration Delay, std::function<void()> Function);
--- a/test/soak/node_group.cpp
+++ b/test/soak/node_group.cpp
@@ -39,7 +39,8 @@
     std::filesystem::remove_all(Directory);
 }
 
-void node_group::add(const http::address &Store, const http::address &VmList) {
+void node_group::add(const http::address &Store, const http::address &VmList,
+                     const nlohmann::json &Overrides) {
   node Node;
   Node.Name = "node-" + std::to_string(Nodes.size());
   const std::string Host = hostOf(Nodes.size());
@@ -47,7 +48,7 @@
   Node.CallersLink = std::make_unique<tcp_proxy>(Loop, Callers);
   Node.StoreLink = std::make_unique<tcp_proxy>(Loop, Store);
   Node.VmListLink = std::make_unique<tcp_proxy>(Loop, VmList);
-  const nlohmann::json Settings{
+  nlohmann::json Settings{
       {"name", Node.Name},
       {"data_centre", "north"},
       {"callers", toString(Callers)},
@@ -59,6 +60,7 @@
        std::chrono::duration_cast<std::chrono::seconds>(bounds::Grace).count()},
       {"move_s", 0.5},
       {"maintenance_s", 0.5}};
+  Settings.update(Overrides);
   std::ofstream{Directory / (Node.Name + ".json")} << Settings.dump();
   start(Node);
   Nodes.push_back(std::move(Node));
--- a/test/soak/node_group.hpp
+++ b/test/soak/node_group.hpp
@@ -8,6 +8,7 @@
 #include "system/process.hpp"
 #include <filesystem>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -22,8 +23,10 @@
   node_group(const node_group &) = delete;
   node_group &operator=(const node_group &) = delete;
 
-  /** @brief Starts a node with links of its own to the services. */
-  void add(const http::address &Store, const http::address &VmList);
+  /** @brief Starts a node with links of its own to the services.
+   * @param Overrides Settings in place of the usual ones. */
+  void add(const http::address &Store, const http::address &VmList,
+           const nlohmann::json &Overrides = nlohmann::json::object());
   [[nodiscard]] std::size_t size() const noexcept { return Nodes.size(); }
   /** @return Address of the link from callers to the node. */
   [[nodiscard]] http::address callersAddress(std::size_t Node) const;
--- a/test/soak/single_node_run.hpp
+++ b/test/soak/single_node_run.hpp
@@ -19,14 +19,16 @@
   static constexpr std::size_t MaxAttempts = 4;
   static constexpr duration StepTimeout = 10 * Second;
 
-  /** @param VmCount Number of VMs of the pool, named by it and an index. */
-  single_node_run(std::string Pool, const std::size_t VmCount)
+  /** @param VmCount Number of VMs of the pool, named by it and an index.
+   * @param Overrides Settings of the node in place of the usual ones. */
+  single_node_run(std::string Pool, const std::size_t VmCount,
+                  const nlohmann::json &Overrides = nlohmann::json::object())
       : Store{Loop}, Fleet{Loop, Store, FleetSeed}, Disruptions{},
         Nodes{Loop, Disruptions}, Pool{std::move(Pool)}, Client{Loop, {}} {
     publishConfig();
     for (std::size_t I = 0; I < VmCount; ++I)
       addVm();
-    Nodes.add(Store.address(), Fleet.listAddress());
+    Nodes.add(Store.address(), Fleet.listAddress(), Overrides);
   }
 
   void addVm() {
--- a/test/system/crowd.cpp
+++ b/test/system/crowd.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
 #include <sys/resource.h>
 #include <sys/socket.h>
@@ -245,6 +246,24 @@
   return 0;
 }
 
+duration processorTime(const pid_t Process) {
+  std::ifstream Stat{"/proc/" + std::to_string(Process) + "/stat"};
+  std::string Text;
+  std::getline(Stat, Text);
+  // The name in brackets may contain spaces; user and system time are the 12th
+  // and 13th field after it.
+  constexpr int FieldsBefore = 11;
+  std::istringstream Fields{
+      Text.substr(std::min(Text.rfind(')'), Text.size()))};
+  std::string Skipped;
+  for (int I = 0; I <= FieldsBefore; ++I)
+    Fields >> Skipped;
+  std::int64_t User = 0;
+  std::int64_t System = 0;
+  Fields >> User >> System;
+  return std::chrono::seconds{1} * (User + System) / sysconf(_SC_CLK_TCK);
+}
+
 std::size_t openDescriptors(const pid_t Process) {
   std::error_code Ended;
   const std::filesystem::directory_iterator Files{
--- a/test/system/crowd.hpp
+++ b/test/system/crowd.hpp
@@ -120,6 +120,8 @@
 /** @return Peak of the process's resident memory so far, MB; 0 if it has
  * ended. */
 [[nodiscard]] std::size_t peakMemoryMb(pid_t Process);
+/** @return Processor time of the process so far. */
+[[nodiscard]] duration processorTime(pid_t Process);
 /** @return Number of open descriptors of the process. */
 [[nodiscard]] std::size_t openDescriptors(pid_t Process);
 
--- a/test/system/crowd_nodes.cpp
+++ b/test/system/crowd_nodes.cpp
@@ -122,7 +122,8 @@
   });
 }
 
-platform_node::platform_node() : Run{"crowd", 2} {
+platform_node::platform_node(const nlohmann::json &Overrides)
+    : Run{"crowd", 2, Overrides} {
   BOOST_REQUIRE(Run.submit(JobId, 1, 1000, 60000));
 }
 
--- a/test/system/crowd_nodes.hpp
+++ b/test/system/crowd_nodes.hpp
@@ -69,7 +69,9 @@
 public:
   static constexpr std::size_t MaxBodyBytes = 262144;
 
-  platform_node();
+  /** @param Overrides Settings of the node in place of the usual ones. */
+  explicit platform_node(
+      const nlohmann::json &Overrides = nlohmann::json::object());
 
   void check(const http::address &Listener, std::size_t Count,
              const crowd_traffic &Traffic);
