--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -197,7 +197,8 @@
                         const time_point RespondBy,
                         std::function<void(forward_result)> Callback) {
                    forwardRequest(To, Request, RespondBy, std::move(Callback));
-                 }}},
+                 }},
+                memoryFraction(this->Settings, 16)},
       LoopDelay{TickInterval, LoadLogInterval} {}
 
 node::~node() = default;
@@ -443,6 +444,8 @@
   Gauges.Epoch = Elector.current().Epoch;
   Gauges.RulesVersion = View.rules().Version;
   Gauges.ForwardedRequests = Forwarder.size();
+  Gauges.ForwardedBytes = Forwarder.openBytes();
+  Gauges.ForwardsRefused = Forwarder.refused();
   if (Controller) {
     const job::leader &State = Controller->state();
     Gauges.LeaderRulesVersion = State.Rules.Version;
--- a/src/galenalink/job_node/node_metrics.cpp
+++ b/src/galenalink/job_node/node_metrics.cpp
@@ -154,6 +154,12 @@
   Set("galenalink_forwarded_requests",
       "Requests of callers that wait for the leader's reply.",
       Gauges.ForwardedRequests);
+  Set("galenalink_forwarded_bytes",
+      "Estimated memory of requests that wait for the leader's reply.",
+      Gauges.ForwardedBytes);
+  advanceCounter("galenalink_forwards_refused_total",
+                 "Requests refused because too many wait for the leader.", {},
+                 Gauges.ForwardsRefused);
   Set("galenalink_starts_in_flight",
       "Start orders without a response; leader only.", Gauges.StartsInFlight);
   Set("galenalink_starts_held_seconds",
--- a/src/galenalink/job_node/node_metrics.hpp
+++ b/src/galenalink/job_node/node_metrics.hpp
@@ -42,6 +42,10 @@
   /** Age of the oldest reply that waits for the journal, s. */
   double JournalAgeS{0};
   std::size_t ForwardedRequests{0};
+  /** Estimated memory of these requests. */
+  std::size_t ForwardedBytes{0};
+  /** Requests refused because there were too many of these. */
+  std::uint64_t ForwardsRefused{0};
   /** Start orders without a response. */
   std::size_t StartsInFlight{0};
   /** Time for which tasks that fit have waited for the start window, s. */
--- a/src/galenalink/job_node/request_forwarder.cpp
+++ b/src/galenalink/job_node/request_forwarder.cpp
@@ -1,4 +1,5 @@
 #include "galenalink/job_node/request_forwarder.hpp"
+#include "galenalink/job/job_memory.hpp"
 #include "galenalink/telemetry/log.hpp"
 #include <algorithm>
 #include <vector>
@@ -35,6 +36,12 @@
   return Reply;
 }
 
+/** @return Memory of an open request, bytes. */
+std::size_t memoryOf(const caller_request &Request) noexcept {
+  constexpr std::size_t OverheadBytes = 1024;
+  return OverheadBytes + job::specificationBytes(Request.Spec);
+}
+
 job::caller_reply unknown() {
   job::caller_reply Reply;
   Reply.Verdict = job::caller_reply::verdict::Unknown;
@@ -46,13 +53,18 @@
 
 void request_forwarder::forward(const caller_request &Request,
                                 job::reply_function Reply) {
-  if (Requests.size() >= MaxOpenRequests) {
+  const std::size_t Bytes = memoryOf(Request);
+  if (!admits(Bytes)) {
+    ++Refused;
+    logRefusal();
     Reply(refusal("too many open calls"));
     return;
   }
   const time_point Now = Hooks.Now();
   open_request &Entry = Requests[++LastRequestId];
   Entry.Request = Request;
+  Entry.Bytes = Bytes;
+  OpenBytes += Bytes;
   Entry.Reply = std::move(Reply);
   Entry.RefuseAt = Now + MaxLeaderWait;
   Entry.RetryAt = Now;
@@ -128,10 +140,32 @@
 void request_forwarder::complete(const request_map::iterator Entry,
                                  const job::caller_reply &Reply) {
   const auto Callback = std::move(Entry->second.Reply);
-  Requests.erase(Entry);
+  erase(Entry);
   Callback(Reply);
 }
 
+request_forwarder::request_map::iterator
+request_forwarder::erase(const request_map::iterator Entry) {
+  OpenBytes -= Entry->second.Bytes;
+  return Requests.erase(Entry);
+}
+
+bool request_forwarder::admits(const std::size_t Bytes) const noexcept {
+  return Requests.size() < MaxOpenRequests && OpenBytes + Bytes <= MaxOpenBytes;
+}
+
+void request_forwarder::logRefusal() {
+  const auto Dropped = RefusalLogRate.admit(Hooks.Now());
+  if (!Dropped)
+    return;
+  Log.warning("too many requests wait for the leader, refusing new ones",
+              {{"leader", Leader.Node},
+               {"open", Requests.size()},
+               {"open_bytes", OpenBytes},
+               {"max_open_bytes", MaxOpenBytes},
+               {"lines_dropped", *Dropped}});
+}
+
 void request_forwarder::setLeader(const forward_target &NewLeader) {
   if (NewLeader == Leader)
     return;
@@ -155,7 +189,7 @@
     open_request &Entry = Found->second;
     // withDeadline() has already replied that the outcome is unknown.
     if (Now >= Entry.Request.Deadline) {
-      Found = Requests.erase(Found);
+      Found = erase(Found);
       continue;
     }
     send(Found->first, Entry);
--- a/src/galenalink/job_node/request_forwarder.hpp
+++ b/src/galenalink/job_node/request_forwarder.hpp
@@ -2,6 +2,7 @@
 #define GALENALINK_JOB_NODE_REQUEST_FORWARDER_HPP
 
 #include "galenalink/job_node/caller_request.hpp"
+#include "galenalink/telemetry/rate_limit.hpp"
 #include <map>
 #include <memory>
 #include <variant>
@@ -51,7 +52,11 @@
         Send;
   };
 
-  explicit request_forwarder(hooks Hooks) : Hooks{std::move(Hooks)} {}
+  /** @param MaxOpenBytes Memory of the open requests; further ones are refused.
+   */
+  explicit request_forwarder(
+      hooks Hooks, const std::size_t MaxOpenBytes = DefaultMaxOpenBytes)
+      : Hooks{std::move(Hooks)}, MaxOpenBytes{MaxOpenBytes} {}
 
   /** @brief Forwards a request.
    * @param Reply Called at most once. It is dropped when the deadline of the
@@ -65,10 +70,18 @@
 
   [[nodiscard]] bool idle() const noexcept { return Requests.empty(); }
   [[nodiscard]] std::size_t size() const noexcept { return Requests.size(); }
+  /** @return Estimated memory of the open requests. */
+  [[nodiscard]] std::size_t openBytes() const noexcept { return OpenBytes; }
+  /** @return Requests refused because there were too many open ones. */
+  [[nodiscard]] std::uint64_t refused() const noexcept { return Refused; }
 
 private:
+  static constexpr std::size_t DefaultMaxOpenBytes = std::size_t{16} << 20U;
+
   struct open_request {
     caller_request Request;
+    /** Memory that `OpenBytes` contains for it. */
+    std::size_t Bytes{0};
     job::reply_function Reply;
     /** When it is refused unless a leader may have accepted it. */
     time_point RefuseAt;
@@ -91,10 +104,18 @@
   void handleResult(std::uint64_t Id, std::uint64_t SendId,
                     const forward_result &Result);
   void complete(request_map::iterator Entry, const job::caller_reply &Reply);
+  request_map::iterator erase(request_map::iterator Entry);
+  /** @brief Whether a request of this size may be opened. */
+  [[nodiscard]] bool admits(std::size_t Bytes) const noexcept;
+  void logRefusal();
 
   hooks Hooks;
   forward_target Leader;
   request_map Requests;
+  std::size_t MaxOpenBytes;
+  std::size_t OpenBytes{0};
+  std::uint64_t Refused{0};
+  telemetry::rate_limit RefusalLogRate{std::chrono::seconds{1}};
   std::uint64_t LastRequestId{0};
   std::uint64_t LastSendId{0};
   /** The leader has refused jobs recently: until then, submissions are first
--- a/test/galenalink/job_node/request_forwarder.cpp
+++ b/test/galenalink/job_node/request_forwarder.cpp
@@ -10,6 +10,8 @@
 constexpr duration Millisecond = std::chrono::milliseconds{1};
 using verdict = caller_reply::verdict;
 
+constexpr std::size_t MaxOpenBytes = 100'000;
+
 struct sent_request {
   forward_target To;
   bool BodyWithheld{false};
@@ -25,11 +27,13 @@
        [this](const forward_target &To, const caller_request &Request,
               time_point, std::function<void(forward_result)> Respond) {
          Sent.push_back({To, Request.BodyWithheld, std::move(Respond)});
-       }}};
+       }},
+      MaxOpenBytes};
 
-  void submit() {
+  void submit(const std::size_t SpecBytes = 0) {
     caller_request Request;
     Request.Kind = request_kind::Submit;
+    Request.Spec.Spec = std::string(SpecBytes, 's');
     Request.Job = "0123456789abcdef";
     Request.Deadline = Now + 2000 * Millisecond;
     Forwarder.forward(Request, [this](const caller_reply &Reply) {
@@ -208,4 +212,23 @@
   BOOST_TEST(!Fixture.Sent[2].BodyWithheld);
 }
 
+// Requests that wait for a leader that does not answer took all memory of the
+// process. A refused one has not been sent.
+BOOST_AUTO_TEST_CASE(requests_beyond_the_memory_are_refused) {
+  forwarder_fixture Fixture;
+  Fixture.Forwarder.setLeader(FirstLeader);
+  Fixture.submit(MaxOpenBytes / 2);
+  Fixture.submit(MaxOpenBytes / 2);
+  BOOST_REQUIRE(Fixture.Replies.size() == 1U);
+  BOOST_CHECK(Fixture.Replies[0].Verdict == verdict::Refused);
+  BOOST_TEST(Fixture.Sent.size() == 1U);
+  BOOST_TEST(Fixture.Forwarder.refused() == 1U);
+  Fixture.Sent[0].Respond(replyOf(verdict::Ok));
+  BOOST_TEST(Fixture.Forwarder.openBytes() == 0U);
+  Fixture.submit(MaxOpenBytes / 2);
+  BOOST_TEST(Fixture.Sent.size() == 2U);
+  Fixture.advance(3000);
+  BOOST_TEST(Fixture.Forwarder.openBytes() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/soak/node_group.cpp
+++ b/test/soak/node_group.cpp
@@ -78,6 +78,10 @@
       (Directory / (Node.Name + ".log")).string());
 }
 
+std::filesystem::path node_group::logFile(const std::size_t Node) const {
+  return Directory / (Nodes.at(Node).Name + ".log");
+}
+
 http::address node_group::callersAddress(const std::size_t Node) const {
   return Nodes.at(Node).CallersLink->address();
 }
--- a/test/soak/node_group.hpp
+++ b/test/soak/node_group.hpp
@@ -38,6 +38,8 @@
   [[nodiscard]] tcp_proxy &callersLink(std::size_t Node);
   [[nodiscard]] tcp_proxy &storeLink(std::size_t Node);
   [[nodiscard]] tcp_proxy &vmListLink(std::size_t Node);
+  /** @return File with the output of the node's processes. */
+  [[nodiscard]] std::filesystem::path logFile(std::size_t Node) const;
   /** @return Number of the node's current process, from 1. */
   [[nodiscard]] std::uint64_t incarnation(std::size_t Node) const;
 
--- a/test/system/crowd.cpp
+++ b/test/system/crowd.cpp
@@ -160,6 +160,9 @@
     Closed = Closed || Read == 0 || (Read < 0 && !blocked());
   }
   [[nodiscard]] bool closed() const noexcept { return Closed; }
+  [[nodiscard]] const std::string &response() const noexcept {
+    return Response;
+  }
   /** @return Status of the response; 0 before it has arrived. */
   [[nodiscard]] int status() const {
     constexpr std::size_t StatusOffset = 9; // after "HTTP/1.1 "
@@ -215,17 +218,33 @@
       boot_clock::now() + Limit);
 }
 
+namespace {
+
+void runUntilClosed(http::loop &Loop, single_connection &Connection,
+                    const duration Limit) {
+  const auto Step = Loop.every(StepInterval, [&] { Connection.step(); });
+  static_cast<void>(Loop.runUntil([&] { return Connection.closed(); },
+                                  boot_clock::now() + Limit));
+}
+
+} // namespace
+
 connection_result sendUntilClosed(http::loop &Loop,
                                   const http::address &Address,
                                   const std::string &Request,
                                   const duration Limit) {
   single_connection Connection{Address, Request};
-  const auto Step = Loop.every(StepInterval, [&] { Connection.step(); });
-  static_cast<void>(Loop.runUntil([&] { return Connection.closed(); },
-                                  boot_clock::now() + Limit));
+  runUntilClosed(Loop, Connection, Limit);
   return {Connection.status(), Connection.closed()};
 }
 
+std::string responseTo(http::loop &Loop, const http::address &Address,
+                       const std::string &Request, const duration Limit) {
+  single_connection Connection{Address, Request};
+  runUntilClosed(Loop, Connection, Limit);
+  return Connection.response();
+}
+
 int statusOf(http::loop &Loop, const http::address &Address,
              const std::string &Request, const duration Limit) {
   single_connection Connection{Address, Request};
--- a/test/system/crowd.hpp
+++ b/test/system/crowd.hpp
@@ -112,6 +112,11 @@
                                                 const http::address &Address,
                                                 const std::string &Request,
                                                 duration Limit);
+/** @brief As `sendUntilClosed`. @return What the far side sent. */
+[[nodiscard]] std::string responseTo(http::loop &Loop,
+                                     const http::address &Address,
+                                     const std::string &Request,
+                                     duration Limit);
 /** @brief Sends a request on a new connection.
  * @return Status of the response; 0 if there is none within the limit. */
 [[nodiscard]] int statusOf(http::loop &Loop, const http::address &Address,
