--- a/test/system/crowd_nodes.cpp
+++ b/test/system/crowd_nodes.cpp
@@ -74,6 +74,7 @@
   await([&] { return portAfter("peers=") != 0; });
   Callers = {"127.0.0.1", portAfter("callers=")};
   Operators = {"127.0.0.1", portAfter("operators=")};
+  Peers = {"127.0.0.1", portAfter("peers=")};
   publish();
   await([&] {
     return statusOf(Loop, Callers, get("/health"), OrdinaryLimit) == 200;
--- a/test/system/crowd_nodes.hpp
+++ b/test/system/crowd_nodes.hpp
@@ -48,11 +48,15 @@
   void check(const http::address &Listener, std::size_t Count,
              const crowd_traffic &Traffic);
   [[nodiscard]] process &nodeProcess() noexcept { return *Process; }
+  [[nodiscard]] std::filesystem::path logFile() const {
+    return Directory / "node.log";
+  }
   [[nodiscard]] http::loop &loop() noexcept { return Loop; }
 
   http::loop Loop;
   http::address Callers;
   http::address Operators;
+  http::address Peers;
 
 private:
   void await(const std::function<bool()> &Condition);
--- a/test/system/crowd_states_test.cpp
+++ b/test/system/crowd_states_test.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <filesystem>
 #include <nlohmann/json.hpp>
+#include <sys/resource.h>
 
 // Crowds while the node can't serve them at once: it follows a leader that does
 // not answer, the store is down, it is stopping, or other crowds are there.
@@ -17,6 +18,7 @@
 constexpr std::size_t MachineMemoryMb = 64;
 constexpr std::size_t Clients = 100;
 constexpr std::size_t OrdinaryRequests = 20;
+constexpr std::size_t TooManyConnections = 1500;
 constexpr duration Long = std::chrono::seconds{20};
 /** As many as fit into the bytes that are read without asking for memory. */
 constexpr std::size_t StepsOfLargeJob = 600;
@@ -197,4 +199,49 @@
   checkSmallMachine(Node.nodeProcess());
 }
 
+// Clients that hold all connections of the listeners must leave descriptors for
+// calls to backend servers and the store.
+BOOST_AUTO_TEST_CASE(all_listeners_are_full) {
+  constexpr std::size_t Descriptors = 512;
+  constexpr std::size_t CrowdSize = 400;
+  json Settings = smallMachine();
+  Settings["max_descriptors"] = Descriptors;
+  platform_node Node{Settings};
+  const rlimit Limit{Descriptors, Descriptors};
+  BOOST_REQUIRE(
+      prlimit(Node.nodeProcess().id(), RLIMIT_NOFILE, &Limit, nullptr) == 0);
+  const crowd Callers{Node.loop(), platform_node::callers(), CrowdSize};
+  const crowd Peers{Node.loop(), platform_node::peers(), CrowdSize};
+  const crowd Readiness{Node.loop(), platform_node::readiness(), CrowdSize};
+  const std::string Job = "0000000000000002";
+  BOOST_TEST(Node.Run.submit(Job, 1, 1000, 60000));
+  BOOST_TEST(Node.Run.runs(Job));
+  BOOST_TEST(stateStatus(Node) == 200);
+  BOOST_TEST(openDescriptors(Node.nodeProcess().id()) < Descriptors);
+  checkSmallMachine(Node.nodeProcess());
+}
+
+// The listener for other nodes is not an HTTP listener; anyone may connect.
+BOOST_AUTO_TEST_CASE(strangers_at_the_peers_transport) {
+  constexpr std::size_t Connections = 5000;
+  /** A tenth of the lines that one for each connection would give. */
+  constexpr std::size_t MaxLogBytes = Connections / 10 * 200;
+  embedded_node Node;
+  const auto LogBytes = [&] {
+    return std::filesystem::file_size(Node.logFile());
+  };
+  const auto Before = LogBytes();
+  {
+    const crowd Silent{Node.loop(), Node.Peers, TooManyConnections};
+    repeating_clients Crowd{Node.loop(), Node.Peers, Clients,
+                            [] { return get("/not-a-frame"); }};
+    BOOST_TEST(Crowd.awaitEnded(Connections, std::chrono::seconds{60}));
+    BOOST_TEST(statusOf(Node.loop(), Node.Callers, get("/health"),
+                        OrdinaryLimit) == 200);
+  }
+  BOOST_TEST_MESSAGE("log " << LogBytes() - Before << " bytes");
+  BOOST_TEST(LogBytes() - Before < MaxLogBytes);
+  checkProcess(Node.nodeProcess());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
