--- a/src/galenalink/job_node/node.cpp
+++ b/src/galenalink/job_node/node.cpp
@@ -1,7 +1,7 @@
 #include "galenalink/job_node/node.hpp"
-#include "galenalink/core/hash.hpp"
 #include "galenalink/job/customers.hpp"
 #include "galenalink/job_node/listener_limits.hpp"
+#include "galenalink/job_node/node_settings.hpp"
 #include "galenalink/telemetry/log.hpp"
 
 namespace galenalink::job_node {
@@ -19,10 +19,6 @@
     std::chrono::milliseconds{300};
 /** Delay before a failed recovery is retried. */
 constexpr duration RecoveryRetryDelay = std::chrono::milliseconds{100};
-/** Length of the leases of runs. Must exceed the time to elect a new leader. A
- * lease must also end well before the second leader after the one that granted
- * it starts runs. */
-constexpr std::uint32_t LeaseMs = 4500;
 /** A node is not ready for this long after a forwarded request failed. */
 constexpr duration UnreadyAfterForwardFailure = std::chrono::milliseconds{1500};
 /** Interval of the log line with the leader's queue lengths. */
@@ -34,99 +30,10 @@
 constexpr log_reader_settings RegistrationReaderSettings{
     job::topic::Registrations, 700, std::chrono::milliseconds{150}};
 
-job::election_settings electionSettings(const settings &Settings) {
-  job::election_settings Election;
-  Election.Node = Settings.Name + "@" + std::to_string(wallNow());
-  Election.Address = peerAddress(Settings);
-  Election.StartedAt = boot_clock::now();
-  Election.ClaimDelay = job::claimDelay(
-      Settings.ProcessorShare * Settings.ProcessorSpeed, hash64(Election.Node));
-  return Election;
-}
-
-duration fromSeconds(const double Seconds) {
-  return duration{static_cast<std::int64_t>(Seconds * 1e6)};
-}
-
 double toSeconds(const duration Value) {
   return std::chrono::duration<double>(Value).count();
 }
 
-/** Start orders under way for each core that the node may use. An order with
- * its end costs some 0.2 ms, so that a full window delays other work by less
- * than 50 ms. */
-constexpr double StartsPerCore = 200;
-constexpr double MinStarts = 16;
-constexpr double MaxStarts = 256;
-/** Share of the link that start orders may fill. The rest is for heartbeats,
- * the journal and replies. */
-constexpr double StartsLinkShare = 0.6;
-/** One start order has up to this size. */
-constexpr double MinStartBytes = 5000;
-constexpr double BytesPerSecondPerMbit = 125000;
-
-/** Size of a VM in the list of VMs. */
-constexpr double VmListEntryBytes = 250;
-/** Share of the link that the list of VMs may fill. */
-constexpr double VmListLinkShare = 0.1;
-
-duration minVmListInterval(const settings &Settings, const std::size_t Vms) {
-  const double BytesPerSecond =
-      std::max(Settings.LinkMbit, 1.0) * BytesPerSecondPerMbit;
-  return fromSeconds(static_cast<double>(Vms) * VmListEntryBytes /
-                     (BytesPerSecond * VmListLinkShare));
-}
-
-/** Heartbeats of one pass for each core that the node may use. */
-constexpr double HeartbeatsPerCore = 400;
-constexpr double MinHeartbeats = 32;
-
-std::size_t maxHeartbeatsPerPass(const settings &Settings) {
-  const double Cores = Settings.ProcessorShare * Settings.ProcessorSpeed;
-  return static_cast<std::size_t>(
-      std::max(HeartbeatsPerCore * Cores, MinHeartbeats));
-}
-
-job::start_limits startLimits(const settings &Settings) {
-  const double Cores = Settings.ProcessorShare * Settings.ProcessorSpeed;
-  const double BytesPerPeriod = Settings.LinkMbit * BytesPerSecondPerMbit *
-                                toSeconds(job::start_window::Period);
-  job::start_limits Limits;
-  Limits.Orders = static_cast<std::size_t>(
-      std::clamp(StartsPerCore * Cores, MinStarts, MaxStarts));
-  Limits.Bytes = static_cast<std::size_t>(
-      std::max(BytesPerPeriod * StartsLinkShare, MinStartBytes));
-  return Limits;
-}
-
-/** A successor reads the records of all open jobs at once and holds each twice
- * for that time. */
-job::job_memory_limits jobMemoryLimits(const settings &Settings) {
-  job::job_memory_limits Limits;
-  Limits.Open = memoryFraction(Settings, 4);
-  Limits.Background = memoryFraction(Settings, 8);
-  Limits.Ended = memoryFraction(Settings, 4);
-  return Limits;
-}
-
-job::leader_settings leaderSettings(const settings &Settings) {
-  job::leader_settings Leader;
-  Leader.Node = Settings.Name;
-  Leader.Lease =
-      std::chrono::milliseconds{std::min(LeaseMs, Settings.MaxLeaseMs)};
-  Leader.StopTime = std::chrono::milliseconds{Settings.StopMs};
-  Leader.MinVmOrderGap = std::chrono::milliseconds{Settings.MinVmOrderGapMs};
-  Leader.MoveTime = fromSeconds(Settings.MoveS);
-  Leader.MaintenanceTime = fromSeconds(Settings.MaintenanceS);
-  Leader.FairShares = Settings.FairShares;
-  Leader.LoadShedding = Settings.LoadShedding;
-  Leader.RateWindow = fromSeconds(Settings.RateWindowS);
-  Leader.Starts = startLimits(Settings);
-  Leader.JobMemory = jobMemoryLimits(Settings);
-  Leader.MaxHeartbeatsPerPass = maxHeartbeatsPerPass(Settings);
-  return Leader;
-}
-
 void logStartOfLeading(const job::leader &Leader) {
   const bool HasRules = Leader.Rules.Version != 0;
   Log.write(HasRules ? telemetry::severity::Info : telemetry::severity::Warning,
--- a/test/system/crowd_nodes.cpp
+++ b/test/system/crowd_nodes.cpp
@@ -140,6 +140,20 @@
              OnCallers || OnReadiness ? 200 : 400);
 }
 
+int platform_node::queryStatus() {
+  return statusOf(Run.Loop, callers(), get("/crowd/" + JobId), OrdinaryLimit);
+}
+
+std::string platform_node::jobRequest(const std::size_t Number,
+                                      const std::string &Body,
+                                      const std::string &Headers) {
+  // An id has 16 hexadecimal digits.
+  constexpr std::size_t FirstId = 1'000'000'000'000'000;
+  return post("/crowd/" + std::to_string(FirstId + Number), Body.size(),
+              "X-Deadline-Ms: 9223372036854775807\r\n" + Headers) +
+         Body;
+}
+
 std::string platform_node::largestJob() {
   const json Step{
       {"count", 1}, {"cpu", 1000}, {"memMb", 10}, {"estimateMs", 500}};
--- a/test/system/crowd_nodes.hpp
+++ b/test/system/crowd_nodes.hpp
@@ -91,6 +91,14 @@
   [[nodiscard]] static http::address peers() {
     return soak::node_group::peersListener(0);
   }
+  /** @return Status of a query of the node's first job; 0 without an answer. */
+  [[nodiscard]] int queryStatus();
+  /** @return A request that submits a job.
+   * @param Number Tells apart the jobs of a test; 0 to 10^15.
+   * @param Headers Further headers, each with its line break. */
+  [[nodiscard]] static std::string jobRequest(std::size_t Number,
+                                              const std::string &Body,
+                                              const std::string &Headers = {});
   /** @return A job of the largest size that is allowed. */
   [[nodiscard]] static std::string largestJob();
 
--- a/test/system/crowd_states_test.cpp
+++ b/test/system/crowd_states_test.cpp
@@ -31,15 +31,7 @@
   json Steps(StepsOfLargeJob, json{{"count", 1}, {"dependsOn", {0}}});
   Steps[0] = {{"count", 1}, {"requirements", "none"}};
   const std::string Body = json{{"spec", ""}, {"steps", Steps}}.dump();
-  constexpr std::size_t FirstId = 1'000'000'000'000'000;
-  return post("/crowd/" + std::to_string(FirstId + Number), Body.size(),
-              "X-Deadline-Ms: 9223372036854775807\r\n") +
-         Body;
-}
-
-int stateStatus(platform_node &Node) {
-  return statusOf(Node.loop(), platform_node::callers(),
-                  get("/crowd/" + Node.JobId), OrdinaryLimit);
+  return platform_node::jobRequest(Number, Body);
 }
 
 /** @return Whether the node answers the query of a job with 200 in time. */
@@ -47,7 +39,7 @@
   const time_point End = boot_clock::now() + Long;
   while (boot_clock::now() < End) {
     Node.Run.Nodes.update();
-    if (stateStatus(Node) == 200)
+    if (Node.queryStatus() == 200)
       return true;
     Node.Run.pause(std::chrono::milliseconds{100});
   }
@@ -110,7 +102,7 @@
                                   Clients,
                                   [&] { return jobOfManySteps(++Sent); }};
     Node.Run.pause(std::chrono::seconds{5});
-    BOOST_TEST(stateStatus(Node) != 0);
+    BOOST_TEST(Node.queryStatus() != 0);
   }
   Node.Run.Nodes.storeLink(0).setFault(soak::link_fault::None);
   checkSmallMachine(Node.nodeProcess());
@@ -164,7 +156,7 @@
                " HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\n\r\n";
       }};
   for (std::size_t I = 0; I < OrdinaryRequests; ++I)
-    BOOST_TEST(stateStatus(Node) == 200);
+    BOOST_TEST(Node.queryStatus() == 200);
   checkSmallMachine(Node.nodeProcess());
 }
 
@@ -195,7 +187,7 @@
   BOOST_TEST(Metrics.size() > 0U);
   BOOST_TEST(Metrics.size() < MaxMetricsBytes);
   BOOST_TEST(LogBytes < MaxLogBytes);
-  BOOST_TEST(stateStatus(Node) == 200);
+  BOOST_TEST(Node.queryStatus() == 200);
   checkSmallMachine(Node.nodeProcess());
 }
 
@@ -216,7 +208,7 @@
   const std::string Job = "0000000000000002";
   BOOST_TEST(Node.Run.submit(Job, 1, 1000, 60000));
   BOOST_TEST(Node.Run.runs(Job));
-  BOOST_TEST(stateStatus(Node) == 200);
+  BOOST_TEST(Node.queryStatus() == 200);
   BOOST_TEST(openDescriptors(Node.nodeProcess().id()) < Descriptors);
   checkSmallMachine(Node.nodeProcess());
 }
--- a/test/system/job_crowds_test.cpp
+++ b/test/system/job_crowds_test.cpp
@@ -27,6 +27,7 @@
 constexpr std::size_t ManyTasks = 20000;
 /** Span in which the processor time is measured that the jobs cost. */
 constexpr duration RestTime = std::chrono::seconds{3};
+const std::string CloseHeader = "Connection: close\r\n";
 constexpr wall_ms YearMs = std::int64_t{365} * 24 * 3600 * 1000;
 
 /** @brief A step that no VM can run, since none has its label. */
@@ -38,28 +39,13 @@
           {"requirements", "none"}};
 }
 
-/** @param Number Its decimal digits are the job's id, padded to 16. */
-std::string jobRequest(const std::size_t Number, const json &Job) {
-  const std::string Body = Job.dump();
-  constexpr std::size_t FirstId = 1'000'000'000'000'000;
-  return post("/crowd/" + std::to_string(FirstId + Number), Body.size(),
-              "Connection: close\r\nX-Deadline-Ms: 9223372036854775807\r\n") +
-         Body;
-}
-
-/** @return Status of a query of the node's first job. */
-int stateStatus(platform_node &Node) {
-  return statusOf(Node.loop(), platform_node::callers(),
-                  get("/crowd/" + Node.JobId), OrdinaryLimit);
-}
-
 /** @return Whether a killed node starts again and answers. */
 bool recovers(platform_node &Node) {
   const time_point End = boot_clock::now() + RestartLimit;
   while (boot_clock::now() < End) {
     Node.Run.Nodes.update();
     Node.Run.pause(RestartCheckInterval);
-    if (Node.Run.Nodes.incarnation(0) > 1 && stateStatus(Node) == 200)
+    if (Node.Run.Nodes.incarnation(0) > 1 && Node.queryStatus() == 200)
       return true;
   }
   return false;
@@ -72,12 +58,14 @@
   BOOST_TEST(!Node.nodeProcess().ended());
   BOOST_TEST(MemoryMb < MachineMemoryMb);
   BOOST_TEST(openDescriptors(Node.nodeProcess().id()) < MaxDescriptors);
-  BOOST_TEST(stateStatus(Node) == 200);
+  BOOST_TEST(Node.queryStatus() == 200);
   const json Step{
       {"count", 1}, {"cpu", 1000}, {"memMb", 10}, {"estimateMs", 100}};
   const json OrdinaryJob{{"spec", "100"}, {"steps", json::array({Step})}};
-  const int Status = statusOf(Node.loop(), platform_node::callers(),
-                              jobRequest(0, OrdinaryJob), OrdinaryLimit);
+  const int Status =
+      statusOf(Node.loop(), platform_node::callers(),
+               platform_node::jobRequest(0, OrdinaryJob.dump(), CloseHeader),
+               OrdinaryLimit);
   BOOST_TEST(std::ranges::count(Ordinary, Status) == 1, "status " << Status);
 }
 
@@ -86,10 +74,12 @@
 void checkCrowdOfJobs(const json &Job, const std::size_t Count,
                       const std::vector<int> &Ordinary) {
   platform_node Node{json{{"memory_mb", MachineMemoryMb}}};
+  const std::string Body = Job.dump();
   std::size_t Sent = 0;
   {
-    repeating_clients Crowd{Node.loop(), platform_node::callers(), Clients,
-                            [&] { return jobRequest(++Sent, Job); }};
+    repeating_clients Crowd{
+        Node.loop(), platform_node::callers(), Clients,
+        [&] { return platform_node::jobRequest(++Sent, Body, CloseHeader); }};
     BOOST_TEST(Crowd.awaitEnded(Count, CrowdLimit));
     for (const auto &[Status, Answers] : Crowd.ended()) {
       BOOST_TEST_MESSAGE("status " << Status << ": " << Answers);
