--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -298,11 +298,12 @@
   ++Leader.Counts->RefusedForMemory;
   const std::uint32_t RetryMs = memoryRetryMs(Leader, Limit);
   if (const auto Dropped = Leader.JobMemoryLogRate.admit(Leader.Now()))
-    Log.warning("jobs take too much memory, refusing new ones",
+    Log.warning("too many jobs, refusing new ones",
                 {{"limit", std::string{nameOf(JobMemoryLimitNames, Limit)}},
                  {"open_bytes", Leader.JobMemory.open()},
                  {"background_bytes", Leader.JobMemory.background()},
                  {"ended_bytes", Leader.JobMemory.ended()},
+                 {"long_running_jobs", Leader.JobMemory.longRunningJobs()},
                  {"retry_ms", RetryMs},
                  {"lines_dropped", *Dropped}});
   return makeRefusal("too many jobs", RetryMs);
--- a/src/galenalink/job/job_entry.hpp
+++ b/src/galenalink/job/job_entry.hpp
@@ -22,6 +22,7 @@
   std::size_t OpenBytes{0};
   std::size_t EndedBytes{0};
   bool Background{false};
+  bool LongRunning{false};
 };
 
 /** @brief A job with the leader's state about it. */
--- a/src/galenalink/job/job_memory.cpp
+++ b/src/galenalink/job/job_memory.cpp
@@ -44,10 +44,12 @@
   } else {
     Charge.OpenBytes = openBytes(Entry);
     Charge.Background = isBackground(Entry.Job.spec());
+    Charge.LongRunning = Entry.Job.spec().isLongRunning();
   }
   Open += Charge.OpenBytes;
   Background += Charge.Background ? Charge.OpenBytes : 0;
   Ended += Charge.EndedBytes;
+  LongRunningJobs += Charge.LongRunning ? 1 : 0;
 }
 
 void job_memory::release(job_entry &Entry) noexcept {
@@ -55,6 +57,7 @@
   Open -= Former.OpenBytes;
   Background -= Former.Background ? Former.OpenBytes : 0;
   Ended -= Former.EndedBytes;
+  LongRunningJobs -= Former.LongRunning ? 1 : 0;
 }
 
 std::optional<job_memory_limit>
@@ -67,6 +70,8 @@
     return job_memory_limit::Open;
   if (isBackground(Spec) && Background + Bytes > Limits.Background)
     return job_memory_limit::Background;
+  if (Spec.isLongRunning() && LongRunningJobs >= Limits.LongRunningJobs)
+    return job_memory_limit::LongRunning;
   return std::nullopt;
 }
 
--- a/src/galenalink/job/job_memory.hpp
+++ b/src/galenalink/job/job_memory.hpp
@@ -18,7 +18,8 @@
 /** @return Memory of one open occurrence, bytes. */
 [[nodiscard]] std::size_t occurrenceBytes(const job_spec &Spec) noexcept;
 
-/** @brief Limits of the memory that a leader's jobs may take, bytes. */
+/** @brief Limits of the memory that a leader's jobs may take, bytes, and of the
+ * jobs that cost processor time for as long as they last. */
 struct job_memory_limits {
   /** Jobs that have not ended, or not been compacted since. */
   std::size_t Open{std::size_t{64} << 20U};
@@ -27,14 +28,23 @@
   std::size_t Background{std::size_t{32} << 20U};
   /** Ended jobs whose state can be queried. */
   std::size_t Ended{std::size_t{64} << 20U};
+  /** Number of open jobs with a long-running step. Each pass of the leader
+   * looks at them. */
+  std::size_t LongRunningJobs{4000};
 };
 
-enum class job_memory_limit : std::uint8_t { Open, Background, Ended };
+enum class job_memory_limit : std::uint8_t {
+  Open,
+  Background,
+  Ended,
+  LongRunning
+};
 
-inline constexpr enum_names<job_memory_limit, 3> JobMemoryLimitNames{{
+inline constexpr enum_names<job_memory_limit, 4> JobMemoryLimitNames{{
     {job_memory_limit::Open, "open"},
     {job_memory_limit::Background, "background"},
     {job_memory_limit::Ended, "ended"},
+    {job_memory_limit::LongRunning, "long-running"},
 }};
 
 /** @brief Estimated memory of the jobs of a leader, by what the limits apply
@@ -59,12 +69,17 @@
   [[nodiscard]] std::size_t open() const noexcept { return Open; }
   [[nodiscard]] std::size_t background() const noexcept { return Background; }
   [[nodiscard]] std::size_t ended() const noexcept { return Ended; }
+  /** @return Number of open jobs with a long-running step. */
+  [[nodiscard]] std::size_t longRunningJobs() const noexcept {
+    return LongRunningJobs;
+  }
 
 private:
   job_memory_limits Limits;
   std::size_t Open{0};
   std::size_t Background{0};
   std::size_t Ended{0};
+  std::size_t LongRunningJobs{0};
 };
 
 } // namespace galenalink::job
--- a/src/galenalink/job_node/node_settings.cpp
+++ b/src/galenalink/job_node/node_settings.cpp
@@ -11,6 +11,11 @@
  * lease must also end well before the second leader after the one that granted
  * it starts runs. */
 constexpr std::uint32_t LeaseMs = 4500;
+/** @return Cores that the node may use. */
+double coresOf(const settings &Settings) {
+  return Settings.ProcessorShare * Settings.ProcessorSpeed;
+}
+
 duration fromSeconds(const double Seconds) {
   return duration{static_cast<std::int64_t>(Seconds * 1e6)};
 }
@@ -42,23 +47,26 @@
 constexpr double MinHeartbeats = 32;
 
 std::size_t maxHeartbeatsPerPass(const settings &Settings) {
-  const double Cores = Settings.ProcessorShare * Settings.ProcessorSpeed;
   return static_cast<std::size_t>(
-      std::max(HeartbeatsPerCore * Cores, MinHeartbeats));
+      std::max(HeartbeatsPerCore * coresOf(Settings), MinHeartbeats));
 }
 
 job::start_limits startLimits(const settings &Settings) {
-  const double Cores = Settings.ProcessorShare * Settings.ProcessorSpeed;
   const double BytesPerPeriod = Settings.LinkMbit * BytesPerSecondPerMbit *
                                 toSeconds(job::start_window::Period);
   job::start_limits Limits;
   Limits.Orders = static_cast<std::size_t>(
-      std::clamp(StartsPerCore * Cores, MinStarts, MaxStarts));
+      std::clamp(StartsPerCore * coresOf(Settings), MinStarts, MaxStarts));
   Limits.Bytes = static_cast<std::size_t>(
       std::max(BytesPerPeriod * StartsLinkShare, MinStartBytes));
   return Limits;
 }
 
+/** Jobs with a long-running step for each core that the node may use. While
+ * they wait for room, this many cost the leader some 7% of its core. */
+constexpr double LongRunningJobsPerCore = 4000;
+constexpr double MinLongRunningJobs = 200;
+
 /** A successor reads the records of all open jobs at once and holds each twice
  * for that time. */
 job::job_memory_limits jobMemoryLimits(const settings &Settings) {
@@ -66,6 +74,8 @@
   Limits.Open = memoryFraction(Settings, 4);
   Limits.Background = memoryFraction(Settings, 8);
   Limits.Ended = memoryFraction(Settings, 4);
+  Limits.LongRunningJobs = static_cast<std::size_t>(
+      std::max(LongRunningJobsPerCore * coresOf(Settings), MinLongRunningJobs));
   return Limits;
 }
 
--- a/test/galenalink/job/job_memory.cpp
+++ b/test/galenalink/job/job_memory.cpp
@@ -74,6 +74,26 @@
               verdict::Ok);
 }
 
+// Jobs that last until they are cancelled cost processor time all the while.
+BOOST_AUTO_TEST_CASE(number_of_long_running_jobs_is_bounded) {
+  one_pool Platform{1};
+  Platform.JobMemory.LongRunningJobs = 2;
+  Platform.elect();
+  Platform.advance(Second);
+  const job_spec Spec = makeJob({makeLongRunningStep(1, 0)});
+  const auto Submit = [&](const std::string &Id) {
+    const auto Reply = Platform.submit("press", Id, Spec);
+    BOOST_REQUIRE(Reply);
+    return Reply->Verdict;
+  };
+  BOOST_CHECK(Submit("a") == verdict::Ok);
+  BOOST_CHECK(Submit("b") == verdict::Ok);
+  BOOST_CHECK(Submit("c") == verdict::Refused);
+  Platform.Leader->cancel({"a", "press"}, [](const caller_reply &) {});
+  Platform.advance(3 * Second);
+  BOOST_CHECK(Submit("c") == verdict::Ok);
+}
+
 // Occurrences that pile up must not take more memory than the limit.
 BOOST_AUTO_TEST_CASE(occurrences_that_pile_up_are_bounded) {
   small_leader Platform;
--- a/test/system/job_crowds_test.cpp
+++ b/test/system/job_crowds_test.cpp
@@ -118,6 +118,32 @@
                    JobsOfManyTasks, {200});
 }
 
+// Each job that lasts and can't be placed costs the leader processor time in
+// every pass. The number that is accepted must follow the node's share of a
+// core.
+BOOST_AUTO_TEST_CASE(long_running) {
+  constexpr std::size_t Jobs = 2000;
+  constexpr double ProcessorShare = 0.12;
+  constexpr std::size_t MaxAccepted = 500;
+  platform_node Node{json{{"memory_mb", MachineMemoryMb},
+                          {"processor_share", ProcessorShare}}};
+  json Step = neverPlaced(1);
+  Step["longRunning"] = true;
+  const std::string Body =
+      json{{"spec", ""}, {"steps", json::array({Step})}}.dump();
+  std::size_t Sent = 0;
+  {
+    repeating_clients Crowd{
+        Node.loop(), platform_node::callers(), Clients,
+        [&] { return platform_node::jobRequest(++Sent, Body, CloseHeader); }};
+    BOOST_TEST(Crowd.awaitEnded(Jobs, CrowdLimit));
+    const auto Accepted = Crowd.ended().find(200);
+    BOOST_REQUIRE(Accepted != Crowd.ended().end());
+    BOOST_TEST(Accepted->second <= MaxAccepted);
+  }
+  checkNode(Node, {200});
+}
+
 // Such jobs are like ordinary ones, so that these are refused as well.
 BOOST_AUTO_TEST_CASE(many_tasks) {
   checkCrowdOfJobs(
