--- a/apps/galenalinkd.cpp
+++ b/apps/galenalinkd.cpp
@@ -20,19 +20,6 @@
 constexpr int ExitBadInput = 2;
 constexpr int ExitUnavailable = 3;
 
-/** Larger blocks are mapped one by one, so that their memory is returned to the
- * system when they are freed. */
-constexpr int MinMappedBlockBytes = 256 << 10;
-
-/** @brief Keeps the C library from raising the size of mapped blocks to that of
- * the largest block freed, after which the bodies of large requests would stay
- * on the heap. */
-void returnLargeBlocks() {
-#ifdef __GLIBC__
-  mallopt(M_MMAP_THRESHOLD, MinMappedBlockBytes);
-#endif
-}
-
 /** @brief Parses the settings file and prints every error in it.
  * @return Whether the settings are valid. */
 template <typename Settings>
@@ -51,7 +38,21 @@
 }
 
 #ifdef GALENALINK_EMBEDDED
+/** Larger blocks are mapped one by one, so that their memory is returned to the
+ * system when they are freed. */
+constexpr int MinMappedBlockBytes = 256 << 10;
+
+/** @brief Keeps the C library from raising the size of mapped blocks to that of
+ * the largest block freed, after which the bodies of large requests would stay
+ * on the heap. */
+void returnLargeBlocks() {
+#ifdef __GLIBC__
+  mallopt(M_MMAP_THRESHOLD, MinMappedBlockBytes);
+#endif
+}
+
 [[nodiscard]] result<int> serve(const config::settings &Settings) {
+  returnLargeBlocks();
   BOOST_LEAF_AUTO(Secrets, node::readSecrets(Settings));
   http::loop Loop;
   node::application Application{Loop, Settings, Secrets};
@@ -111,7 +112,6 @@
 int main(int Argc, char **Argv) {
   // SIGHUP may arrive before its handler is set, and would end the process.
   std::signal(SIGHUP, SIG_IGN);
-  returnLargeBlocks();
   CLI::App App{"Node daemon of galenalink.", "galenalinkd"};
   App.set_version_flag("--version", "galenalinkd " GALENALINK_VERSION);
   App.footer("Example:\n  galenalinkd --settings node.json\n"
