--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -28,7 +28,7 @@
                                 ("galenalink-review-3-" +
                                  std::to_string(::getpid()))},
         Store{Loop, Record}, Fleet{Loop, Store, Record},
-        Nodes{Directory, Record}, Caller{Loop, Nodes, Record} {
+        Nodes{Loop, Directory, Record}, Caller{Loop, Nodes, Record} {
     std::filesystem::create_directories(Directory);
   }
   ~world() {
@@ -390,6 +390,69 @@
   return judgeVictim(World, "/archive/" + Id, Id, "press", Steps, 110);
 }
 
+/**
+ * A job that runs three times, each time with 12,000 short tasks. The leader is
+ * cut off from the store when the first time is nearly done.
+ */
+int runTimes(world &World) {
+  constexpr std::size_t Tasks = 12000;
+  constexpr std::size_t Times = 3;
+  /** Tasks of the first time that are left when the cut begins. */
+  constexpr std::size_t Left = 600;
+  /** Length of a cut at the site. */
+  constexpr duration CutTime = 5500 * Millisecond;
+  for (int I = 0; I < 4; ++I)
+    World.Fleet.add("press-" + std::to_string(I), "press");
+  World.publish(json::array({route("archive", "/archive/", "press", 4)}),
+                {"press"});
+  World.startNodes(1);
+  if (!World.Caller.await([&] { return World.Fleet.fence() > 0; }, 10 * Second))
+    return CannotRun;
+  World.startNodes(2);
+  const std::uint64_t First = World.Fleet.fence();
+  World.Caller.pause(2 * Second);
+  const std::string Id = jobId(0xa1);
+  json Job = jobOf(taskSpec(50, 100), Tasks);
+  Job["times"] = Times;
+  Job["startAtMs"] = wallNow();
+  Job["intervalMs"] = 1000;
+  if (!World.submit("/archive/" + Id, Job))
+    return CannotRun;
+  const auto &Runs = World.Fleet.Jobs[Id];
+  const bool NearlyDone = World.Caller.await(
+      [&] { return Runs.TasksDone.size() >= Tasks - Left; }, 40 * Second);
+  if (!NearlyDone || World.Fleet.fence() != First)
+    return CannotRun;
+  if (trouble()) {
+    World.Nodes.cutFromStore(0, true);
+    World.Caller.pause(CutTime);
+    World.Nodes.cutFromStore(0, false);
+    World.Record.line("token at the executors before the cut " +
+                      std::to_string(First) + ", now " +
+                      std::to_string(World.Fleet.fence()));
+  }
+  World.Caller.await([&] { return Runs.TasksDone.size() >= Times * Tasks; },
+                     (110 * Second) -
+                         duration{static_cast<std::int64_t>(
+                             World.Record.elapsed() * 1e6)});
+  World.Caller.pause(2 * Second);
+  std::size_t Twice = 0;
+  for (const auto &Each : Runs.StartedAfterDone)
+    Twice += Runs.TasksNoted.contains(Each) ? 1 : 0;
+  World.Record.line(
+      std::to_string(Runs.TasksDone.size()) + " tasks done, " +
+      std::to_string(Runs.Starts) + " starts, " +
+      std::to_string(Runs.StartedAfterDone.size()) +
+      " tasks started again after a run of theirs had ended done, of which " +
+      std::to_string(Twice) + " had such an end taken note of; state " +
+      World.state("/archive/" + Id));
+  if (Twice > 0) {
+    World.Record.line("TWICE broken");
+    return Broken;
+  }
+  return Runs.TasksDone.size() >= Times * Tasks ? Held : CannotRun;
+}
+
 } // namespace
 
 int main(const int Count, char **Words) {
@@ -402,7 +465,8 @@
       {"attempts", runAttempts},
       {"checkpoint", runCheckpoint},
       {"long", runLong},
-      {"poison", runPoison}};
+      {"poison", runPoison},
+      {"times", runTimes}};
   const auto Found = Cases.find(Words[1]);
   if (Found == Cases.end())
     return CannotRun;
--- a/review/standins-3/platform.cpp
+++ b/review/standins-3/platform.cpp
@@ -349,6 +349,13 @@
   return {Used, Total};
 }
 
+std::uint64_t fleet::fence() const {
+  std::uint64_t Lowest = Machines.empty() ? 0 : ~std::uint64_t{0};
+  for (const auto &Each : Machines)
+    Lowest = std::min(Lowest, Each->Fence);
+  return Lowest;
+}
+
 void fleet::setSilent(const std::string &Name, const bool Silent) {
   for (const auto &Each : Machines) {
     if (Each->Name == Name)
@@ -387,8 +394,13 @@
     stop(Machine, Exchange, Body);
   } else if (Exchange.path() == "/hold") {
     const std::uint64_t Seen = Body.value("lastSeen", std::uint64_t{0});
-    while (!Machine.Ends.empty() && Machine.Ends.front().N <= Seen)
+    while (!Machine.Ends.empty() && Machine.Ends.front().N <= Seen) {
+      const ended &Each = Machine.Ends.front();
+      if (Each.How == "done" && !Each.Lapsed)
+        Jobs[Each.Task.substr(0, Each.Task.find('.'))].TasksNoted.insert(
+            Each.Task);
       Machine.Ends.pop_front();
+    }
     const auto WaitMs =
         std::min<std::int64_t>(Body.value("waitMs", std::int64_t{0}), 2000);
     if (!Machine.Ends.empty() || WaitMs == 0)
@@ -434,6 +446,13 @@
     job_runs &Job = Jobs[Task.substr(0, Task.find('.'))];
     ++Job.Starts;
     ++Job.Running;
+    if (Job.TasksDone.contains(Task) &&
+        Job.StartedAfterDone.insert(Task).second &&
+        Job.StartedAfterDone.size() <= 10)
+      Record.line(Machine.Name + ": start of " + Task + " run " +
+                  std::to_string(Number) + " with token " +
+                  std::to_string(Machine.Fence) +
+                  " after a run of it has ended done");
     Job.BusyAt = Now;
     if (LogRuns)
       Record.line(Machine.Name + ": start " + Task + " run " +
@@ -583,6 +602,10 @@
     if (Now >= Machine.NextBeat)
       registerIt(Machine);
     const bool Lapsed = Machine.clockMs() > Machine.LeaseEnd;
+    if (Lapsed) {
+      for (auto &End : Machine.Ends)
+        End.Lapsed = true;
+    }
     std::vector<std::pair<std::pair<std::string, std::uint64_t>, std::string>>
         Ending;
     for (const auto &[Key, Run] : Machine.Running) {
@@ -611,6 +634,7 @@
   Node.Name = "front-" + std::to_string(All.size() + 1);
   Node.Callers = {"127.0.0.1", freePort()};
   Node.Settings = Directory / (Node.Name + ".json");
+  Node.StoreLink = std::make_unique<soak::tcp_proxy>(Loop, Store);
   // The fields of deploy/settings.json, with figures of a small deployment.
   std::ofstream{Node.Settings}
       << json{{"name", Node.Name},
@@ -618,7 +642,7 @@
               {"callers", toString(Node.Callers)},
               {"readiness", "127.0.0.1:" + std::to_string(freePort())},
               {"peers", {{"host", "127.0.0.1"}, {"port", freePort()}}},
-              {"store", toString(Store)},
+              {"store", toString(Node.StoreLink->address())},
               {"vm_list", toString(List)},
               {"advice", ""},
               {"max_lease_ms", 6000},
@@ -652,6 +676,13 @@
                               [](auto &Each) { return Each.Process->ended(); });
 }
 
+void nodes::cutFromStore(const std::size_t Node, const bool Cut) {
+  Record.line(All.at(Node).Name + (Cut ? " is cut off from the store"
+                                       : " reaches the store again"));
+  All.at(Node).StoreLink->setFault(Cut ? soak::link_fault::Silent
+                                       : soak::link_fault::None);
+}
+
 void nodes::signal(const std::size_t Node, const int Signal) {
   Record.line(All.at(Node).Name + " gets signal " + std::to_string(Signal));
   All.at(Node).Process->signal(Signal);
--- a/review/standins-3/platform.hpp
+++ b/review/standins-3/platform.hpp
@@ -8,6 +8,7 @@
 #include "galenalink/http/client.hpp"
 #include "galenalink/http/loop.hpp"
 #include "galenalink/http/server.hpp"
+#include "soak/tcp_proxy.hpp"
 #include "system/process.hpp"
 #include <cstdint>
 #include <deque>
@@ -118,6 +119,11 @@
     std::uint64_t Running{0};
     std::map<std::string, std::uint64_t> Ends;
     std::set<std::string> TasksDone;
+    /** Tasks with a `done` end that was taken note of: `lastSeen` reached it,
+     * and no lease lapsed between the two. */
+    std::set<std::string> TasksNoted;
+    /** Tasks that started after a run of theirs had ended `done`. */
+    std::set<std::string> StartedAfterDone;
     /** When a task of it was last at work. */
     time_point BusyAt{NoDeadline};
   };
@@ -126,6 +132,8 @@
   /** @return Thousandths of a core in use and in total in a pool. */
   [[nodiscard]] std::pair<std::int64_t, std::int64_t>
   load(const std::string &Pool) const;
+  /** @return Highest fencing token that every executor has seen. */
+  [[nodiscard]] std::uint64_t fence() const;
   /** @brief Lets an executor stop answering, or answer again. */
   void setSilent(const std::string &Machine, bool Silent);
   /** Length of leases that the executors permit, `maxHoldMs`. */
@@ -148,6 +156,7 @@
     std::uint64_t Number;
     std::string How;
     std::string Checkpoint;
+    bool Lapsed{false};
   };
   struct hold {
     http::exchange Exchange;
@@ -206,8 +215,9 @@
 /** @brief Node processes, started with the command of deploy/system.toml. */
 class nodes {
 public:
-  nodes(const std::filesystem::path &Directory, record &Record)
-      : Directory{Directory}, Record{Record} {}
+  nodes(http::loop &Loop, const std::filesystem::path &Directory,
+        record &Record)
+      : Loop{Loop}, Directory{Directory}, Record{Record} {}
   void add(const http::address &Store, const http::address &List);
   [[nodiscard]] std::size_t size() const { return All.size(); }
   [[nodiscard]] http::address callers(std::size_t Node) const {
@@ -215,6 +225,9 @@
   }
   /** @return Whether no process has ended. */
   [[nodiscard]] bool allRunning();
+  /** @brief Cuts a node off from the store, or ends the cut: what is sent in
+   * between arrives afterwards or not at all. */
+  void cutFromStore(std::size_t Node, bool Cut);
   void signal(std::size_t Node, int Signal);
   void restart(std::size_t Node);
   [[nodiscard]] std::filesystem::path log(std::size_t Node) const;
@@ -224,9 +237,11 @@
     std::string Name;
     http::address Callers;
     std::filesystem::path Settings;
+    std::unique_ptr<soak::tcp_proxy> StoreLink;
     std::unique_ptr<system_test::process> Process;
   };
   void start(node &Node);
+  http::loop &Loop;
   std::filesystem::path Directory;
   record &Record;
   std::vector<node> All;
