--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -6,6 +6,7 @@
 #include "platform.hpp"
 #include <cstdio>
 #include <iostream>
+#include <sstream>
 #include <unistd.h>
 
 using namespace galenalink;
@@ -133,12 +134,12 @@
         World.Record.elapsed() > World.TrafficEndS + FinishS + LostS;
     if (!Judged || Job.Running > 0 || IdleS < LostS + 1 || 2 * Used >= Total)
       continue;
-    World.Record.line("LOST broken: for " + std::to_string(IdleS) +
-                      " s the job " + Id + " has had nothing running; " +
-                      std::to_string(Job.TasksDone.size()) + " of its " +
-                      std::to_string(Tasks) + " tasks are done; pool " + Pool +
-                      " uses " + std::to_string(Used) + " of " +
-                      std::to_string(Total) + " thousandths of a core");
+    std::ostringstream Text;
+    Text << "LOST broken: for " << IdleS << " s the job " << Id
+         << " has had nothing running; " << Job.TasksDone.size() << " of its "
+         << Tasks << " tasks are done; pool " << Pool << " uses " << Used
+         << " of " << Total << " thousandths of a core";
+    World.Record.line(Text.str());
     for (std::size_t I = 0; I < World.Nodes.size(); ++I)
       World.Record.line("state shown by node " + std::to_string(I + 1) + ": " +
                         World.state(Path, I));
@@ -432,9 +433,8 @@
                       std::to_string(World.Fleet.fence()));
   }
   World.Caller.await([&] { return Runs.TasksDone.size() >= Times * Tasks; },
-                     (110 * Second) -
-                         duration{static_cast<std::int64_t>(
-                             World.Record.elapsed() * 1e6)});
+                     (110 * Second) - duration{static_cast<std::int64_t>(
+                                          World.Record.elapsed() * 1e6)});
   World.Caller.pause(2 * Second);
   std::size_t Twice = 0;
   for (const auto &Each : Runs.StartedAfterDone)
@@ -461,12 +461,9 @@
     return CannotRun;
   }
   const std::map<std::string, int (*)(world &)> Cases{
-      {"names", runNames},
-      {"attempts", runAttempts},
-      {"checkpoint", runCheckpoint},
-      {"long", runLong},
-      {"poison", runPoison},
-      {"times", runTimes}};
+      {"names", runNames},           {"attempts", runAttempts},
+      {"checkpoint", runCheckpoint}, {"long", runLong},
+      {"poison", runPoison},         {"times", runTimes}};
   const auto Found = Cases.find(Words[1]);
   if (Found == Cases.end())
     return CannotRun;
--- a/review/standins-3/platform.cpp
+++ b/review/standins-3/platform.cpp
@@ -495,7 +495,7 @@
 }
 
 void fleet::end(machine &Machine,
-                const std::pair<std::string, std::uint64_t> Key,
+                const std::pair<std::string, std::uint64_t> &Key,
                 const std::string &How, const bool Reported) {
   const run Run = Machine.Running.at(Key);
   Machine.Running.erase(Key);
--- a/review/standins-3/platform.hpp
+++ b/review/standins-3/platform.hpp
@@ -5,11 +5,11 @@
 // servers ("executors" on the wire), the list of VMs and the node processes.
 // They follow PROTOCOL.md; each deviation belongs to one case and is set by it.
 
+#include "../../test/soak/tcp_proxy.hpp"
+#include "../../test/system/process.hpp"
 #include "galenalink/http/client.hpp"
 #include "galenalink/http/loop.hpp"
 #include "galenalink/http/server.hpp"
-#include "soak/tcp_proxy.hpp"
-#include "system/process.hpp"
 #include <cstdint>
 #include <deque>
 #include <filesystem>
@@ -192,7 +192,7 @@
   void start(machine &Machine, http::exchange &Exchange, const json &Body);
   void stop(machine &Machine, http::exchange &Exchange, const json &Body);
   void answerHold(machine &Machine, http::exchange &Exchange);
-  void end(machine &Machine, std::pair<std::string, std::uint64_t> Key,
+  void end(machine &Machine, const std::pair<std::string, std::uint64_t> &Key,
            const std::string &How, bool Reported = true);
   void handleList(http::exchange Exchange);
   void update();
