--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,7 +6,7 @@
 mkdir -p target/review-3
 libraries=target/src/galenalink
 g++ -std=c++20 -O2 -DNDEBUG -DBOOST_LOG_DYN_LINK -Isrc -Itest -Ireview/standins-3 \
-  review/standins-3/cases.cpp review/standins-3/platform.cpp \
+  review/standins-3/cases.cc review/standins-3/platform.cc \
   test/system/process.cpp test/soak/tcp_proxy.cpp \
   "$libraries/http/libgalenalink_http.a" \
   "$libraries/telemetry/libgalenalink_telemetry.a" \
--- a/review/standins-3/platform.hpp
+++ b/review/standins-3/platform.hh
@@ -119,11 +119,18 @@
     std::uint64_t Running{0};
     std::map<std::string, std::uint64_t> Ends;
     std::set<std::string> TasksDone;
-    /** Tasks with a `done` end that was taken note of: `lastSeen` reached it,
-     * and no lease lapsed between the two. */
-    std::set<std::string> TasksNoted;
-    /** Tasks that started after a run of theirs had ended `done`. */
-    std::set<std::string> StartedAfterDone;
+    /** Runs by task that have ended `done`. */
+    std::map<std::string, std::set<std::uint64_t>> DoneRuns;
+    /** Those of them whose end was taken note of: `lastSeen` reached it, and no
+     * lease of the executor lapsed between the two. */
+    std::map<std::string, std::set<std::uint64_t>> NotedRuns;
+    /** For each start after a run of the task had ended `done`: the task, and
+     * the runs that had. */
+    std::vector<std::pair<std::string, std::set<std::uint64_t>>>
+        StartsAfterDone;
+    /** @return Starts after a `done` end that was taken note of then or later.
+     */
+    [[nodiscard]] std::size_t startsAfterNotedEnd() const;
     /** When a task of it was last at work. */
     time_point BusyAt{NoDeadline};
   };
