--- a/review/standins-3/cases.cc
+++ b/review/standins-3/cases.cc
@@ -255,6 +255,13 @@
   const std::string Poison = "/imports/" + jobId(0xb1);
   if (!World.submit(Poison, jobOf(taskSpec(20, 50, trouble()), PoisonTasks)))
     return CannotRun;
+  // One job in twenty of the queue can never be done, as at the site.
+  for (std::size_t I = 1; I < 20; ++I) {
+    World.TrafficEndS = World.Record.elapsed();
+    World.Caller.post("/imports/" + jobId(0xb100 + I),
+                      jobOf(taskSpec(50, 500), 1).dump(), I % 3, [](int) {});
+    World.Caller.pause(100 * Millisecond);
+  }
   const int Result =
       judgeVictim(World, Victim, VictimId, "bindery", VictimTasks, 110);
   const auto &Job = World.Fleet.Jobs[jobId(0xb1)];
