Split run ends and occurrences off runs and leader

Change: run_ends.{hpp,cpp} applies reported ends, occurrences.{hpp,cpp} opens occurrences and sets their objectives. Code is moved only.

Measured: test_job passes (x86-64), no behaviour changes.

--- a/src/galenalink/job/callers.cpp
+++ b/src/galenalink/job/callers.cpp
@@ -2,6 +2,7 @@
 #include "galenalink/job/access.hpp"
 #include "galenalink/job/customers.hpp"
 #include "galenalink/job/job_limits.hpp"
+#include "galenalink/job/occurrences.hpp"
 #include "galenalink/job/pool_load.hpp"
 #include "galenalink/telemetry/log.hpp"
 #include <algorithm>
--- a/src/galenalink/job/controller.cpp
+++ b/src/galenalink/job/controller.cpp
@@ -2,6 +2,7 @@
 #include "galenalink/job/callers.hpp"
 #include "galenalink/job/dispatch.hpp"
 #include "galenalink/job/maintenance.hpp"
+#include "galenalink/job/occurrences.hpp"
 #include "galenalink/job/pacing.hpp"
 #include "galenalink/job/pool_load.hpp"
 #include "galenalink/job/pool_sizes.hpp"
--- a/src/galenalink/job/heartbeats.cpp
+++ b/src/galenalink/job/heartbeats.cpp
@@ -1,4 +1,6 @@
 #include "galenalink/job/heartbeats.hpp"
+#include "galenalink/job/occurrences.hpp"
+#include "galenalink/job/run_ends.hpp"
 #include "galenalink/job/runs.hpp"
 #include "galenalink/telemetry/log.hpp"
 #include <algorithm>
--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -1,6 +1,6 @@
 #include "galenalink/job/leader.hpp"
 #include "galenalink/job/customers.hpp"
-#include "galenalink/job/job_limits.hpp"
+#include "galenalink/job/occurrences.hpp"
 #include "galenalink/job/runs.hpp"
 #include "galenalink/telemetry/log.hpp"
 #include <algorithm>
@@ -11,28 +11,6 @@
 
 constexpr telemetry::logger Log{"leader"};
 
-/** Multiple of its objective after which an occurrence has no more value. */
-constexpr double ExpiryFactor = 3;
-
-duration fromMs(const double Ms) {
-  return duration{static_cast<std::int64_t>(Ms * 1000)};
-}
-
-void setObjective(leader &Leader, const job_entry &Entry,
-                  occurrence &Occurrence) {
-  const job_rule *Rule = Entry.Job.rule();
-  const double Stretch = Rule == nullptr ? 1 : Rule->Stretch;
-  const double SlackMs = Rule == nullptr ? 0 : Rule->SlackMs;
-  const double ObjectiveMs = Stretch * criticalPathMs(Leader, Entry.Job.queue(),
-                                                      Rule, Entry.Job.spec()) +
-                             SlackMs;
-  const time_point From =
-      Leader.Now() - fromMs(static_cast<double>(std::max<wall_ms>(
-                         Leader.Wall() - Occurrence.DueMs, 0)));
-  Occurrence.Objective = From + fromMs(ObjectiveMs);
-  Occurrence.Expiry = From + fromMs(ObjectiveMs * ExpiryFactor);
-}
-
 } // namespace
 
 leader::leader(const ports &Ports, leader_settings Settings,
@@ -144,52 +122,6 @@
   stopJobRuns(Leader, Entry.Job.id());
 }
 
-void setObjectives(leader &Leader, job_entry &Entry) {
-  for (auto &Each : Entry.Job.openOccurrences())
-    setObjective(Leader, Entry, Each);
-}
-
-namespace {
-
-/** @brief Whether one more occurrence may be open; otherwise it is opened once
- * earlier ones are done. */
-bool hasRoomForOccurrence(const leader &Leader, const job_entry &Entry) {
-  const std::size_t Open = Entry.Job.openOccurrences().size();
-  if (Open == 0)
-    return true;
-  return (Open + 1) * taskCount(Entry.Job.spec()) <= limits::MaxTasks &&
-         Leader.JobMemory.fitsOccurrence(Entry);
-}
-
-occurrence &openNextOccurrence(leader &Leader, job_entry &Entry) {
-  occurrence &Opened = Entry.Job.openNext();
-  updateIndexes(Leader, Entry);
-  setObjective(Leader, Entry, Opened);
-  requestDispatch(Leader, Entry.Job.pool());
-  return Opened;
-}
-
-} // namespace
-
-void openDueOccurrences(leader &Leader, job_entry &Entry) {
-  while (Entry.Job.isNextDue(Leader.Wall()) &&
-         hasRoomForOccurrence(Leader, Entry))
-    openNextOccurrence(Leader, Entry);
-}
-
-void openReportedOccurrence(leader &Leader, job_entry &Entry,
-                            const std::uint32_t Number) {
-  while (Entry.Job.openedCount() <= Number && Entry.Job.nextDue() &&
-         hasRoomForOccurrence(Leader, Entry)) {
-    occurrence &Opened = openNextOccurrence(Leader, Entry);
-    const std::chrono::milliseconds UntilDue{Opened.DueMs - Leader.Wall()};
-    for (auto &Step : Opened.Steps) {
-      for (auto &Task : Step.Tasks)
-        Task.NotBefore = Leader.Now() + UntilDue;
-    }
-  }
-}
-
 namespace {
 
 /** @brief Length of the longest chain of dependent steps, ms.
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -289,16 +289,6 @@
 /** @brief Removes an ended job from the open jobs and stops its runs. The
  * progress is stored by the caller. */
 void endJob(leader &Leader, job_entry &Entry);
-/** @brief Computes the deadlines of all open occurrences from the job's rule.
- */
-void setObjectives(leader &Leader, job_entry &Entry);
-/** @brief Opens all due occurrences and sets their deadlines. */
-void openDueOccurrences(leader &Leader, job_entry &Entry);
-/** @brief Opens the occurrences up to one of which a backend server reports a
- * run: an earlier leader opened it, by a clock that may be ahead of this
- * node's. Its other tasks wait until it is due. */
-void openReportedOccurrence(leader &Leader, job_entry &Entry,
-                            std::uint32_t Number);
 /** @brief Critical path of a job by the predicted durations of its steps,
  * including the wait for tickets, ms. */
 [[nodiscard]] double criticalPathMs(const leader &Leader,
--- a/src/galenalink/job/recovery.cpp
+++ b/src/galenalink/job/recovery.cpp
@@ -1,6 +1,7 @@
 #include "galenalink/job/recovery.hpp"
 #include "galenalink/job/customers.hpp"
 #include "galenalink/job/job_limits.hpp"
+#include "galenalink/job/occurrences.hpp"
 #include "galenalink/job/pool_load.hpp"
 #include "galenalink/job/server_watch.hpp"
 #include "galenalink/telemetry/log.hpp"
--- a/src/galenalink/job/runs.hpp
+++ b/src/galenalink/job/runs.hpp
@@ -33,8 +33,6 @@
  * @param EndedAt When the runs had ended at the latest; now if not set. */
 void markServerLost(leader &Leader, server &Server, std::string_view Reason,
                     std::optional<time_point> EndedAt = std::nullopt);
-/** @brief Applies a run end that a backend server reports. */
-void applyRunEnd(leader &Leader, server &Server, const listed_end &End);
 /** @brief Sends stop requests again that had no response. */
 void resendStops(leader &Leader, server &Server);
 
--- a/test/galenalink/job/leader_test.cpp
+++ b/test/galenalink/job/leader_test.cpp
@@ -1,4 +1,4 @@
-#include "galenalink/job/runs.hpp"
+#include "galenalink/job/run_ends.hpp"
 #include "one_pool.hpp"
 
 using namespace galenalink;
