Log and count run ends that change no task

Cause: a leader acknowledges an end by its number, whatever became of it.

Change: "run ended" has the attribute "ignored" with the reason if the end changes no task; galenalink_run_ends_ignored_total counts those that were done or failed, by reason.

--- a/src/galenalink/job/counters.hpp
+++ b/src/galenalink/job/counters.hpp
@@ -31,6 +31,8 @@
   std::uint64_t StartsUnknown{0};
   /** Ended runs by outcome. */
   std::map<run_outcome, std::uint64_t> Ends;
+  /** Ends done or failed that changed no task. */
+  std::map<ignored_end, std::uint64_t> IgnoredEnds;
   /** Jobs that failed because a task reached its attempt limit. */
   std::uint64_t JobsFailed{0};
   /** Failed runs of jobs whose attempt limit was not known. */
--- a/src/galenalink/job/run_ends.cpp
+++ b/src/galenalink/job/run_ends.cpp
@@ -87,27 +87,67 @@
   }
 }
 
+/** @return Why the end changes no task; `nullopt` if it counts for one. */
+std::optional<ignored_end> findIgnoredReason(job_entry *Entry,
+                                             const listed_end &End) {
+  if (Entry == nullptr)
+    return ignored_end::UnknownJob;
+  job &Job = Entry->Job;
+  if (Job.ended())
+    return ignored_end::JobEnded;
+  const task_id &Id = End.Run.Task;
+  const step_spec *Step = Job.stepSpec(Id);
+  if (Step == nullptr || Id.Index >= Step->Count ||
+      Id.Occurrence >= Job.spec().occurrences())
+    return ignored_end::UnknownTask;
+  const task *Task = Job.find(Id);
+  if (Task == nullptr)
+    return Id.Occurrence < Job.openedCount() ? ignored_end::OccurrenceDone
+                                             : ignored_end::OccurrenceNotOpen;
+  return Task->Done ? std::optional{ignored_end::TaskDone} : std::nullopt;
+}
+
+void logRunEnd(const server &Server, const listed_end &End,
+               const std::optional<ignored_end> Ignored) {
+  std::vector<telemetry::attribute> Line{
+      {"run", toText(End.Run)},
+      {"server", Server.Entry.Id},
+      {"number", End.Number},
+      {"how", std::string{nameOf(RunOutcomeNames, End.Outcome)}}};
+  if (Ignored)
+    Line.emplace_back("ignored",
+                      std::string{nameOf(IgnoredEndNames, *Ignored)});
+  Log.write(telemetry::severity::Info, "run ended", Line);
+}
+
+/** @brief Stores the checkpoint of an end, from which the next run starts. */
+void applyCheckpoint(leader &Leader, job_entry &Entry, const listed_end &End) {
+  task *Task = Entry.Job.find(End.Run.Task);
+  if (Task == nullptr || Task->Done || End.Checkpoint.empty() ||
+      End.Checkpoint == Task->Checkpoint)
+    return;
+  Task->Checkpoint = End.Checkpoint;
+  recordProgress(Leader, Entry);
+}
+
 } // namespace
 
 void applyRunEnd(leader &Leader, server &Server, const listed_end &End) {
-  Log.info("run ended",
-           {{"run", toText(End.Run)},
-            {"server", Server.Entry.Id},
-            {"number", End.Number},
-            {"how", std::string{nameOf(RunOutcomeNames, End.Outcome)}}});
-  ++Leader.Counts->Ends[End.Outcome];
   job_entry *Entry = Leader.findJob(End.Run.Task.Job);
-  if (Entry != nullptr && !Entry->Job.ended()) {
+  if (Entry != nullptr)
     openReportedOccurrence(Leader, *Entry, End.Run.Task.Occurrence);
-    task *Task = Entry->Job.find(End.Run.Task);
-    if (Task != nullptr && !End.Checkpoint.empty() && !Task->Done &&
-        End.Checkpoint != Task->Checkpoint) {
-      Task->Checkpoint = End.Checkpoint;
-      recordProgress(Leader, *Entry);
-    }
-    if (End.Outcome == run_outcome::Done)
+  const bool Done = End.Outcome == run_outcome::Done;
+  const bool Failed = End.Outcome == run_outcome::Failed;
+  const auto Ignored = findIgnoredReason(Entry, End);
+  logRunEnd(Server, End, Ignored);
+  ++Leader.Counts->Ends[End.Outcome];
+  if (Ignored && (Done || Failed))
+    ++Leader.Counts->IgnoredEnds[*Ignored];
+  if (Entry != nullptr && !Entry->Job.ended()) {
+    applyCheckpoint(Leader, *Entry, End);
+    if (Done)
       applyDone(Leader, Server, *Entry, End.Run);
-    else if (End.Outcome == run_outcome::Failed)
+    else if (Failed)
       applyFailure(Leader, Server, *Entry, End.Run);
   }
   releaseRun(Leader, Server, End.Run);
--- a/src/galenalink/job/types.hpp
+++ b/src/galenalink/job/types.hpp
@@ -147,6 +147,27 @@
     {run_outcome::GangIncomplete, "alone"},
 }};
 
+/** @brief Why the end of a run that a backend server reports changes no task.
+ */
+enum class ignored_end : std::uint8_t {
+  UnknownJob,
+  JobEnded,
+  OccurrenceDone,
+  /** An earlier leader opened the occurrence; this one has not. */
+  OccurrenceNotOpen,
+  UnknownTask,
+  TaskDone,
+};
+
+inline constexpr enum_names<ignored_end, 6> IgnoredEndNames{{
+    {ignored_end::UnknownJob, "unknown-job"},
+    {ignored_end::JobEnded, "job-ended"},
+    {ignored_end::OccurrenceDone, "occurrence-done"},
+    {ignored_end::OccurrenceNotOpen, "occurrence-not-open"},
+    {ignored_end::UnknownTask, "unknown-task"},
+    {ignored_end::TaskDone, "task-done"},
+}};
+
 /** @brief State of a job as reported to callers. */
 enum class job_state : std::uint8_t {
   Queued,
--- a/src/galenalink/job_node/node_metrics.cpp
+++ b/src/galenalink/job_node/node_metrics.cpp
@@ -55,6 +55,10 @@
   for (const auto &[How, Total] : Counts.Ends)
     advanceCounter("galenalink_run_ends_total", "Runs ended, by how.",
                    {{"how", text(nameOf(job::RunOutcomeNames, How))}}, Total);
+  for (const auto &[Why, Total] : Counts.IgnoredEnds)
+    advanceCounter("galenalink_run_ends_ignored_total",
+                   "Ends done or failed that changed no task, by why.",
+                   {{"why", text(nameOf(job::IgnoredEndNames, Why))}}, Total);
   advanceCounter("galenalink_jobs_failed_total",
                  "Jobs failed by their attempt limit.", {}, Counts.JobsFailed);
   advanceCounter("galenalink_failures_without_rule_total",
