Open every occurrence that an earlier leader can have opened

Cause: a leader opens an occurrence without storing that, and starts its tasks. Its successor reads that the occurrence before is still open, and opens one that a backend server reports only while 20,000 tasks of the job, and the limit of memory, allow it. Lists of ends arrive server by server and in order, so the ends of the new occurrence come before all of the old one are known. An end for which there was no room changed no task and was acknowledged all the same, as all ends are by their number. Ends "failed" were lost in the same way (a task got all its attempts once more), and runs of such an occurrence were stopped.

Change: an occurrence that a backend server reports is opened whatever the limits of new occurrences are: its runs exist. Nothing waits, so that ends behind others in a list can't be blocked by them. What bounds memory and the record: 60,000 tasks of a job and one progress record. An end beyond that, which no leader can have caused, is discarded with a log line.

Test: reported_occurrences/*.

--- a/src/galenalink/job/job.hpp
+++ b/src/galenalink/job/job.hpp
@@ -183,6 +183,9 @@
   std::uint32_t OpenedCount{0};
 };
 
+/** @return Upper bound of what an open occurrence adds to the progress record,
+ * without failed runs and checkpoints, bytes. */
+[[nodiscard]] std::size_t occurrenceRecordBytes(const job_spec &Spec) noexcept;
 /** @brief Serializes specification, pool and rule of a job for the store. */
 [[nodiscard]] std::string toRecord(const job &Job);
 /** @return The job without its progress; `nullopt` if the record is invalid. */
--- a/src/galenalink/job/job_limits.hpp
+++ b/src/galenalink/job/job_limits.hpp
@@ -16,6 +16,10 @@
 inline constexpr std::size_t MaxSteps = 1000;
 /** Tasks of all steps of one occurrence. */
 inline constexpr std::uint64_t MaxTasks = 20000;
+/** Tasks of one job in occurrences that are open because backend servers report
+ * runs of them. A predecessor of an earlier version may have opened more than
+ * `MaxTasks` since its latest record. */
+inline constexpr std::uint64_t MaxReportedTasks = 3 * MaxTasks;
 /** References to earlier steps, of all steps together. */
 inline constexpr std::size_t MaxDependencies = 20000;
 /** Thousandths of a core, MB or GPUs of one task or one backend server. */
--- a/src/galenalink/job/job_record.cpp
+++ b/src/galenalink/job/job_record.cpp
@@ -158,6 +158,16 @@
 
 } // namespace
 
+std::size_t occurrenceRecordBytes(const job_spec &Spec) noexcept {
+  // Arrays around the number and the steps, and around the parts of a step.
+  constexpr std::size_t OccurrenceBytes = 12;
+  constexpr std::size_t StepBytes = 8;
+  std::size_t Bytes = OccurrenceBytes;
+  for (const step_spec &Step : Spec.Steps)
+    Bytes += StepBytes + Step.Count / 8;
+  return Bytes;
+}
+
 std::string toRecord(const job &Job) {
   const job_spec &Spec = Job.spec();
   json Steps = json::array();
--- a/src/galenalink/job/leader.hpp
+++ b/src/galenalink/job/leader.hpp
@@ -178,6 +178,7 @@
   time_point StartsHeldSince{NoDeadline};
   overload_gate OverloadGate;
   telemetry::rate_limit JobMemoryLogRate{std::chrono::seconds{1}};
+  telemetry::rate_limit DiscardedEndLogRate{std::chrono::seconds{1}};
   /** By how much the last pass of the control loop was late. */
   duration LoopDelay{0};
   /** For how long responses to calls wait in the event loop. */
--- a/src/galenalink/job/occurrences.cpp
+++ b/src/galenalink/job/occurrences.cpp
@@ -63,10 +63,28 @@
     openNextOccurrence(Leader, Entry);
 }
 
+namespace {
+
+/** @brief Whether an earlier leader can have opened the occurrences up to the
+ * given one. It may have had more memory than this one, so that only the limits
+ * of tasks and of the progress record apply. */
+bool isPlausible(const job &Job, const std::uint32_t Number) {
+  const std::uint64_t Missing = std::uint64_t{Number} + 1 - Job.openedCount();
+  const std::uint64_t Open = Job.openOccurrences().size() + Missing;
+  const std::uint64_t Tasks = Open * taskCount(Job.spec());
+  if (Tasks <= limits::MaxTasks)
+    return true;
+  return Tasks <= limits::MaxReportedTasks &&
+         Open * occurrenceRecordBytes(Job.spec()) <= limits::MaxRecordBytes;
+}
+
+} // namespace
+
 void openReportedOccurrence(leader &Leader, job_entry &Entry,
                             const std::uint32_t Number) {
-  while (Entry.Job.openedCount() <= Number && Entry.Job.nextDue() &&
-         hasRoomForOccurrence(Leader, Entry)) {
+  if (Number < Entry.Job.openedCount() || !isPlausible(Entry.Job, Number))
+    return;
+  while (Entry.Job.openedCount() <= Number && Entry.Job.nextDue()) {
     occurrence &Opened = openNextOccurrence(Leader, Entry);
     const std::chrono::milliseconds UntilDue{Opened.DueMs - Leader.Wall()};
     for (auto &Step : Opened.Steps) {
--- a/src/galenalink/job/run_ends.cpp
+++ b/src/galenalink/job/run_ends.cpp
@@ -1,4 +1,5 @@
 #include "galenalink/job/run_ends.hpp"
+#include "galenalink/job/job_limits.hpp"
 #include "galenalink/job/occurrences.hpp"
 #include "galenalink/job/runs.hpp"
 #include "galenalink/telemetry/log.hpp"
@@ -120,6 +121,17 @@
   Log.write(telemetry::severity::Info, "run ended", Line);
 }
 
+void logDiscardedEnd(leader &Leader, const job &Job, const listed_end &End) {
+  if (const auto Dropped = Leader.DiscardedEndLogRate.admit(Leader.Now()))
+    Log.error("end of a run of an occurrence that no leader can have opened, "
+              "discarding it",
+              {{"run", toText(End.Run)},
+               {"opened", Job.openedCount()},
+               {"open", Job.openOccurrences().size()},
+               {"max_tasks", limits::MaxReportedTasks},
+               {"lines_dropped", *Dropped}});
+}
+
 /** @brief Stores the checkpoint of an end, from which the next run starts. */
 void applyCheckpoint(leader &Leader, job_entry &Entry, const listed_end &End) {
   task *Task = Entry.Job.find(End.Run.Task);
@@ -143,6 +155,8 @@
   ++Leader.Counts->Ends[End.Outcome];
   if (Ignored && (Done || Failed))
     ++Leader.Counts->IgnoredEnds[*Ignored];
+  if (Ignored == ignored_end::OccurrenceNotOpen)
+    logDiscardedEnd(Leader, Entry->Job, End);
   if (Entry != nullptr && !Entry->Job.ended()) {
     applyCheckpoint(Leader, *Entry, End);
     if (Done)
--- a/src/galenalink/job/types.hpp
+++ b/src/galenalink/job/types.hpp
@@ -153,7 +153,7 @@
   UnknownJob,
   JobEnded,
   OccurrenceDone,
-  /** An earlier leader opened the occurrence; this one has not. */
+  /** No leader can have opened the occurrence. */
   OccurrenceNotOpen,
   UnknownTask,
   TaskDone,
--- /dev/null
+++ b/test/galenalink/job/reported_occurrences.cpp
@@ -0,0 +1,169 @@
+#include "galenalink/job/job_limits.hpp"
+#include "one_pool.hpp"
+
+using namespace galenalink;
+using namespace galenalink::job;
+using namespace galenalink::test;
+
+namespace {
+
+/** Two occurrences of a job with so many tasks exceed `limits::MaxTasks`. */
+constexpr std::uint32_t ManyTasks = 12000;
+
+job_spec makeRepeatedJob(const simulated_platform &Platform,
+                         const step_spec &Step, const std::uint32_t Times) {
+  job_spec Spec = makeJob({Step});
+  Spec.Times = Times;
+  Spec.StartAtMs = Platform.wallNow();
+  Spec.IntervalMs = 1;
+  return Spec;
+}
+
+/** @brief A backend server lists ends of a job with times that no leader under
+ * test has started: nothing has the label that its step requires. */
+struct idle_job : one_pool {
+  std::uint32_t Tasks;
+
+  idle_job(const std::uint32_t Tasks, const std::uint32_t Times)
+      : one_pool{1}, Tasks{Tasks} {
+    step_spec Step = makeStep(Tasks, 1, 1);
+    Step.Label = "none";
+    BOOST_REQUIRE(submit("press", "a", makeRepeatedJob(*this, Step, Times)));
+  }
+
+  void report(const std::uint32_t Occurrence, const std::uint32_t Index,
+              const run_outcome Outcome, const std::uint64_t Number = 1) {
+    simulated_server &Server = Servers.at("s0");
+    Server.Listed.push_back(
+        {++Server.Ends, {{"a", Occurrence, 0, Index}, Number}, Outcome, ""});
+  }
+  [[nodiscard]] auto &openJob() { return Leader->state().findJob("a")->Job; }
+  [[nodiscard]] std::uint64_t ignoredEnds() const {
+    std::uint64_t Sum = 0;
+    for (const auto &[Why, Count] : Leader->state().Counts->IgnoredEnds)
+      Sum += Count;
+    return Sum;
+  }
+};
+
+/** @brief Two occurrences of a job are at work at the same time. The leader has
+ * room for both, its successor for one. */
+struct weak_successor : one_pool {
+  static constexpr std::uint32_t Tasks = 50;
+
+  explicit weak_successor(const std::uint32_t TaskMs) : one_pool{4} {
+    const auto Step = makeStep(Tasks, 1000, TaskMs);
+    BOOST_REQUIRE(submit("press", "a", makeRepeatedJob(*this, Step, 2)));
+    advance(Second / 5);
+    BOOST_REQUIRE(Starts == 2 * Tasks);
+  }
+
+  void electSuccessor() {
+    const job_spec &Spec = Leader->state().findJob("a")->Job.spec();
+    JobMemory.Open = JobOverheadBytes + specificationBytes(Spec) +
+                     occurrenceBytes(Spec) * 3 / 2;
+    elect();
+  }
+  void checkCompletedOnce() {
+    BOOST_CHECK(stateOf("a") == job_state::Completed);
+    BOOST_TEST(Starts == 2 * Tasks);
+    checkNoViolations(*this);
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(reported_occurrences)
+
+// A successor without room for an occurrence that its predecessor had opened
+// acknowledged the ends of its tasks without effect, and ran the tasks again.
+BOOST_AUTO_TEST_CASE(done_ends_beyond_the_limit_of_tasks_count) {
+  constexpr std::uint32_t Reported = 50;
+  idle_job Platform{ManyTasks, 2};
+  for (std::uint32_t I = 0; I < Reported; ++I)
+    Platform.report(1, I, run_outcome::Done);
+  // The ends of the first occurrence are listed behind those of the second.
+  for (std::uint32_t I = 0; I < ManyTasks; ++I)
+    Platform.report(0, I, run_outcome::Done);
+  Platform.elect();
+  Platform.advance(3 * Second);
+  BOOST_TEST(Platform.Servers.at("s0").Listed.empty());
+  Platform.elect();
+  const auto &Open = Platform.openJob().openOccurrences();
+  BOOST_REQUIRE(Open.size() == 1U);
+  BOOST_TEST(Open.front().Number == 1U);
+  BOOST_TEST(Open.front().Steps[0].Done == Reported);
+  BOOST_TEST(Platform.ignoredEnds() == 0U);
+}
+
+// The same with the limit of memory, which differs from node to node.
+BOOST_AUTO_TEST_CASE(done_ends_beyond_the_limit_of_memory_count) {
+  weak_successor Platform{300};
+  Platform.StoreDown = true;
+  Platform.advance(2 * Second);
+  Platform.electSuccessor();
+  Platform.StoreDown = false;
+  Platform.advance(5 * Second);
+  Platform.checkCompletedOnce();
+}
+
+// Failed ends were discarded in the same way, so that a task got all its
+// attempts once more.
+BOOST_AUTO_TEST_CASE(failed_ends_beyond_the_limit_of_tasks_count) {
+  idle_job Platform{ManyTasks, 2};
+  const std::uint32_t Attempts = Platform.Rules.Queues.front().MaxAttempts;
+  for (std::uint32_t I = 1; I <= Attempts; ++I)
+    Platform.report(1, 7, run_outcome::Failed, I);
+  Platform.elect();
+  Platform.advance(Second);
+  BOOST_CHECK(Platform.stateOf("a") == job_state::Failed);
+  BOOST_TEST(Platform.ignoredEnds() == 0U);
+}
+
+// Runs of such an occurrence were stopped, and their tasks could be started
+// again before the stop had taken effect.
+BOOST_AUTO_TEST_CASE(runs_beyond_the_limit_of_memory_are_kept) {
+  weak_successor Platform{3000};
+  Platform.electSuccessor();
+  Platform.advance(Second);
+  for (std::uint32_t Index = 0; Index < weak_successor::Tasks; ++Index)
+    BOOST_TEST(Platform.countRunning({"a", 1, 0, Index}) == 1U);
+  Platform.advance(5 * Second);
+  Platform.checkCompletedOnce();
+}
+
+// An end with a number that no leader has opened must not open millions of
+// occurrences, and must not hold back the ends behind it.
+BOOST_AUTO_TEST_CASE(implausible_occurrence_is_not_opened) {
+  constexpr std::uint32_t Times = 10'000'000;
+  idle_job Platform{1, Times};
+  Platform.report(Times - 1, 0, run_outcome::Done);
+  Platform.report(0, 0, run_outcome::Done);
+  Platform.elect();
+  Platform.advance(Second);
+  const auto &Job = Platform.openJob();
+  BOOST_TEST(Job.openOccurrences().size() <= limits::MaxReportedTasks);
+  BOOST_TEST(Job.progressRecord().size() <= limits::MaxRecordBytes);
+  BOOST_TEST(Job.openOccurrences().front().Number == 1U);
+  BOOST_TEST(Platform.ignoredEnds() == 1U);
+  BOOST_TEST(Platform.Servers.at("s0").Listed.empty());
+}
+
+// A progress record above the store's limit is refused for ever, and all that
+// is stored later with it. The bound by which occurrences are opened must hold.
+BOOST_AUTO_TEST_CASE(bound_of_the_progress_record_holds) {
+  constexpr std::uint32_t Occurrences = 70000;
+  constexpr std::size_t HeaderBytes = 16;
+  for (const std::uint32_t Count : {1U, 8U, 9U, 200U, 2100U}) {
+    job_spec Spec = makeJob({makeStep(Count, 1, 1), makeStep(1, 1, 1)});
+    Spec.Times = Occurrences;
+    galenalink::job::job Job{"a", "press", "press", Spec, 0};
+    const std::uint32_t Opened = Occurrences / Count;
+    for (std::uint32_t I = 0; I < Opened; ++I)
+      Job.openNext();
+    BOOST_TEST(Job.progressRecord().size() <=
+               HeaderBytes + Opened * occurrenceRecordBytes(Spec));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
