Open an occurrence only when the store shows room for it

Cause: the limits of a job's open tasks and of memory looked at what the leader holds. An occurrence that had ended gave its room to the next one at once, while the store, and so a successor, still showed it as open.

Change: an occurrence that is done keeps its room until that is stored. Whatever a leader opens, a successor that reads the latest record has room for it, also after several leaders that stored nothing. A job whose occurrences have over 10,000 tasks waits some ms for the store between two of them, and does not go on during an outage of the store.

Test: reported_occurrences/next_occurrence_waits_until_the_last_end_is_ stored (before: 19,680 starts while the store was down; the job's stored record leaves room for 12,000) and unstored_ends_keep_their_memory failed before.

--- a/src/galenalink/job/job.hpp
+++ b/src/galenalink/job/job.hpp
@@ -121,6 +121,11 @@
     return OpenedCount;
   }
 
+  /** @brief Number of occurrences that are done. */
+  [[nodiscard]] std::uint32_t doneCount() const noexcept {
+    return OpenedCount - static_cast<std::uint32_t>(OpenOccurrences.size());
+  }
+
   /** @return Due time of the next occurrence to open, ms since the Unix epoch;
    * `nullopt` if none is left. */
   [[nodiscard]] std::optional<wall_ms> nextDue() const noexcept;
--- a/src/galenalink/job/job_entry.hpp
+++ b/src/galenalink/job/job_entry.hpp
@@ -35,6 +35,8 @@
   /** Latest state that is in the store. Callers see this one, so that a change
    * of leader never takes back a reported state. */
   job_state StoredState{job_state::Queued};
+  /** Number of occurrences that are done according to the store. */
+  std::uint32_t StoredDoneCount{0};
   /** Accepted by an earlier leader: its runs may exist on any backend server of
    * the pool that has not responded to this leader yet. */
   bool Recovered{false};
@@ -57,6 +59,12 @@
   /** Where `open_jobs` has it. */
   open_jobs_position Position;
   job_charge Charge;
+
+  /** @return Number of occurrences that are open, or that a successor would
+   * read as open from the store. */
+  [[nodiscard]] std::size_t storedOpenCount() const noexcept {
+    return Job.openedCount() - StoredDoneCount;
+  }
 };
 
 } // namespace galenalink::job
--- a/src/galenalink/job/job_memory.cpp
+++ b/src/galenalink/job/job_memory.cpp
@@ -10,11 +10,12 @@
 }
 
 /** @return Memory of a job that is not compacted. Its first occurrence has room
- * also while it is not due. */
+ * also while it is not due, and one that is done until that is stored: a
+ * successor reads it as open. */
 std::size_t openBytes(const job_entry &Entry) noexcept {
   const job &Job = Entry.Job;
   const std::size_t Occurrences =
-      std::max<std::size_t>(Job.openOccurrences().size(), 1);
+      std::max<std::size_t>(Entry.storedOpenCount(), 1);
   return JobOverheadBytes + specificationBytes(Job.spec()) +
          Occurrences * occurrenceBytes(Job.spec());
 }
--- a/src/galenalink/job/leader.cpp
+++ b/src/galenalink/job/leader.cpp
@@ -100,9 +100,16 @@
   });
   // Captures the current state: a later change is reported by its own call once
   // it is stored.
-  Leader.Journal.whenStored([&Leader, Id, State = Entry.Job.state()] {
-    if (job_entry *Found = Leader.findJob(Id))
-      Found->StoredState = std::max(Found->StoredState, State);
+  Leader.Journal.whenStored([&Leader, Id, State = Entry.Job.state(),
+                             DoneCount = Entry.Job.doneCount()] {
+    job_entry *Found = Leader.findJob(Id);
+    if (Found == nullptr)
+      return;
+    Found->StoredState = std::max(Found->StoredState, State);
+    if (DoneCount <= Found->StoredDoneCount)
+      return;
+    Found->StoredDoneCount = DoneCount;
+    Leader.JobMemory.update(*Found);
   });
 }
 
--- a/src/galenalink/job/occurrences.cpp
+++ b/src/galenalink/job/occurrences.cpp
@@ -38,9 +38,10 @@
 namespace {
 
 /** @brief Whether one more occurrence may be open; otherwise it is opened once
- * earlier ones are done. */
+ * earlier ones are done and that is stored. A successor has room for all that
+ * this leader opens, since it reads no more occurrences as open. */
 bool hasRoomForOccurrence(const leader &Leader, const job_entry &Entry) {
-  const std::size_t Open = Entry.Job.openOccurrences().size();
+  const std::size_t Open = Entry.storedOpenCount();
   if (Open == 0)
     return true;
   return (Open + 1) * taskCount(Entry.Job.spec()) <= limits::MaxTasks &&
--- a/src/galenalink/job/recovery.cpp
+++ b/src/galenalink/job/recovery.cpp
@@ -110,6 +110,7 @@
     return;
   }
   Entry->StoredState = Entry->Job.state();
+  Entry->StoredDoneCount = Entry->Job.doneCount();
   if (Entry->Job.ended())
     addEndedJob(Leader, *Entry);
   else
--- a/test/galenalink/job/reported_occurrences.cpp
+++ b/test/galenalink/job/reported_occurrences.cpp
@@ -149,6 +149,50 @@
   BOOST_TEST(Platform.Servers.at("s0").Listed.empty());
 }
 
+// A leader opened the next occurrence once the one before had ended, although
+// the store did not show that: its successor read the former as open and had
+// no room for the latter.
+BOOST_AUTO_TEST_CASE(next_occurrence_waits_until_the_last_end_is_stored) {
+  one_pool Platform;
+  // Ends that are not acknowledged must not hide the others.
+  Platform.EndsPerResponse = ManyTasks;
+  const auto Step = makeStep(ManyTasks, 50, 50);
+  BOOST_REQUIRE(
+      Platform.submit("press", "a", makeRepeatedJob(Platform, Step, 2)));
+  Platform.StoreDown = true;
+  Platform.advance(3 * Second);
+  BOOST_TEST(Platform.Starts == ManyTasks);
+  const auto &State = Platform.Leader->state();
+  BOOST_TEST(State.findJob("a")->Job.doneCount() == 1U);
+  BOOST_TEST(State.findJob("a")->Job.openedCount() == 1U);
+  Platform.elect();
+  Platform.StoreDown = false;
+  Platform.advance(5 * Second);
+  BOOST_CHECK(Platform.stateOf("a") == job_state::Completed);
+  BOOST_TEST(Platform.Starts == 2 * ManyTasks);
+  checkNoViolations(Platform);
+}
+
+// Occurrences whose end was not stored did not count as memory, so that a
+// successor that reads them as open held more than the limit.
+BOOST_AUTO_TEST_CASE(unstored_ends_keep_their_memory) {
+  one_pool Platform;
+  const auto Step = makeStep(10, 1000, 50);
+  const job_spec Spec = makeRepeatedJob(Platform, Step, 20);
+  BOOST_REQUIRE(Platform.submit("press", "a", Spec));
+  Platform.StoreDown = true;
+  Platform.advance(Second);
+  const auto &State = Platform.Leader->state();
+  const job_entry &Entry = *State.findJob("a");
+  BOOST_TEST(Entry.Job.doneCount() > 0U);
+  BOOST_TEST(State.JobMemory.open() >=
+             Entry.Job.openedCount() * occurrenceBytes(Spec));
+  Platform.StoreDown = false;
+  Platform.advance(3 * Second);
+  BOOST_CHECK(Platform.stateOf("a") == job_state::Completed);
+  BOOST_TEST(State.JobMemory.open() == 0U);
+}
+
 // A progress record above the store's limit is refused for ever, and all that
 // is stored later with it. The bound by which occurrences are opened must hold.
 BOOST_AUTO_TEST_CASE(bound_of_the_progress_record_holds) {
