Submit jobs with times in the soak

Cause: the soak had no job with times, so that no occurrence was open or being opened when a leader was cut off, killed or replaced.

Change: one job in eight has two to four times, 200 ms apart.

--- a/test/soak/job_clients.cpp
+++ b/test/soak/job_clients.cpp
@@ -19,6 +19,10 @@
 /** Submissions of one job; each goes to a random node. */
 constexpr int MaxTries = 6;
 constexpr std::uint64_t CancelPercent = 10;
+/** One job in so many has times, up to `MaxTimes` of them that overlap. */
+constexpr std::uint64_t JobsPerRepeatedJob = 8;
+constexpr std::uint64_t MaxTimes = 4;
+constexpr std::uint64_t RepeatIntervalMs = 200;
 /** Task duration of jobs that are cancelled, longer than the time to the
  * cancel, so that there is something to stop. */
 constexpr std::uint64_t CancelledTaskMs = 9000;
@@ -32,6 +36,12 @@
   return Response == nullptr ? 0 : Response->Status;
 }
 
+std::int64_t wallNowMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 json step(const std::uint64_t Count, const std::uint64_t Cpu) {
   return {{"count", Count}, {"cpu", Cpu}, {"memMb", 100}, {"estimateMs", 300}};
 }
@@ -49,9 +59,10 @@
 }
 
 void job_clients::submitNew() {
+  const std::uint64_t Number = Random();
   char Id[17];
   std::snprintf(Id, sizeof(Id), "%016llx",
-                static_cast<unsigned long long>(Random()));
+                static_cast<unsigned long long>(Number));
   client_job &Job = Jobs[Id];
   Job.Id = Id;
   Job.Queue = Options.Queues[randomBelow(Options.Queues.size())];
@@ -66,7 +77,16 @@
     Job.TaskCount += Each.at("count").get<std::size_t>();
   const std::uint64_t TaskMs =
       Job.ToBeCancelled ? CancelledTaskMs : 100 + randomBelow(600);
-  Job.Body = json{{"spec", std::to_string(TaskMs)}, {"steps", Steps}}.dump();
+  json Body{{"spec", std::to_string(TaskMs)}, {"steps", Steps}};
+  if (!Job.ToBeCancelled && Number % JobsPerRepeatedJob == 0) {
+    const std::uint64_t Times =
+        2 + Number / JobsPerRepeatedJob % (MaxTimes - 1);
+    Body["times"] = Times;
+    Body["startAtMs"] = wallNowMs();
+    Body["intervalMs"] = RepeatIntervalMs;
+    Job.TaskCount *= Times;
+  }
+  Job.Body = Body.dump();
   submit(Job.Id);
 }
 
