Open no occurrence for an end beyond the job's last one

An end that names an occurrence which the job does not have, such as 50 of a job with 50 times, opened all occurrences that were left, before their time by the clock of the leader. No backend server is known to list such an end.

Change: such an end opens nothing. It is counted as unknown-task.

Test: reported_occurrences/occurrence_beyond_the_last_opens_none (before: 50 occurrences opened instead of none).

--- a/src/galenalink/job/occurrences.cpp
+++ b/src/galenalink/job/occurrences.cpp
@@ -70,6 +70,8 @@
  * given one. It may have had more memory than this one, so that only the limits
  * of tasks and of the progress record apply. */
 bool isPlausible(const job &Job, const std::uint32_t Number) {
+  if (Number >= Job.spec().occurrences())
+    return false;
   const std::uint64_t Missing = std::uint64_t{Number} + 1 - Job.openedCount();
   const std::uint64_t Open = Job.openOccurrences().size() + Missing;
   const std::uint64_t Tasks = Open * taskCount(Job.spec());
--- a/test/galenalink/job/reported_occurrences.cpp
+++ b/test/galenalink/job/reported_occurrences.cpp
@@ -50,12 +50,13 @@
  * room for both, its successor for one. */
 struct weak_successor : one_pool {
   static constexpr std::uint32_t Tasks = 50;
+  static constexpr std::uint64_t TasksOfBoth = std::uint64_t{2} * Tasks;
 
   explicit weak_successor(const std::uint32_t TaskMs) : one_pool{4} {
     const auto Step = makeStep(Tasks, 1000, TaskMs);
     BOOST_REQUIRE(submit("press", "a", makeRepeatedJob(*this, Step, 2)));
     advance(Second / 5);
-    BOOST_REQUIRE(Starts == 2 * Tasks);
+    BOOST_REQUIRE(Starts == TasksOfBoth);
   }
 
   void electSuccessor() {
@@ -66,7 +67,7 @@
   }
   void checkCompletedOnce() {
     BOOST_CHECK(stateOf("a") == job_state::Completed);
-    BOOST_TEST(Starts == 2 * Tasks);
+    BOOST_TEST(Starts == TasksOfBoth);
     checkNoViolations(*this);
   }
 };
@@ -132,6 +133,19 @@
   Platform.checkCompletedOnce();
 }
 
+// An occurrence beyond the job's last one opened all that were left.
+BOOST_AUTO_TEST_CASE(occurrence_beyond_the_last_opens_none) {
+  idle_job Platform{1, 50};
+  Platform.ClockOffsetMs = -2000;
+  Platform.elect();
+  const std::uint32_t Opened = Platform.openJob().openedCount();
+  BOOST_REQUIRE(Opened < 50U);
+  Platform.report(50, 0, run_outcome::Done);
+  Platform.advance(Second);
+  BOOST_TEST(Platform.openJob().openedCount() == Opened);
+  BOOST_TEST(Platform.ignoredEnds() == 1U);
+}
+
 // An end with a number that no leader has opened must not open millions of
 // occurrences, and must not hold back the ends behind it.
 BOOST_AUTO_TEST_CASE(implausible_occurrence_is_not_opened) {
