--- a/test/galenalink/job/reported_occurrences.cpp
+++ b/test/galenalink/job/reported_occurrences.cpp
@@ -22,10 +22,7 @@
 /** @brief A backend server lists ends of a job with times that no leader under
  * test has started: nothing has the label that its step requires. */
 struct idle_job : one_pool {
-  std::uint32_t Tasks;
-
-  idle_job(const std::uint32_t Tasks, const std::uint32_t Times)
-      : one_pool{1}, Tasks{Tasks} {
+  idle_job(const std::uint32_t Tasks, const std::uint32_t Times) : one_pool{1} {
     step_spec Step = makeStep(Tasks, 1, 1);
     Step.Label = "none";
     BOOST_REQUIRE(submit("press", "a", makeRepeatedJob(*this, Step, Times)));
